--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load and experiment tool.
+
+fn main() {}
--- /dev/null
+++ b/boragerill/src/feed.rs
@@ -0,0 +1,214 @@
+//! Follows the configuration that control processes hand out.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use arc_swap::ArcSwap;
+use compact_str::CompactString;
+use log::{
+    info,
+    warn, //
+};
+use tokio::{
+    sync::watch,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+use crate::{
+    config::{
+        ConfigTable,
+        Version, //
+    },
+    error::{
+        ServeError,
+        Step, //
+    },
+    frame::FrameLink,
+    generated::messages::{
+        envelope::Body,
+        ConfigDelta,
+        ConfigObject,
+        Subscribe, //
+    },
+    snapshot::Snapshot, //
+};
+
+/// Period at which a control process confirms its version to subscribers.
+pub const CONFIRM_PERIOD: Duration = Duration::from_millis(500);
+
+/// Age of a configuration that the platform never confirmed.
+pub const AGE_UNKNOWN: u64 = u64::MAX;
+
+/// Silence after which a subscriber turns to another control process.
+const FEED_SILENCE: Duration = Duration::from_millis(1500);
+
+/// Pause between attempts to reach a control process.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Holds the configuration of a process and publishes the snapshot in force.
+#[derive(Debug)]
+pub struct SnapshotStore {
+    table: Mutex<ConfigTable>,
+    current: ArcSwap<Snapshot>,
+    changed: watch::Sender<Version>,
+    started: Instant,
+    confirmed_ms: AtomicU64, // Since `started`; zero until the first confirmation.
+}
+
+impl Default for SnapshotStore {
+    fn default() -> SnapshotStore {
+        SnapshotStore {
+            table: Mutex::default(),
+            current: ArcSwap::default(),
+            changed: watch::channel(0).0,
+            started: Instant::now(),
+            confirmed_ms: AtomicU64::new(0),
+        }
+    }
+}
+
+impl SnapshotStore {
+    /// Returns the snapshot in force.
+    pub fn load(&self) -> Arc<Snapshot> {
+        self.current.load_full()
+    }
+
+    /// Returns a receiver that is notified after each change.
+    pub fn subscribe(&self) -> watch::Receiver<Version> {
+        self.changed.subscribe()
+    }
+
+    /// Returns the time since the platform last confirmed the configuration, if it ever did.
+    pub fn age(&self) -> Option<Duration> {
+        let confirmed = self.confirmed_ms.load(Ordering::Relaxed);
+        let confirmed = (confirmed > 0).then(|| self.started + Duration::from_millis(confirmed))?;
+        Some(confirmed.elapsed())
+    }
+
+    /// Notes that the platform confirmed the configuration `age` ago.
+    pub fn confirm(&self, age: Duration) {
+        let at = self.started.elapsed().saturating_sub(age);
+        let at_ms = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+        self.confirmed_ms.fetch_max(at_ms.max(1), Ordering::Relaxed);
+    }
+
+    /// Runs a function on the table of objects.
+    pub fn with_table<T>(&self, read: impl FnOnce(&ConfigTable) -> T) -> T {
+        read(&self.lock())
+    }
+
+    /// Merges objects and publishes the snapshot; returns the objects that were newer.
+    pub fn merge(&self, objects: Vec<ConfigObject>, through: Option<Version>) -> Vec<ConfigObject> {
+        let mut table = self.lock();
+        let fresh = table.merge(objects);
+        self.publish(&mut table, &fresh, through);
+        fresh
+    }
+
+    /// Merges what a control process sent.
+    pub fn apply_delta(&self, delta: ConfigDelta) {
+        let through = (!delta.partial).then_some(delta.through);
+        self.merge(delta.objects, through);
+        if through.is_some() && delta.age_ms != AGE_UNKNOWN {
+            self.confirm(Duration::from_millis(delta.age_ms));
+        }
+    }
+
+    /// Merges a complete listing of one kind; returns the objects that were newer.
+    pub fn merge_listing(
+        &self,
+        kind: &str,
+        objects: Vec<ConfigObject>,
+        version: Version,
+    ) -> Vec<ConfigObject> {
+        let mut table = self.lock();
+        let fresh = table.merge_listing(kind, objects, version);
+        self.publish(&mut table, &fresh, None);
+        fresh
+    }
+
+    /// Publishes while the table is locked, so that snapshots appear in the order of merging.
+    fn publish(&self, table: &mut ConfigTable, fresh: &[ConfigObject], through: Option<Version>) {
+        let rises = through.is_some_and(|through| through > table.through());
+        if fresh.is_empty() && !rises {
+            return;
+        }
+        table.complete_to(through.unwrap_or(0));
+        let mut snapshot = Snapshot::clone(&self.current.load());
+        for object in fresh {
+            if let Some(violation) = snapshot.apply(object) {
+                let (kind, name, version) = (&object.kind, &object.name, object.version);
+                warn!(
+                    "{kind}/{name}: version {version} refused: {}: {}",
+                    violation.field, violation.cause
+                );
+            }
+        }
+        snapshot.complete_to(table.through());
+        self.current.store(Arc::new(snapshot));
+        self.changed.send_replace(table.through());
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, ConfigTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Follows the control processes of a VM's own list, the first reachable one at a time.
+pub async fn follow_any(store: Arc<SnapshotStore>, controls: Vec<CompactString>) {
+    while !controls.is_empty() {
+        for address in &controls {
+            let after = store.with_table(ConfigTable::through);
+            let ended = follow_one(address, after, |delta| store.apply_delta(delta)).await;
+            info!("configuration feed ended: {ended}");
+            sleep(RECONNECT_PAUSE).await;
+        }
+    }
+}
+
+/// Follows one control process until it falls silent, and returns the error that ended the feed.
+pub async fn follow_one(
+    address: &str,
+    after: Version,
+    mut apply: impl FnMut(ConfigDelta),
+) -> ServeError {
+    let (link, mut inbox) = match FrameLink::connect(address).await {
+        Ok(opened) => opened,
+        Err(error) => return error,
+    };
+    if let Err(error) = link.push(0, Body::Subscribe(Subscribe { after })) {
+        return error;
+    }
+    loop {
+        let envelope = match timeout(FEED_SILENCE, inbox.recv()).await {
+            Ok(Some(envelope)) => envelope,
+            Ok(None) => {
+                return ServeError::Unreachable(
+                    Step::Receive,
+                    address.into(),
+                    "connection ended".into(),
+                )
+            }
+            Err(_) => return ServeError::Timeout(Step::Receive, address.into()),
+        };
+        if let Some(Body::ConfigDelta(delta)) = envelope.body {
+            apply(delta);
+        }
+    }
+}
--- /dev/null
+++ b/boragerill/src/keys.rs
@@ -0,0 +1,57 @@
+//! Callers' keys: hashing and extraction. Only hashes are ever stored.
+
+use serde_json::Value;
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+/// SHA-256 of a key.
+pub type KeyHash = [u8; 32];
+
+/// Returns the hash of a key's text.
+pub fn hash_key(key: &str) -> KeyHash {
+    Sha256::digest(key.as_bytes()).into()
+}
+
+/// Returns lower-case hexadecimal digits.
+pub fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Parses 64 hexadecimal digits.
+pub fn parse_hash(text: &str) -> Option<KeyHash> {
+    let mut hash = KeyHash::default();
+    if text.len() != 2 * hash.len() || !text.is_ascii() {
+        return None;
+    }
+    for (index, byte) in hash.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(hash)
+}
+
+/// Returns the key of an `Authorization` header's value.
+pub fn scan_bearer(header: &str) -> Option<&str> {
+    let (scheme, key) = header.split_once(' ')?;
+    let key = key.trim();
+    (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
+}
+
+/// Returns whether `bytes` holds `key`, so that forwarding it would show the key to a backend server.
+pub fn is_in_bytes(bytes: &[u8], key: &str) -> bool {
+    let mut windows = bytes.windows(key.len().max(1));
+    !key.is_empty() && windows.any(|window| window == key.as_bytes())
+}
+
+/// Returns whether any text of a JSON value holds `key`, escapes undone.
+pub fn is_in_json(value: &Value, key: &str) -> bool {
+    match value {
+        Value::String(text) => text.contains(key),
+        Value::Array(items) => items.iter().any(|item| is_in_json(item, key)),
+        Value::Object(map) => map
+            .iter()
+            .any(|(name, item)| name.contains(key) || is_in_json(item, key)),
+        _ => false,
+    }
+}
--- /dev/null
+++ b/boragerill/src/lib.rs
@@ -0,0 +1,46 @@
+//! Decisions and shared parts of the boragerill serving system.
+//!
+//! Decisions are plain state machines without I/O: time, peers and versions come in as arguments.
+//!
+//! ```
+//! use boragerill::route::{choose, RouteQuery, ServerView};
+//!
+//! let view = |hash, load| ServerView { hash, load, local: true, leaving: false, ejected: false, slots: 8 };
+//! let servers = [view(1, 7), view(2, 0)];
+//! let chosen = choose(&servers, &[0], RouteQuery::default());
+//! assert_eq!(chosen, Some(1));
+//! ```
+
+pub mod answer;
+pub mod batch;
+pub mod config;
+pub mod error;
+pub mod feed;
+pub mod frame;
+pub mod keys;
+pub mod kinds;
+pub mod links;
+pub mod platform;
+pub mod process;
+pub mod rank;
+pub mod refusal;
+pub mod retry;
+pub mod roster;
+pub mod route;
+pub mod schema;
+pub mod settings;
+pub mod share;
+pub mod snapshot;
+pub mod submit;
+pub mod timer;
+
+/// Code generated from the schemas; see `codegen`.
+#[expect(missing_docs, clippy::all)]
+pub mod generated {
+    #[rustfmt::skip]
+    pub mod kinds;
+    #[rustfmt::skip]
+    pub mod messages;
+    #[rustfmt::skip]
+    pub mod settings;
+}
--- /dev/null
+++ b/boragerill/src/links.rs
@@ -0,0 +1,153 @@
+//! Keeps connections to a changing set of control processes.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use compact_str::CompactString;
+use tokio::time::sleep;
+
+use crate::{
+    frame::FrameLink,
+    generated::messages::{
+        envelope::Body,
+        Hello, //
+    },
+    roster::RosterView, //
+};
+
+/// Pause before a lost peer is connected again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
+
+#[derive(Debug)]
+struct LinkEntry {
+    vm: CompactString,
+    address: CompactString,
+    link: Option<FrameLink>,
+    suspect_until: Option<Instant>,
+}
+
+/// Connections to the control processes of a roster, by VM.
+#[derive(Clone, Debug)]
+pub struct LinkTable {
+    hello: Hello,
+    entries: Arc<Mutex<Vec<LinkEntry>>>, // Sorted by VM.
+}
+
+impl LinkTable {
+    /// Makes an empty table; `hello` introduces this process on every connection.
+    pub fn new(hello: Hello) -> LinkTable {
+        LinkTable {
+            hello,
+            entries: Arc::default(),
+        }
+    }
+
+    /// Connects to members that are new or have moved, and drops those that are gone; `on_close` is
+    /// called with the VM whenever its connection ends.
+    pub fn update<F>(&self, roster: &RosterView, skipped: &str, on_close: F)
+    where
+        F: Fn(&str) + Clone + Send + 'static,
+    {
+        let mut entries = self.lock();
+        entries.retain(|entry| {
+            roster
+                .position(&entry.vm)
+                .is_some_and(|index| roster.members()[index].control == entry.address)
+        });
+        for member in roster
+            .members()
+            .iter()
+            .filter(|member| member.vm != skipped)
+        {
+            let Err(index) = entries.binary_search_by(|entry| entry.vm.cmp(&member.vm)) else {
+                continue;
+            };
+            let (vm, address) = (member.vm.clone(), member.control.clone());
+            tokio::spawn(keep_connected(
+                self.clone(),
+                vm.clone(),
+                address.clone(),
+                on_close.clone(),
+            ));
+            entries.insert(
+                index,
+                LinkEntry {
+                    vm,
+                    address,
+                    link: None,
+                    suspect_until: None,
+                },
+            );
+        }
+    }
+
+    /// Returns the open connection to a VM, unless the VM is suspect.
+    pub fn find(&self, vm: &str, now: Instant) -> Option<FrameLink> {
+        let entries = self.lock();
+        let index = entries
+            .binary_search_by(|entry| entry.vm.as_str().cmp(vm))
+            .ok()?;
+        let entry = &entries[index];
+        if entry.suspect_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        entry.link.clone().filter(|link| !link.is_closed())
+    }
+
+    /// Passes a VM over until `until`, because it didn't answer.
+    pub fn suspect(&self, vm: &str, until: Instant) {
+        let mut entries = self.lock();
+        if let Ok(index) = entries.binary_search_by(|entry| entry.vm.as_str().cmp(vm)) {
+            entries[index].suspect_until = Some(until);
+        }
+    }
+
+    /// Stores a connection; returns whether the member still has this address.
+    fn store(&self, vm: &str, address: &str, link: Option<FrameLink>) -> bool {
+        let mut entries = self.lock();
+        match entries.binary_search_by(|entry| entry.vm.as_str().cmp(vm)) {
+            Ok(index) if entries[index].address == address => {
+                entries[index].link = link;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<LinkEntry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn keep_connected(
+    links: LinkTable,
+    vm: CompactString,
+    address: CompactString,
+    on_close: impl Fn(&str),
+) {
+    loop {
+        if let Ok((link, mut inbox)) = FrameLink::connect(&address).await {
+            let greeted = link.push(0, Body::Hello(links.hello.clone())).is_ok();
+            if greeted && !links.store(&vm, &address, Some(link)) {
+                return;
+            }
+            // Nothing is pushed on these connections; the inbox ends with the connection.
+            while inbox.recv().await.is_some() {}
+            on_close(&vm);
+        }
+        if !links.store(&vm, &address, None) {
+            return;
+        }
+        sleep(RECONNECT_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/boragerill/src/retry.rs
@@ -0,0 +1,98 @@
+//! When a failed attempt may be followed by another.
+
+use std::time::Duration;
+
+/// How far an attempt got before it failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptProgress {
+    /// No byte of the request was sent.
+    NothingSent,
+    /// The request went out, and no part of an answer reached the caller.
+    Sent,
+    /// A part of the answer reached the caller.
+    AnswerStarted,
+}
+
+/// Why an attempt was repeated; names the counter.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryReason {
+    /// The server could not be reached, so nothing ran.
+    ConnectFailed,
+    /// The server failed, and the call is idempotent.
+    ServerFailed,
+}
+
+impl RetryReason {
+    /// Returns the name in counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            RetryReason::ConnectFailed => "connect_failed",
+            RetryReason::ServerFailed => "server_failed",
+        }
+    }
+}
+
+/// One failed attempt as the retry decision sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedAttempt {
+    /// How far the attempt got.
+    pub progress: AttemptProgress,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
+    /// Attempts made so far, this one included.
+    pub attempts: u32,
+    /// Time left until the caller's deadline.
+    pub remaining: Duration,
+}
+
+/// Bounds retries to a share of recent successes.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    tokens: f64,
+}
+
+/// Retries earned by each success.
+const BUDGET_PER_SUCCESS: f64 = 0.1;
+
+/// Most retries that can be saved up.
+const BUDGET_LIMIT: f64 = 20.0;
+
+/// Least time left for which another attempt is worth starting.
+const LEAST_REMAINING: Duration = Duration::from_millis(20);
+
+impl Default for RetryBudget {
+    fn default() -> RetryBudget {
+        RetryBudget {
+            tokens: BUDGET_LIMIT / 2.0,
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Notes a success.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + BUDGET_PER_SUCCESS).min(BUDGET_LIMIT);
+    }
+
+    /// Decides on another attempt and pays for it.
+    pub fn decide(&mut self, failed: FailedAttempt, most_attempts: u32) -> Option<RetryReason> {
+        let reason = retry_reason(failed)?;
+        if failed.attempts >= most_attempts
+            || failed.remaining < LEAST_REMAINING
+            || self.tokens < 1.0
+        {
+            return None;
+        }
+        self.tokens -= 1.0;
+        Some(reason)
+    }
+}
+
+/// Returns why the call may be repeated at all: a non-idempotent call only if nothing was sent.
+fn retry_reason(failed: FailedAttempt) -> Option<RetryReason> {
+    match failed.progress {
+        AttemptProgress::NothingSent => Some(RetryReason::ConnectFailed),
+        AttemptProgress::Sent if failed.idempotent => Some(RetryReason::ServerFailed),
+        AttemptProgress::Sent | AttemptProgress::AnswerStarted => None,
+    }
+}
--- /dev/null
+++ b/boragerill/src/share.rs
@@ -0,0 +1,629 @@
+//! Share leases: the hard bound of rate and burst over all VMs.
+//!
+//! Each member of the roster holds a share of every workspace's rate and burst, and lends it to the
+//! workspace's owner: the first ranked member that it reaches. The owner's bucket is the sum of the
+//! shares lent to it. At any time one member at most uses a share, and a share starts empty whenever it
+//! changes hands, so the tokens of all members together never exceed the burst and never grow faster
+//! than the rate.
+//!
+//! Leases are timed on each side's own monotonic clock. A lease counts from the moment at which the
+//! owner *sent* the message that the lender echoes, so a delayed message can't prolong it, and the lender
+//! waits for the lease and a margin from its own last sending.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use compact_str::CompactString;
+
+use crate::{
+    config::Version,
+    generated::messages::{
+        token_answer::Outcome,
+        Placement,
+        ShareLend,
+        TokenAnswer, //
+    },
+    rank::first_ranked,
+    roster::{
+        RosterView,
+        Units,
+        TOTAL_UNITS, //
+    }, //
+};
+
+/// Longest time between asking for tokens and letting the request go.
+pub const GRANT_VALIDITY: Duration = Duration::from_millis(150);
+
+/// Rosters kept for the placements of peers that lag behind.
+const ROSTER_HISTORY: usize = 6;
+
+/// Own messages remembered for echoes of peers.
+const SENT_HISTORY: usize = 16;
+
+/// Slack for the rounding of token arithmetic, in tokens.
+const TOKEN_SLACK: f64 = 1e-9;
+
+/// Timing of share leases.
+#[derive(Clone, Debug)]
+pub struct ShareSettings {
+    /// Validity of a lease.
+    pub lease: Duration,
+    /// Silence after which a peer counts as unreachable.
+    pub silence: Duration,
+    /// Time beyond the lease before a lender uses its share elsewhere.
+    pub margin: Duration,
+}
+
+impl Default for ShareSettings {
+    fn default() -> ShareSettings {
+        let lease = Duration::from_millis(1500);
+        ShareSettings {
+            lease,
+            silence: lease,
+            margin: GRANT_VALIDITY + lease / 20,
+        }
+    }
+}
+
+/// Rate and burst of a workspace as an ask needs them.
+#[derive(Clone, Debug)]
+pub struct RateLimit {
+    /// Hash of the workspace's name.
+    pub hash: u64,
+    /// Tokens a second over all VMs.
+    pub rate: f64,
+    /// Tokens that may be taken at once over all VMs.
+    pub burst: f64,
+    /// Platform version that created the workspace.
+    pub created: Version,
+}
+
+/// What one member knows of another.
+#[derive(Clone, Debug)]
+struct PeerState {
+    vm: CompactString,
+    heard: Option<Instant>,
+    incarnation: u64,
+    sequence: u64,
+}
+
+/// A share that this member holds, its own included.
+#[derive(Clone, Debug)]
+struct HeldLease {
+    lender: CompactString,
+    from: Placement,
+    to: Placement,
+    units: Units,
+    since: Instant,
+    expires: Option<Instant>, // None for the member's own share.
+    full_after: Option<Version>,
+}
+
+/// Tokens of one workspace at this member.
+#[derive(Clone, Debug)]
+struct TokenBucket {
+    limit: RateLimit,
+    level: f64,
+    updated: Instant,
+}
+
+/// Units that are about to become usable.
+#[derive(Clone, Copy, Debug)]
+struct UnitGain {
+    units: Units,
+    usable: Instant,
+}
+
+/// Units that were withheld from lending so that they can be given away.
+#[derive(Clone, Copy, Debug)]
+struct UnitGift {
+    units: Units,
+    free: Instant,
+}
+
+/// One member's decisions on lending, owning and granting.
+#[derive(Clone, Debug)]
+pub struct ShareState {
+    settings: ShareSettings,
+    vm: CompactString,
+    incarnation: u64,
+    rosters: Vec<RosterView>, // Oldest first.
+    peers: Vec<PeerState>,    // Sorted by VM.
+    sequence: u64,
+    sent: Vec<(u64, Instant)>, // Own sequences and when they were sent.
+    units: Units,
+    gains: Vec<UnitGain>,
+    gift: Option<UnitGift>,
+    from: Placement,
+    to: Placement,
+    settled: Instant,                 // When the placement `from` may be dropped.
+    leases: Vec<HeldLease>,           // Sorted by lender.
+    buckets: Vec<(u64, TokenBucket)>, // Sorted by the workspace's hash.
+}
+
+impl ShareState {
+    /// Starts with no units; whatever an earlier process lent has lapsed before units become usable.
+    pub fn new(settings: ShareSettings, vm: &str, incarnation: u64, now: Instant) -> ShareState {
+        ShareState {
+            settings,
+            vm: vm.into(),
+            incarnation,
+            rosters: Vec::new(),
+            peers: Vec::new(),
+            sequence: 0,
+            sent: Vec::new(),
+            units: 0,
+            gains: Vec::new(),
+            gift: None,
+            from: Placement::default(),
+            to: Placement::default(),
+            settled: now,
+            leases: Vec::new(),
+            buckets: Vec::new(),
+        }
+    }
+
+    /// Takes over a newer roster. Lost units stop at once; gained ones become usable after a lease.
+    pub fn learn_roster(&mut self, view: RosterView, now: Instant) {
+        if self
+            .newest()
+            .is_some_and(|known| known.version() >= view.version())
+        {
+            return;
+        }
+        let declared = view.units_of(&self.vm);
+        self.rosters.push(view);
+        if self.rosters.len() > ROSTER_HISTORY {
+            self.rosters.remove(0);
+        }
+        self.adopt_units(declared, now);
+        self.place(now);
+    }
+
+    /// Returns the newest roster.
+    pub fn newest(&self) -> Option<&RosterView> {
+        self.rosters.last()
+    }
+
+    /// Returns the units in use, own ones that are withheld for a gift excluded.
+    pub fn units(&self) -> Units {
+        self.units
+    }
+
+    /// Notes that the connection to a peer was lost.
+    pub fn lose_peer(&mut self, vm: &str, now: Instant) {
+        if let Some(peer) = self.peers.iter_mut().find(|peer| peer.vm == vm) {
+            peer.heard = None;
+        }
+        self.place(now);
+    }
+
+    /// Withholds units for a gift, and returns them once no lease on them can be in force.
+    pub fn offer_gift(&mut self, units: Units, now: Instant) -> Option<Units> {
+        if let Some(gift) = self.gift {
+            return (gift.free <= now).then_some(gift.units);
+        }
+        if units == 0 || units > self.units || !self.gains.is_empty() {
+            return None;
+        }
+        let free = self.last_sent(now) + self.settings.lease + self.settings.margin;
+        self.units -= units;
+        self.gift = Some(UnitGift { units, free });
+        self.hold_own(now);
+        None
+    }
+
+    /// Advances timers and returns the heartbeat for each other member.
+    pub fn tick(&mut self, now: Instant) -> Vec<(CompactString, ShareLend)> {
+        self.collect_gains(now);
+        self.place(now);
+        self.drop_expired(now);
+        let Some(view) = self.newest() else {
+            return Vec::new();
+        };
+        let peers = view.members().iter().filter(|member| member.vm != self.vm);
+        let names: Vec<CompactString> = peers.map(|member| member.vm.clone()).collect();
+        self.sequence += 1;
+        self.sent.push((self.sequence, now));
+        if self.sent.len() > SENT_HISTORY {
+            self.sent.remove(0);
+        }
+        let lends = names.into_iter().map(|vm| {
+            let lend = self.lend_to(&vm);
+            (vm, lend)
+        });
+        lends.collect()
+    }
+
+    /// Takes over a peer's heartbeat and the lease in it.
+    pub fn receive_lend(&mut self, vm: &str, lend: ShareLend, now: Instant) {
+        let peer = self.peer_mut(vm);
+        if peer.incarnation == lend.incarnation && peer.sequence >= lend.sequence {
+            return;
+        }
+        peer.incarnation = lend.incarnation;
+        peer.sequence = lend.sequence;
+        let newly_heard = peer.heard.replace(now).is_none();
+        self.hold_lease(vm, lend, now);
+        if newly_heard {
+            self.place(now);
+        }
+    }
+
+    /// Notes that the platform, asked at `sent`, was at version `through`: a workspace created later
+    /// can't have been served from the shares that this member held before.
+    pub fn confirm(&mut self, sent: Instant, through: Version) {
+        for lease in self.leases.iter_mut().filter(|lease| lease.since < sent) {
+            lease.full_after.get_or_insert(through);
+        }
+    }
+
+    /// Takes tokens of a workspace, if this member holds them.
+    pub fn ask(&mut self, limit: &RateLimit, tokens: u32, now: Instant) -> TokenAnswer {
+        let units = self.held_units(limit.hash, now);
+        if units == 0 {
+            return TokenAnswer {
+                outcome: Outcome::NotOwner.into(),
+                ..Default::default()
+            };
+        }
+        let index = self.bucket_index(limit, now);
+        self.settle_bucket(index, now);
+        let share = f64::from(units) / f64::from(TOTAL_UNITS);
+        let bucket = &mut self.buckets[index].1;
+        bucket.limit = limit.clone();
+        bucket.level = bucket.level.min(limit.burst * share);
+        let tokens = f64::from(tokens);
+        if bucket.level + TOKEN_SLACK >= tokens {
+            bucket.level = (bucket.level - tokens).max(0.0);
+            return TokenAnswer {
+                outcome: Outcome::Granted.into(),
+                units,
+                ..Default::default()
+            };
+        }
+        let wait =
+            Duration::try_from_secs_f64((tokens - bucket.level) / (limit.rate * share).max(1e-6));
+        let retry_after_ms = wait.map_or(u32::MAX, |wait| {
+            u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
+        });
+        TokenAnswer {
+            outcome: Outcome::Refused.into(),
+            retry_after_ms: retry_after_ms.max(1),
+            units,
+        }
+    }
+
+    /// Returns the units of a workspace that are lent to this member at `now`.
+    pub fn held_units(&self, hash: u64, now: Instant) -> Units {
+        let mut owners = OwnerCache::default();
+        let held = self
+            .leases
+            .iter()
+            .filter(|lease| lease.expires.is_none_or(|expires| now < expires));
+        let held = held.filter(|lease| self.owns_lease(lease, hash, &mut owners));
+        held.map(|lease| lease.units).sum()
+    }
+
+    fn adopt_units(&mut self, declared: Units, now: Instant) {
+        let pending: Units = self.gains.iter().map(|gain| gain.units).sum();
+        let withheld = self.gift.map_or(0, |gift| gift.units);
+        let known = self.units + pending + withheld;
+        if declared >= known {
+            let usable = now + self.settings.lease + self.settings.margin;
+            if declared > known {
+                self.gains.push(UnitGain {
+                    units: declared - known,
+                    usable,
+                });
+            }
+            return;
+        }
+        // A roster with fewer units than known carries this member's own gift.
+        let mut lost = known - declared;
+        let given = withheld.min(lost);
+        lost -= given;
+        if given == withheld {
+            self.gift = None;
+        }
+        for gain in self.gains.iter_mut().rev() {
+            let taken = gain.units.min(lost);
+            gain.units -= taken;
+            lost -= taken;
+        }
+        self.units = self.units.saturating_sub(lost);
+        self.hold_own(now);
+    }
+
+    fn collect_gains(&mut self, now: Instant) {
+        let ready = self
+            .gains
+            .iter()
+            .filter(|gain| gain.usable <= now)
+            .map(|gain| gain.units);
+        let units: Units = ready.sum();
+        if units == 0 {
+            return;
+        }
+        self.gains.retain(|gain| gain.usable > now);
+        self.units += units;
+        self.hold_own(now);
+    }
+
+    /// Moves towards the placement that reachability asks for, one change at a time.
+    fn place(&mut self, now: Instant) {
+        if self.from != self.to && now >= self.settled {
+            self.from = self.to.clone();
+            self.hold_own(now);
+        }
+        let Some(wanted) = self.wanted_placement(now) else {
+            return;
+        };
+        if self.from != self.to || wanted == self.to {
+            return;
+        }
+        self.settled = self.last_sent(now) + self.settings.lease + self.settings.margin;
+        self.to = wanted;
+        self.hold_own(now);
+    }
+
+    fn wanted_placement(&self, now: Instant) -> Option<Placement> {
+        let view = self.newest()?;
+        let mut reachable = vec![0_u64; view.members().len().div_ceil(64)];
+        for (index, member) in view.members().iter().enumerate() {
+            if member.vm == self.vm || self.is_heard(&member.vm, now) {
+                reachable[index / 64] |= 1 << (index % 64);
+            }
+        }
+        Some(Placement {
+            roster: view.version(),
+            reachable,
+        })
+    }
+
+    fn is_heard(&self, vm: &str, now: Instant) -> bool {
+        let Ok(index) = self.peers.binary_search_by(|peer| peer.vm.as_str().cmp(vm)) else {
+            return false;
+        };
+        self.peers[index]
+            .heard
+            .is_some_and(|heard| now < heard + self.settings.silence)
+    }
+
+    fn last_sent(&self, now: Instant) -> Instant {
+        self.sent.last().map_or(now, |&(_, sent)| sent)
+    }
+
+    fn lend_to(&self, vm: &str) -> ShareLend {
+        let known = self.peers.iter().find(|peer| peer.vm == vm);
+        ShareLend {
+            from: Some(self.from.clone()),
+            to: Some(self.to.clone()),
+            units: self.units,
+            lease_ms: u32::try_from(self.settings.lease.as_millis()).unwrap_or(0),
+            sequence: self.sequence,
+            incarnation: self.incarnation,
+            echo: known.map_or(0, |peer| peer.sequence),
+            echo_incarnation: known.map_or(0, |peer| peer.incarnation),
+        }
+    }
+
+    /// Holds the member's own share under its current placement.
+    fn hold_own(&mut self, now: Instant) {
+        let own = HeldLease {
+            lender: self.vm.clone(),
+            from: self.from.clone(),
+            to: self.to.clone(),
+            units: self.units,
+            since: now,
+            expires: None,
+            full_after: None,
+        };
+        self.hold(own, now);
+    }
+
+    fn hold_lease(&mut self, vm: &str, lend: ShareLend, now: Instant) {
+        let (Some(from), Some(to)) = (lend.from, lend.to) else {
+            return;
+        };
+        if lend.echo_incarnation != self.incarnation {
+            return;
+        }
+        let Some(&(_, sent)) = self.sent.iter().find(|entry| entry.0 == lend.echo) else {
+            return;
+        };
+        let expires = sent + Duration::from_millis(lend.lease_ms.into());
+        if expires <= now {
+            return;
+        }
+        let lender = CompactString::from(vm);
+        let lease = HeldLease {
+            lender,
+            from,
+            to,
+            units: lend.units,
+            since: now,
+            expires: Some(expires),
+            full_after: None,
+        };
+        self.hold(lease, now);
+    }
+
+    /// Keeps a lease; an unchanged one that is still in force is only prolonged.
+    fn hold(&mut self, lease: HeldLease, now: Instant) {
+        match self
+            .leases
+            .binary_search_by(|known| known.lender.cmp(&lease.lender))
+        {
+            Ok(index) => {
+                let known = &mut self.leases[index];
+                let in_force = known.expires.is_none_or(|expires| now < expires);
+                let unchanged =
+                    (&known.from, &known.to, known.units) == (&lease.from, &lease.to, lease.units);
+                if in_force && unchanged {
+                    known.expires = known.expires.max(lease.expires);
+                    return;
+                }
+                self.settle_all(now);
+                self.leases[index] = lease;
+            }
+            Err(index) => {
+                self.settle_all(now);
+                self.leases.insert(index, lease);
+            }
+        }
+        self.clip_all(now);
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        let is_expired = |lease: &HeldLease| lease.expires.is_some_and(|expires| expires <= now);
+        if !self.leases.iter().any(is_expired) {
+            return;
+        }
+        self.settle_all(now);
+        self.leases.retain(|lease| !is_expired(lease));
+        self.clip_all(now);
+    }
+
+    fn settle_all(&mut self, now: Instant) {
+        for index in 0..self.buckets.len() {
+            self.settle_bucket(index, now);
+        }
+    }
+
+    /// Lowers every bucket to the burst of the shares still held.
+    fn clip_all(&mut self, now: Instant) {
+        for index in 0..self.buckets.len() {
+            let bucket = &self.buckets[index].1;
+            let units = self.held_units(bucket.limit.hash, now);
+            let most = bucket.limit.burst * f64::from(units) / f64::from(TOTAL_UNITS);
+            let bucket = &mut self.buckets[index].1;
+            bucket.level = bucket.level.min(most);
+        }
+    }
+
+    /// Adds what each held share earned since the last update, while its lease was in force.
+    fn settle_bucket(&mut self, index: usize, now: Instant) {
+        let bucket = &self.buckets[index].1;
+        let mut owners = OwnerCache::default();
+        let mut earned = 0.0;
+        let mut most = 0.0;
+        for lease in &self.leases {
+            if !self.owns_lease(lease, bucket.limit.hash, &mut owners) {
+                continue;
+            }
+            let share = f64::from(lease.units) / f64::from(TOTAL_UNITS);
+            let start = bucket.updated.max(lease.since);
+            let end = lease.expires.map_or(now, |expires| expires.min(now));
+            earned +=
+                bucket.limit.rate * share * end.saturating_duration_since(start).as_secs_f64();
+            most += bucket.limit.burst * share;
+        }
+        let bucket = &mut self.buckets[index].1;
+        bucket.level = (bucket.level + earned).min(most);
+        bucket.updated = bucket.updated.max(now);
+    }
+
+    fn bucket_index(&mut self, limit: &RateLimit, now: Instant) -> usize {
+        match self
+            .buckets
+            .binary_search_by_key(&limit.hash, |entry| entry.0)
+        {
+            Ok(index) => index,
+            Err(index) => {
+                let level = self.first_level(limit, now);
+                let bucket = TokenBucket {
+                    limit: limit.clone(),
+                    level,
+                    updated: now,
+                };
+                self.buckets.insert(index, (limit.hash, bucket));
+                index
+            }
+        }
+    }
+
+    /// Returns the tokens of a workspace that was never asked for: the shares held since before it
+    /// was created are full, the others empty.
+    fn first_level(&self, limit: &RateLimit, now: Instant) -> f64 {
+        let mut owners = OwnerCache::default();
+        let held = self
+            .leases
+            .iter()
+            .filter(|lease| lease.expires.is_none_or(|expires| now < expires));
+        let full = held.filter(|lease| {
+            lease
+                .full_after
+                .is_some_and(|version| limit.created > version)
+        });
+        let full = full.filter(|lease| self.owns_lease(lease, limit.hash, &mut owners));
+        let units: Units = full.map(|lease| lease.units).sum();
+        limit.burst * f64::from(units) / f64::from(TOTAL_UNITS)
+    }
+
+    fn owns_lease<'a>(
+        &'a self,
+        lease: &'a HeldLease,
+        hash: u64,
+        owners: &mut OwnerCache<'a>,
+    ) -> bool {
+        owners.is_owner(self, &lease.from, hash) && owners.is_owner(self, &lease.to, hash)
+    }
+
+    /// Returns whether this member is a workspace's owner under a placement.
+    fn is_owner(&self, placement: &Placement, hash: u64) -> bool {
+        let Some(view) = self
+            .rosters
+            .iter()
+            .find(|view| view.version() == placement.roster)
+        else {
+            return false;
+        };
+        let first = first_ranked(hash, view.hashes(), |index| is_reachable(placement, index));
+        first.is_some_and(|index| view.members()[index].vm == self.vm)
+    }
+
+    fn peer_mut(&mut self, vm: &str) -> &mut PeerState {
+        let index = match self.peers.binary_search_by(|peer| peer.vm.as_str().cmp(vm)) {
+            Ok(index) => index,
+            Err(index) => {
+                let peer = PeerState {
+                    vm: vm.into(),
+                    heard: None,
+                    incarnation: 0,
+                    sequence: 0,
+                };
+                self.peers.insert(index, peer);
+                index
+            }
+        };
+        &mut self.peers[index]
+    }
+}
+
+fn is_reachable(placement: &Placement, index: usize) -> bool {
+    placement
+        .reachable
+        .get(index / 64)
+        .is_some_and(|word| word >> (index % 64) & 1 == 1)
+}
+
+/// Remembers the verdict for each distinct placement: most lenders place alike.
+#[derive(Default)]
+struct OwnerCache<'a> {
+    verdicts: Vec<(&'a Placement, bool)>,
+}
+
+impl<'a> OwnerCache<'a> {
+    fn is_owner(&mut self, state: &'a ShareState, placement: &'a Placement, hash: u64) -> bool {
+        let known = self.verdicts.iter().find(|(known, _)| *known == placement);
+        if let Some(&(_, verdict)) = known {
+            return verdict;
+        }
+        let verdict = state.is_owner(placement, hash);
+        self.verdicts.push((placement, verdict));
+        verdict
+    }
+}
--- /dev/null
+++ b/boragerill/src/snapshot.rs
@@ -0,0 +1,348 @@
+//! The configuration in force, compiled for look-ups on a request's path.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use serde_json::Value;
+
+use crate::{
+    config::Version,
+    generated::messages::ConfigObject,
+    keys::{
+        parse_hash,
+        KeyHash, //
+    },
+    kinds::{
+        self,
+        BatchJobSpec,
+        DeclaredSpec,
+        KeySpecState,
+        RosterSpec,
+        ServerSpecState,
+        ServiceSpec,
+        ServiceSpecType, //
+    },
+    rank::hash_name,
+    roster::RosterView,
+    schema::FieldViolation,
+    share::RateLimit, //
+};
+
+/// A workspace in force.
+#[derive(Clone, Debug)]
+pub struct WorkspaceRecord {
+    /// Name of the workspace.
+    pub name: CompactString,
+    /// Its rate and burst.
+    pub limit: RateLimit,
+    /// Weight when capacity is short.
+    pub weight: u32,
+}
+
+/// A key in force, by its hash.
+#[derive(Clone, Debug)]
+pub struct KeyRecord {
+    /// Hash of the key.
+    pub hash: KeyHash,
+    /// Name of the declared resource.
+    pub name: CompactString,
+    /// Workspace that the key's requests run for.
+    pub workspace: CompactString,
+    /// Whether the key was withdrawn.
+    pub withdrawn: bool,
+}
+
+/// One route of a service.
+#[derive(Clone, Debug)]
+pub struct RouteRecord {
+    /// Path prefix.
+    pub path: CompactString,
+    /// Whether a call may run more than once.
+    pub idempotent: bool,
+    /// Whether callers without a key are served.
+    pub open: bool,
+}
+
+/// One backend server of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerRecord {
+    /// IP number and port.
+    pub address: CompactString,
+    /// Failure domain of the server.
+    pub domain: CompactString,
+    /// Whether the server gets no new work.
+    pub leaving: bool,
+    /// Requests that it runs at once without queueing.
+    pub slots: u32,
+}
+
+/// A service in force.
+#[derive(Clone, Debug)]
+pub struct ServiceRecord {
+    /// Name of the service.
+    pub name: CompactString,
+    /// Whether the servers speak the engine's protocol, whose answers can be checked.
+    pub is_engine: bool,
+    /// Routes of the service.
+    pub routes: Vec<RouteRecord>,
+    /// Backend servers, sorted by address.
+    pub servers: Vec<ServerRecord>,
+    /// Workspaces that may call the service, sorted; all when empty.
+    pub workspaces: Vec<CompactString>,
+}
+
+/// A batch job as declared.
+#[derive(Clone, Debug)]
+pub struct JobRecord {
+    /// Name of the job.
+    pub name: CompactString,
+    /// Platform version that created the job; orders jobs by age.
+    pub created: Version,
+    /// Declared fields.
+    pub spec: BatchJobSpec,
+}
+
+/// All that is in force; immutable once published.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    through: Version,
+    workspaces: Vec<Arc<WorkspaceRecord>>, // Sorted by name.
+    keys: Vec<Arc<KeyRecord>>,             // Sorted by hash, then name.
+    services: Vec<Arc<ServiceRecord>>,     // Sorted by name.
+    jobs: Vec<Arc<JobRecord>>,             // Sorted by name.
+    roster: Option<Arc<RosterView>>,
+}
+
+impl Snapshot {
+    /// Returns the platform version up to which the snapshot is complete.
+    pub fn through(&self) -> Version {
+        self.through
+    }
+
+    /// Returns a workspace by name.
+    pub fn find_workspace(&self, name: &str) -> Option<&Arc<WorkspaceRecord>> {
+        find(&self.workspaces, name, |record| &record.name)
+    }
+
+    /// Returns the workspaces, sorted by name.
+    pub fn workspaces(&self) -> &[Arc<WorkspaceRecord>] {
+        &self.workspaces
+    }
+
+    /// Returns a key by its hash; a withdrawn one wins over an active twin.
+    pub fn find_key(&self, hash: &KeyHash) -> Option<&Arc<KeyRecord>> {
+        let start = self.keys.partition_point(|record| record.hash < *hash);
+        let twins = self.keys[start..]
+            .iter()
+            .take_while(|record| record.hash == *hash);
+        twins
+            .clone()
+            .find(|record| record.withdrawn)
+            .or_else(|| twins.clone().next())
+    }
+
+    /// Returns a service by name.
+    pub fn find_service(&self, name: &str) -> Option<&Arc<ServiceRecord>> {
+        find(&self.services, name, |record| &record.name)
+    }
+
+    /// Returns the services, sorted by name.
+    pub fn services(&self) -> &[Arc<ServiceRecord>] {
+        &self.services
+    }
+
+    /// Returns the service and the index of the route with the longest prefix of `path`; `service`
+    /// limits the search to one.
+    pub fn find_route(
+        &self,
+        path: &str,
+        service: Option<&str>,
+    ) -> Option<(&Arc<ServiceRecord>, usize)> {
+        let services = self
+            .services
+            .iter()
+            .filter(|record| service.is_none_or(|name| record.name == name));
+        let routes =
+            services.flat_map(|record| (0..record.routes.len()).map(move |index| (record, index)));
+        let fitting =
+            routes.filter(|(record, index)| is_path_prefix(&record.routes[*index].path, path));
+        fitting.max_by_key(|(record, index)| {
+            (
+                record.routes[*index].path.len(),
+                std::cmp::Reverse(&record.name),
+            )
+        })
+    }
+
+    /// Returns the batch jobs, sorted by name.
+    pub fn jobs(&self) -> &[Arc<JobRecord>] {
+        &self.jobs
+    }
+
+    /// Returns a batch job by name.
+    pub fn find_job(&self, name: &str) -> Option<&Arc<JobRecord>> {
+        find(&self.jobs, name, |record| &record.name)
+    }
+
+    /// Returns the roster of the own region.
+    pub fn roster(&self) -> Option<&Arc<RosterView>> {
+        self.roster.as_ref()
+    }
+
+    /// Takes over one changed object, and returns the violation for which it was refused; the record
+    /// last accepted then stays in force.
+    pub fn apply(&mut self, object: &ConfigObject) -> Option<FieldViolation> {
+        if object.kind == "roster" {
+            self.apply_roster(object);
+            return None;
+        }
+        if object.deleted {
+            self.remove(&object.kind, &object.name);
+            return None;
+        }
+        let Ok(spec) = serde_json::from_slice::<Value>(&object.spec) else {
+            return Some(FieldViolation {
+                field: "spec".into(),
+                cause: "is no JSON".into(),
+            });
+        };
+        match kinds::check(&object.kind, &object.name, &spec) {
+            Ok(declared) => {
+                self.put(object, declared);
+                None
+            }
+            Err(violation) => Some(violation),
+        }
+    }
+
+    /// Raises the version up to which the snapshot is complete.
+    pub fn complete_to(&mut self, through: Version) {
+        self.through = self.through.max(through);
+    }
+
+    fn apply_roster(&mut self, object: &ConfigObject) {
+        let Ok(spec) = serde_json::from_slice::<RosterSpec>(&object.spec) else {
+            return;
+        };
+        if self
+            .roster
+            .as_ref()
+            .is_none_or(|known| known.version() < object.version)
+        {
+            self.roster = Some(Arc::new(RosterView::new(object.version, &spec)));
+        }
+    }
+
+    fn put(&mut self, object: &ConfigObject, declared: DeclaredSpec) {
+        let name = CompactString::from(object.name.as_str());
+        match declared {
+            DeclaredSpec::Workspace(spec) => {
+                let hash = hash_name(&name);
+                let limit = RateLimit {
+                    hash,
+                    rate: spec.rate,
+                    burst: spec.burst,
+                    created: object.created,
+                };
+                let record = WorkspaceRecord {
+                    name,
+                    limit,
+                    weight: spec.weight,
+                };
+                upsert(&mut self.workspaces, record, |record| &record.name);
+            }
+            DeclaredSpec::Key(spec) => {
+                let hash = parse_hash(&spec.hash).unwrap_or_default();
+                self.keys.retain(|record| record.name != name);
+                let withdrawn = spec.state == KeySpecState::Withdrawn;
+                let record = KeyRecord {
+                    hash,
+                    name,
+                    workspace: spec.workspace.into(),
+                    withdrawn,
+                };
+                let index = self
+                    .keys
+                    .partition_point(|known| (known.hash, &known.name) < (hash, &record.name));
+                self.keys.insert(index, Arc::new(record));
+            }
+            DeclaredSpec::Service(spec) => {
+                upsert(&mut self.services, service_record(name, spec), |record| {
+                    &record.name
+                });
+            }
+            DeclaredSpec::BatchJob(spec) => {
+                let record = JobRecord {
+                    name,
+                    created: object.created,
+                    spec,
+                };
+                upsert(&mut self.jobs, record, |record| &record.name);
+            }
+        }
+    }
+
+    fn remove(&mut self, kind: &str, name: &str) {
+        match kind {
+            "workspace" => self.workspaces.retain(|record| record.name != name),
+            "key" => self.keys.retain(|record| record.name != name),
+            "service" => self.services.retain(|record| record.name != name),
+            "batchjob" => self.jobs.retain(|record| record.name != name),
+            _ => {}
+        }
+    }
+}
+
+fn service_record(name: CompactString, spec: ServiceSpec) -> ServiceRecord {
+    let routes = spec.routes.into_iter().map(|route| RouteRecord {
+        path: route.path.into(),
+        idempotent: route.idempotent,
+        open: route.open,
+    });
+    let servers = spec.servers.into_iter().map(|server| ServerRecord {
+        address: server.address.into(),
+        domain: server.domain.into(),
+        leaving: server.state == ServerSpecState::Leaving,
+        slots: server.slots,
+    });
+    let mut record = ServiceRecord {
+        name,
+        is_engine: spec.type_ == ServiceSpecType::Engine,
+        routes: routes.collect(),
+        servers: servers.collect(),
+        workspaces: spec
+            .workspaces
+            .into_iter()
+            .map(CompactString::from)
+            .collect(),
+    };
+    record.servers.sort_by(|a, b| a.address.cmp(&b.address));
+    record.workspaces.sort();
+    record
+}
+
+/// Returns whether `prefix` covers `path` up to a segment's end.
+fn is_path_prefix(prefix: &str, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else {
+        return false;
+    };
+    rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
+}
+
+fn find<'a, T>(
+    records: &'a [Arc<T>],
+    name: &str,
+    key: impl Fn(&T) -> &CompactString,
+) -> Option<&'a Arc<T>> {
+    let index = records
+        .binary_search_by(|record| key(record).as_str().cmp(name))
+        .ok()?;
+    Some(&records[index])
+}
+
+fn upsert<T>(records: &mut Vec<Arc<T>>, record: T, key: impl Fn(&T) -> &CompactString) {
+    match records.binary_search_by(|known| key(known).cmp(key(&record))) {
+        Ok(index) => records[index] = Arc::new(record),
+        Err(index) => records.insert(index, Arc::new(record)),
+    }
+}
--- /dev/null
+++ b/codegen/src/main.rs
@@ -0,0 +1,114 @@
+//! Writes `boragerill/src/generated` from the schemas; `--check` only compares.
+
+use std::{
+    error::Error,
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    },
+};
+
+use schemars::schema::RootSchema;
+use serde_json::Value;
+use typify::{
+    TypeSpace,
+    TypeSpaceSettings, //
+};
+
+/// Keywords that bound a value; they are checked against the schema when a file is read.
+const BOUND_KEYWORDS: [&str; 9] = [
+    "minLength",
+    "maxLength",
+    "pattern",
+    "minimum",
+    "maximum",
+    "minItems",
+    "format",
+    "x-required",
+    "$schema",
+];
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let mut arguments = pico_args::Arguments::from_env();
+    let check = arguments.contains("--check");
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../boragerill");
+    let schema = root.join("schema");
+    let outputs = [
+        ("messages.rs", generate_messages(&schema)?),
+        (
+            "settings.rs",
+            generate_types(&schema.join("settings.schema.json"))?,
+        ),
+        (
+            "kinds.rs",
+            generate_types(&schema.join("kinds.schema.json"))?,
+        ),
+    ];
+    for (name, text) in outputs {
+        emit(&root.join("src/generated").join(name), &text, check)?;
+    }
+    Ok(())
+}
+
+/// Writes `text` to `path`, or with `check` fails when the file differs.
+fn emit(path: &Path, text: &str, check: bool) -> Result<(), Box<dyn Error>> {
+    if !check {
+        return Ok(fs::write(path, text)?);
+    }
+    let current = fs::read_to_string(path)?;
+    if current != text {
+        return Err(format!("{}: differs from its schema; run codegen", path.display()).into());
+    }
+    println!(
+        "{}: current",
+        path.file_name().unwrap_or_default().to_string_lossy()
+    );
+    Ok(())
+}
+
+/// Generates the messages between processes.
+fn generate_messages(schema: &Path) -> Result<String, Box<dyn Error>> {
+    let set = protox::compile([schema.join("messages.proto")], [schema])?;
+    let directory = std::env::temp_dir().join(format!("boragerill-codegen-{}", std::process::id()));
+    fs::create_dir_all(&directory)?;
+    prost_build::Config::new()
+        .out_dir(&directory)
+        .compile_fds(set)?;
+    let text = fs::read_to_string(directory.join("boragerill.rs"))?;
+    fs::remove_dir_all(&directory)?;
+    Ok(text)
+}
+
+/// Generates one type for each definition of a JSON schema.
+fn generate_types(path: &Path) -> Result<String, Box<dyn Error>> {
+    let mut value: Value = serde_json::from_str(&fs::read_to_string(path)?)?;
+    strip_bounds(&mut value, false);
+    if let Some(root) = value.as_object_mut() {
+        root.remove("title");
+    }
+    let schema: RootSchema = serde_json::from_value(value)?;
+    let mut space = TypeSpace::new(&TypeSpaceSettings::default());
+    space.add_ref_types(schema.definitions)?;
+    let file = syn::parse2(space.to_stream())?;
+    Ok(prettyplease::unparse(&file))
+}
+
+/// Removes bounds, which would otherwise become types of their own; integer formats stay.
+fn strip_bounds(value: &mut Value, is_property_map: bool) {
+    match value {
+        Value::Object(map) => {
+            if !is_property_map {
+                let integer = map.get("type").is_some_and(|kind| kind == "integer");
+                map.retain(|key, _| {
+                    !BOUND_KEYWORDS.contains(&key.as_str()) || (integer && key == "format")
+                });
+            }
+            for (key, child) in map.iter_mut() {
+                strip_bounds(child, !is_property_map && key == "properties");
+            }
+        }
+        Value::Array(items) => items.iter_mut().for_each(|item| strip_bounds(item, false)),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/control/src/keeper.rs
@@ -0,0 +1,191 @@
+//! Keeps this VM on the roster and hands on the units of VMs that are gone.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    config::Version,
+    error::ServeError,
+    generated::messages::ConfigObject,
+    kinds::{
+        MemberSpec,
+        RosterSpec, //
+    },
+    platform::{
+        Expected,
+        ListedVm, //
+    },
+    roster::{
+        excess_units,
+        plan_gift,
+        plan_join,
+        plan_removal, //
+    },
+    timer::TimerService, //
+};
+use compact_str::CompactString;
+use log::{
+    info,
+    warn, //
+};
+
+use crate::hub::ControlHub;
+
+/// Listings in a row that must lack a VM before its units are handed on.
+const ABSENCES: u32 = 2;
+
+/// Absences seen so far.
+#[derive(Debug, Default)]
+struct AbsenceCount {
+    entries: Vec<(CompactString, u32)>, // Sorted by VM.
+}
+
+impl AbsenceCount {
+    /// Notes a listing and returns the VMs that were absent for long enough.
+    fn note(
+        &mut self,
+        roster: &RosterSpec,
+        listed: &[ListedVm],
+        patience: u32,
+    ) -> Vec<CompactString> {
+        let absent = roster
+            .members
+            .iter()
+            .filter(|member| !is_listed(listed, &member.vm));
+        let mut entries: Vec<(CompactString, u32)> = absent
+            .map(|member| {
+                let known = self.entries.iter().find(|entry| entry.0 == member.vm);
+                (
+                    member.vm.as_str().into(),
+                    known.map_or(0, |entry| entry.1) + 1,
+                )
+            })
+            .collect();
+        entries.sort();
+        self.entries = entries;
+        let gone = self
+            .entries
+            .iter()
+            .filter(|entry| entry.1 >= ABSENCES + patience);
+        gone.map(|entry| entry.0.clone()).collect()
+    }
+}
+
+fn is_listed(listed: &[ListedVm], vm: &str) -> bool {
+    listed.iter().any(|entry| entry.name == vm)
+}
+
+/// Keeps the roster for as long as the process runs.
+pub(crate) async fn keep_roster(hub: Arc<ControlHub>, timer: &mut TimerService) {
+    let mut ticks = timer.subscribe(Duration::from_millis(hub.settings.vm_list_period_ms));
+    let mut absences = AbsenceCount::default();
+    while ticks.next().await.is_some() {
+        // A VM that was replaced joins under its own name; nothing is done on a stale table.
+        if hub.store.age().is_none() {
+            continue;
+        }
+        if let Err(error) = keep_once(&hub, &mut absences).await {
+            warn!("roster not kept: {error}");
+        }
+    }
+}
+
+async fn keep_once(hub: &ControlHub, absences: &mut AbsenceCount) -> Result<(), ServeError> {
+    let listed = hub.platform.list_vms().await?;
+    if !is_listed(&listed, &hub.settings.vm) {
+        info!("the platform doesn't list this VM yet");
+        return Ok(());
+    }
+    let (version, roster) = current_roster(hub);
+    if let Some(plan) = plan_join(&roster, &own_member(hub)) {
+        return write_roster(hub, version, &plan).await;
+    }
+    let own_place = roster
+        .members
+        .iter()
+        .position(|member| member.vm == hub.settings.vm);
+    let gone = absences.note(
+        &roster,
+        &listed,
+        u32::try_from(own_place.unwrap_or(0)).unwrap_or(0),
+    );
+    if let Some(plan) = plan_removal(&roster, |vm| !gone.iter().any(|name| name == vm)) {
+        info!("handing on the units of {}", gone.join(", "));
+        return write_roster(hub, version, &plan).await;
+    }
+    let Some(excess) = excess_units(&roster, &hub.settings.vm) else {
+        return Ok(());
+    };
+    let offered = hub.lock_share().offer_gift(excess, Instant::now());
+    let plan = offered.and_then(|units| plan_gift(&roster, &hub.settings.vm, units));
+    match plan {
+        Some(plan) => write_roster(hub, version, &plan).await,
+        None => Ok(()),
+    }
+}
+
+fn own_member(hub: &ControlHub) -> MemberSpec {
+    MemberSpec {
+        vm: hub.settings.vm.clone(),
+        domain: hub.settings.domain.clone(),
+        control: format!("{}:{}", hub.settings.address, hub.settings.port),
+        incarnation: hub.incarnation,
+        units: 0,
+    }
+}
+
+fn current_roster(hub: &ControlHub) -> (Version, RosterSpec) {
+    hub.store.with_table(|table| {
+        let known = table
+            .find("roster", &hub.settings.region)
+            .filter(|object| !object.deleted);
+        let parsed = known.and_then(|object| {
+            let spec = serde_json::from_slice(&object.spec).ok()?;
+            Some((object.version, spec))
+        });
+        parsed.unwrap_or((
+            0,
+            RosterSpec {
+                members: Vec::new(),
+            },
+        ))
+    })
+}
+
+/// Writes the roster if nobody else has; a conflict is settled by the next period.
+async fn write_roster(
+    hub: &ControlHub,
+    version: Version,
+    plan: &RosterSpec,
+) -> Result<(), ServeError> {
+    let expected = if version == 0 {
+        Expected::Absent
+    } else {
+        Expected::At(version)
+    };
+    let value = serde_json::to_value(plan).unwrap_or_default();
+    let region = hub.settings.region.as_str();
+    let receipt = match hub
+        .platform
+        .put_settled("roster", region, expected, "", &value)
+        .await
+    {
+        Ok(receipt) => receipt,
+        Err(ServeError::Conflict(..)) => return Ok(()),
+        Err(error) => return Err(error),
+    };
+    let object = ConfigObject {
+        kind: "roster".to_owned(),
+        name: region.to_owned(),
+        version: receipt.version,
+        spec: value.to_string().into_bytes(),
+        ..Default::default()
+    };
+    hub.merge(vec![object], None);
+    Ok(())
+}
--- /dev/null
+++ b/control/src/peers.rs
@@ -0,0 +1,101 @@
+//! Connections to the other control processes of the region.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    config::ConfigTable,
+    feed::{
+        follow_one,
+        AGE_UNKNOWN, //
+    },
+    generated::messages::{
+        envelope::Body,
+        ConfigDelta,
+        Hello, //
+    },
+    links::LinkTable,
+    timer::TimerService, //
+};
+use compact_str::CompactString;
+use log::{
+    debug,
+    info, //
+};
+use metrics::counter;
+use tokio::time::sleep;
+
+use crate::hub::ControlHub;
+
+/// Pause before another peer is followed.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
+
+/// Sends heartbeats with leases to all members.
+pub(crate) async fn send_heartbeats(hub: Arc<ControlHub>, timer: &mut TimerService) {
+    let links = LinkTable::new(Hello {
+        vm: hub.settings.vm.clone(),
+        incarnation: hub.incarnation,
+    });
+    let mut ticks = timer.subscribe(Duration::from_millis(hub.settings.heartbeat_ms));
+    while ticks.next().await.is_some() {
+        if let Some(roster) = hub.store.load().roster() {
+            let closing = hub.clone();
+            links.update(roster, &hub.settings.vm, move |vm| {
+                closing.lock_share().lose_peer(vm, Instant::now())
+            });
+        }
+        let now = Instant::now();
+        let lends = hub.lock_share().tick(now);
+        for (vm, lend) in lends {
+            counter!("heartbeats_total").increment(1);
+            let sent = links
+                .find(&vm, now)
+                .map(|link| link.push(0, Body::ShareLend(lend)));
+            if let Some(Err(error)) = sent {
+                debug!("heartbeat to {vm}: {error}");
+            }
+        }
+    }
+}
+
+/// Follows one peer's configuration after another, beside the platform's own watch.
+pub(crate) async fn follow_peers(hub: Arc<ControlHub>) {
+    loop {
+        if let Some(address) = draw_peer(&hub) {
+            let after = hub.store.with_table(ConfigTable::through);
+            let ended = follow_one(&address, after, |delta| take_delta(&hub, delta)).await;
+            info!("configuration feed of a peer ended: {ended}");
+        }
+        sleep(FOLLOW_PAUSE).await;
+    }
+}
+
+fn draw_peer(hub: &ControlHub) -> Option<CompactString> {
+    let own = format!("{}:{}", hub.settings.address, hub.settings.port);
+    let mut addresses: Vec<CompactString> =
+        hub.settings.peers.iter().map(CompactString::from).collect();
+    if let Some(roster) = hub.store.load().roster() {
+        addresses.extend(roster.members().iter().map(|member| member.control.clone()));
+    }
+    addresses.retain(|address| address.as_str() != own);
+    addresses.sort();
+    addresses.dedup();
+    let draw = rand::random::<u64>()
+        % u64::try_from(addresses.len())
+            .ok()
+            .filter(|&count| count > 0)?;
+    addresses.into_iter().nth(usize::try_from(draw).ok()?)
+}
+
+fn take_delta(hub: &ControlHub, delta: ConfigDelta) {
+    let through = (!delta.partial).then_some(delta.through);
+    hub.merge(delta.objects, through);
+    if through.is_some() && delta.age_ms != AGE_UNKNOWN {
+        hub.store.confirm(Duration::from_millis(delta.age_ms));
+    }
+}
--- /dev/null
+++ b/control/src/server.rs
@@ -0,0 +1,186 @@
+//! Serves framed messages to peers and to the processes of the own VM.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    error::{
+        ServeError,
+        Step, //
+    },
+    feed::CONFIRM_PERIOD,
+    frame::{
+        FrameInbox,
+        FrameLink, //
+    },
+    generated::messages::{
+        envelope::Body,
+        ConfigDelta, //
+    },
+    process::{
+        http_server,
+        serve,
+        wait_for_stop,
+        HealthState, //
+    },
+    settings::ControlSettings,
+    timer::TimerService, //
+};
+use compact_str::{
+    CompactString,
+    ToCompactString, //
+};
+use log::info;
+use tokio::{
+    net::TcpListener,
+    sync::{
+        broadcast::error::RecvError,
+        mpsc, //
+    },
+    time::interval, //
+};
+
+use crate::{
+    hub::ControlHub,
+    keeper::keep_roster,
+    peers::{
+        follow_peers,
+        send_heartbeats, //
+    },
+    status::write_statuses,
+    watcher::watch_platform, //
+};
+
+/// Statuses that may wait to be written.
+const STATUS_QUEUE: usize = 1024;
+
+/// Time that running HTTP requests get on shutdown.
+const SHUTDOWN_GRACE: Duration = Duration::from_secs(1);
+
+/// Runs the control process until it is told to stop.
+pub(crate) async fn run_control(settings: ControlSettings) -> Result<(), ServeError> {
+    let health = HealthState::install();
+    let http = http_server(
+        &settings.address,
+        settings.http_port,
+        SHUTDOWN_GRACE,
+        health.clone(),
+    )?;
+    let http_listen = format!("{}:{}", settings.address, settings.http_port);
+    let listen = format!("{}:{}", settings.address, settings.port);
+    let listener = TcpListener::bind(&listen).await.map_err(|error| {
+        ServeError::Unreachable(
+            Step::Listen,
+            listen.as_str().into(),
+            error.to_compact_string(),
+        )
+    })?;
+    let hub = Arc::new(ControlHub::new(settings));
+    let (statuses, status_requests) = mpsc::channel(STATUS_QUEUE);
+    tokio::spawn(write_statuses(hub.clone(), status_requests));
+    tokio::spawn(watch_platform(hub.clone(), statuses));
+    tokio::spawn(follow_peers(hub.clone()));
+    tokio::spawn(run_timed(hub.clone()));
+    tokio::spawn(accept_links(hub.clone(), listener));
+    tokio::spawn(report_readiness(hub, health));
+    info!("listening on {listen}, health on {http_listen}");
+    tokio::select! {
+        served = serve(http, &http_listen, |_| {}) => served,
+        () = wait_for_stop() => Ok(()),
+    }
+}
+
+async fn run_timed(hub: Arc<ControlHub>) {
+    let mut heartbeat_timer = TimerService::default();
+    let mut roster_timer = TimerService::default();
+    tokio::join!(
+        send_heartbeats(hub.clone(), &mut heartbeat_timer),
+        keep_roster(hub, &mut roster_timer)
+    );
+}
+
+async fn report_readiness(hub: Arc<ControlHub>, health: HealthState) {
+    let mut changes = hub.store.subscribe();
+    while hub.store.age().is_none() {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+    health.set_ready(true);
+}
+
+async fn accept_links(hub: Arc<ControlHub>, listener: TcpListener) {
+    loop {
+        // A failed accept concerns one connection only.
+        let Ok((stream, address)) = listener.accept().await else {
+            continue;
+        };
+        let (link, inbox) = FrameLink::open(stream, &address.to_compact_string());
+        tokio::spawn(serve_link(hub.clone(), link, inbox));
+    }
+}
+
+async fn serve_link(hub: Arc<ControlHub>, link: FrameLink, mut inbox: FrameInbox) {
+    let mut vm = CompactString::default();
+    while let Some(envelope) = inbox.recv().await {
+        match envelope.body {
+            Some(Body::Hello(hello)) => vm = hello.vm.into(),
+            Some(Body::Subscribe(subscribe)) => {
+                tokio::spawn(feed_subscriber(hub.clone(), link.clone(), subscribe.after));
+            }
+            Some(Body::ShareLend(lend)) if !vm.is_empty() => {
+                hub.lock_share().receive_lend(&vm, lend, Instant::now());
+            }
+            Some(Body::TokenAsk(ask)) => {
+                let answer = hub.answer_ask(&ask);
+                // A lost answer costs the tokens; the asker asks again.
+                let _ = link.push(envelope.id, Body::TokenAnswer(answer));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Sends all that a subscriber lacks, then every change, then confirmations while nothing changes.
+async fn feed_subscriber(hub: Arc<ControlHub>, link: FrameLink, after: u64) {
+    let (missing, mut changes) = hub.subscribe(after);
+    let mut sent_through = after;
+    for delta in missing {
+        if !send_delta(&link, delta, &mut sent_through).await {
+            return;
+        }
+    }
+    let mut ticks = interval(CONFIRM_PERIOD);
+    loop {
+        let delta = tokio::select! {
+            change = changes.recv() => match change {
+                Ok(delta) => ConfigDelta::clone(&delta),
+                Err(RecvError::Lagged(_)) => {
+                    let (missing, receiver) = hub.subscribe(sent_through);
+                    changes = receiver;
+                    for delta in missing {
+                        if !send_delta(&link, delta, &mut sent_through).await {
+                            return;
+                        }
+                    }
+                    continue;
+                }
+                Err(RecvError::Closed) => return,
+            },
+            _ = ticks.tick() => hub.confirmation(sent_through),
+        };
+        if !send_delta(&link, delta, &mut sent_through).await {
+            return;
+        }
+    }
+}
+
+async fn send_delta(link: &FrameLink, delta: ConfigDelta, sent_through: &mut u64) -> bool {
+    *sent_through = (*sent_through).max(delta.through);
+    link.push_patiently(Body::ConfigDelta(delta)).await.is_ok()
+}
--- /dev/null
+++ b/entry/src/admit.rs
@@ -0,0 +1,162 @@
+//! Decides whether a request may run: route, key, body and rate.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use boragerill::{
+    keys::{
+        hash_key,
+        is_in_bytes,
+        is_in_json,
+        KeyHash, //
+    },
+    refusal::{
+        RefusalAnswer,
+        RefusalReason, //
+    },
+    snapshot::{
+        ServiceRecord,
+        Snapshot,
+        WorkspaceRecord, //
+    }, //
+};
+use compact_str::CompactString;
+use serde_json::Value;
+
+use crate::caller::CallerRequest;
+
+/// The workspace and key that a request runs for.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerIdentity {
+    /// Hash of the key that came with the request.
+    pub(crate) hash: KeyHash,
+    /// Workspace of the key.
+    pub(crate) workspace: Arc<WorkspaceRecord>,
+}
+
+/// The route that a request takes.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestRoute {
+    /// Service.
+    pub(crate) service: Arc<ServiceRecord>,
+    /// Whether the call may run more than once.
+    pub(crate) idempotent: bool,
+    /// Whether callers without a key are served.
+    pub(crate) open: bool,
+}
+
+/// When a caller may come back while the configuration is missing or stale.
+const CONFIG_RETRY: Duration = Duration::from_secs(1);
+
+/// Checks that the configuration is there and fresh enough.
+pub(crate) fn check_age(age: Option<Duration>, limit_ms: u64) -> Result<(), RefusalAnswer> {
+    let Some(age) = age else {
+        let answer = RefusalAnswer::not_run(
+            RefusalReason::ConfigMissing,
+            "no configuration has arrived yet",
+        );
+        return Err(answer.retry_after(CONFIG_RETRY));
+    };
+    if limit_ms > 0 && age > Duration::from_millis(limit_ms) {
+        let answer = RefusalAnswer::not_run(
+            RefusalReason::ConfigStale,
+            "configuration not confirmed for too long",
+        );
+        return Err(answer.retry_after(CONFIG_RETRY));
+    }
+    Ok(())
+}
+
+/// Finds the route of a request.
+pub(crate) fn find_route(
+    snapshot: &Snapshot,
+    caller: &CallerRequest,
+) -> Result<RequestRoute, RefusalAnswer> {
+    let found = snapshot.find_route(&caller.path, caller.service.as_deref());
+    let (service, index) = found
+        .ok_or_else(|| RefusalAnswer::not_run(RefusalReason::RouteUnknown, caller.path.clone()))?;
+    let route = &service.routes[index];
+    Ok(RequestRoute {
+        service: service.clone(),
+        idempotent: route.idempotent,
+        open: route.open,
+    })
+}
+
+/// Identifies the caller by its key.
+pub(crate) fn identify(
+    snapshot: &Snapshot,
+    key: Option<&str>,
+) -> Result<CallerIdentity, RefusalAnswer> {
+    let key =
+        key.ok_or_else(|| RefusalAnswer::not_run(RefusalReason::KeyMissing, "authorization"))?;
+    let hash = hash_key(key);
+    check_key(snapshot, &hash).map(|workspace| CallerIdentity { hash, workspace })
+}
+
+/// Returns the workspace of a key that works.
+pub(crate) fn check_key(
+    snapshot: &Snapshot,
+    hash: &KeyHash,
+) -> Result<Arc<WorkspaceRecord>, RefusalAnswer> {
+    let unknown = || RefusalAnswer::not_run(RefusalReason::KeyUnknown, "authorization");
+    let record = snapshot.find_key(hash).ok_or_else(unknown)?;
+    if record.withdrawn {
+        return Err(RefusalAnswer::not_run(
+            RefusalReason::KeyWithdrawn,
+            record.name.clone(),
+        ));
+    }
+    snapshot
+        .find_workspace(&record.workspace)
+        .cloned()
+        .ok_or_else(unknown)
+}
+
+/// Checks that a workspace may call a service.
+pub(crate) fn check_workspace(
+    service: &ServiceRecord,
+    workspace: &CompactString,
+) -> Result<(), RefusalAnswer> {
+    if service.workspaces.is_empty() || service.workspaces.binary_search(workspace).is_ok() {
+        return Ok(());
+    }
+    Err(RefusalAnswer::not_run(
+        RefusalReason::WorkspaceForbidden,
+        service.name.clone(),
+    ))
+}
+
+/// Checks that nothing which goes to the backend server holds the key.
+pub(crate) fn check_exposure(
+    caller: &CallerRequest,
+    body: &[u8],
+    parsed: Option<&Value>,
+) -> Result<(), RefusalAnswer> {
+    let Some(key) = caller.key.as_deref() else {
+        return Ok(());
+    };
+    let exposed = |field: &str| Err(RefusalAnswer::not_run(RefusalReason::KeyExposed, field));
+    if is_in_bytes(body, key) || parsed.is_some_and(|value| is_in_json(value, key)) {
+        return exposed("body");
+    }
+    let decode = |text: &str| {
+        rocket::http::RawStr::new(text)
+            .percent_decode_lossy()
+            .into_owned()
+    };
+    if decode(&caller.path).contains(key)
+        || caller
+            .query
+            .as_deref()
+            .is_some_and(|query| decode(query).contains(key))
+    {
+        return exposed("url");
+    }
+    if caller.headers.iter().any(|(_, value)| value.contains(key)) {
+        return exposed("header");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/entry/src/batches.rs
@@ -0,0 +1,317 @@
+//! Batch jobs of callers: submission, status, results and cancelling.
+
+use std::time::Duration;
+
+use boragerill::{
+    batch::{
+        chunk_name,
+        RESULT_KIND, //
+    },
+    error::ServeError,
+    kinds::BatchJobSpec,
+    platform::{
+        Expected,
+        PlatformClient, //
+    },
+    refusal::{
+        RefusalAnswer,
+        RefusalReason, //
+    },
+    submit::{
+        read_progress,
+        status_value,
+        JobRequest,
+        JobSubmission,
+        LINE_LIMIT_BYTES, //
+    }, //
+};
+use bytes::Bytes;
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use futures_util::StreamExt;
+use log::warn;
+use rocket::{
+    data::ToByteUnit,
+    delete,
+    get,
+    put,
+    response::stream::stream,
+    routes,
+    Data,
+    Route,
+    State, //
+};
+use serde_json::{
+    json,
+    Value, //
+};
+use tokio_util::codec::{
+    FramedRead,
+    LinesCodec, //
+};
+
+use crate::{
+    admit::{
+        check_age,
+        check_workspace,
+        identify,
+        CallerIdentity, //
+    },
+    caller::{
+        request_draw,
+        CallerRequest, //
+    },
+    reply::{
+        EntryReply,
+        ReplyBody, //
+    },
+    server::EntryState,
+};
+
+/// Largest submission, in GiB.
+const SUBMISSION_LIMIT_GIB: u64 = 8;
+
+/// Due time of a job that names none, in seconds.
+const DEFAULT_DUE_SECONDS: u64 = 86_400;
+
+/// When a caller may come back while the platform can't be reached.
+const PLATFORM_RETRY: Duration = Duration::from_secs(2);
+
+/// Attempts at a conditional update that meets other writers.
+const UPDATE_ATTEMPTS: u32 = 8;
+
+type BatchReply = Result<EntryReply, RefusalAnswer>;
+
+/// Returns the routes of batch jobs.
+pub(crate) fn routes() -> Vec<Route> {
+    routes![submit, status, results, cancel]
+}
+
+#[put("/v1/batches/<name>?<service>&<path>&<due_seconds>", data = "<data>")]
+async fn submit(
+    state: &State<EntryState>,
+    caller: CallerRequest,
+    name: &str,
+    service: Option<&str>,
+    path: Option<&str>,
+    due_seconds: Option<u64>,
+    data: Data<'_>,
+) -> EntryReply {
+    let target = (service.unwrap_or_default(), path.unwrap_or_default());
+    let due_seconds = due_seconds.unwrap_or(DEFAULT_DUE_SECONDS);
+    finish(
+        &caller,
+        accept(state, &caller, name, target, due_seconds, data).await,
+    )
+}
+
+#[get("/v1/batches/<name>")]
+async fn status(state: &State<EntryState>, caller: CallerRequest, name: &str) -> EntryReply {
+    finish(&caller, read_status(state, &caller, name).await)
+}
+
+#[get("/v1/batches/<name>/results")]
+async fn results(state: &State<EntryState>, caller: CallerRequest, name: &str) -> EntryReply {
+    finish(&caller, read_results(state, &caller, name).await)
+}
+
+#[delete("/v1/batches/<name>")]
+async fn cancel(state: &State<EntryState>, caller: CallerRequest, name: &str) -> EntryReply {
+    finish(&caller, cancel_job(state, &caller, name).await)
+}
+
+fn finish(caller: &CallerRequest, reply: BatchReply) -> EntryReply {
+    reply.unwrap_or_else(|answer| EntryReply::refusal(&answer, &caller.id))
+}
+
+async fn accept(
+    state: &EntryState,
+    caller: &CallerRequest,
+    name: &str,
+    (service, path): (&str, &str),
+    due_seconds: u64,
+    data: Data<'_>,
+) -> BatchReply {
+    let identity = identify_caller(state, caller)?;
+    check_target(state, &identity, service, path)?;
+    let request = JobRequest {
+        name: job_name(&identity, name),
+        workspace: identity.workspace.name.clone(),
+        service: service.into(),
+        path: path.into(),
+        due_seconds,
+    };
+    let submission = JobSubmission::new(state.platform.clone(), request, request_draw());
+    let mut submission = submission.map_err(submission_refusal)?;
+    let codec = LinesCodec::new_with_max_length(LINE_LIMIT_BYTES);
+    let mut lines = FramedRead::new(data.open(SUBMISSION_LIMIT_GIB.gibibytes()), codec);
+    while let Some(line) = lines.next().await {
+        let malformed =
+            |cause: String| RefusalAnswer::not_run(RefusalReason::RequestMalformed, cause);
+        let line = line.map_err(|error| malformed(error.to_string()))?;
+        submission
+            .push_line(line.as_bytes())
+            .await
+            .map_err(submission_refusal)?;
+    }
+    let receipt = submission.finish().await.map_err(submission_refusal)?;
+    let status = if receipt.found { 200 } else { 201 };
+    Ok(EntryReply::json(
+        status,
+        &json!({ "name": name, "items": receipt.items, "found": receipt.found }),
+    ))
+}
+
+/// Checks that the job's service routes its path, so that a bad job fails at once and not item by item.
+fn check_target(
+    state: &EntryState,
+    identity: &CallerIdentity,
+    service: &str,
+    path: &str,
+) -> Result<(), RefusalAnswer> {
+    let snapshot = state.store.load();
+    let found = snapshot.find_route(path, Some(service));
+    let detail = || format_compact!("service {service:?} has no route for path {path:?}");
+    let (record, _) =
+        found.ok_or_else(|| RefusalAnswer::not_run(RefusalReason::RouteUnknown, detail()))?;
+    check_workspace(record, &identity.workspace.name)
+}
+
+async fn read_status(state: &EntryState, caller: &CallerRequest, name: &str) -> BatchReply {
+    let identity = identify_caller(state, caller)?;
+    let name = job_name(&identity, name);
+    let (_, spec) = find_job(&state.platform, &name).await?;
+    let progress = read_progress(&state.platform, &name, &spec.submission)
+        .await
+        .map_err(platform_refusal)?;
+    Ok(EntryReply::json(200, &status_value(&spec, progress.0)))
+}
+
+async fn read_results(state: &EntryState, caller: &CallerRequest, name: &str) -> BatchReply {
+    let identity = identify_caller(state, caller)?;
+    let name = job_name(&identity, name);
+    let (_, spec) = find_job(&state.platform, &name).await?;
+    let (_, done) = read_progress(&state.platform, &name, &spec.submission)
+        .await
+        .map_err(platform_refusal)?;
+    let platform = state.platform.clone();
+    let complete = done.len() as u64 == u64::from(spec.chunks);
+    let body = stream! {
+        for index in done {
+            let chunk = chunk_name(&name, &spec.submission, index);
+            match platform.get(RESULT_KIND, &chunk).await {
+                Ok(object) => yield result_lines(&object.spec),
+                Err(error) => {
+                    warn!("results of {chunk}: {error}");
+                    yield Bytes::from(format!("{}\n", json!({"error": error.to_string()})));
+                    return;
+                }
+            }
+        }
+    };
+    Ok(EntryReply {
+        status: 200,
+        headers: vec![
+            ("content-type", "application/jsonl".into()),
+            ("x-boragerill-complete", format_compact!("{complete}")),
+        ],
+        body: ReplyBody::Stream(body.boxed()),
+    })
+}
+
+fn result_lines(spec: &Value) -> Bytes {
+    let results = spec["results"]
+        .as_array()
+        .map(Vec::as_slice)
+        .unwrap_or_default();
+    let lines: String = results.iter().map(|result| format!("{result}\n")).collect();
+    lines.into()
+}
+
+async fn cancel_job(state: &EntryState, caller: &CallerRequest, name: &str) -> BatchReply {
+    let identity = identify_caller(state, caller)?;
+    let name = job_name(&identity, name);
+    for _ in 0..UPDATE_ATTEMPTS {
+        let (version, spec) = find_job(&state.platform, &name).await?;
+        let spec = BatchJobSpec {
+            cancelled: true,
+            ..spec
+        };
+        let value = serde_json::to_value(&spec).unwrap_or_default();
+        match state
+            .platform
+            .put_settled("batchjob", &name, Expected::At(version), "", &value)
+            .await
+        {
+            Ok(_) => return Ok(EntryReply::json(202, &json!({"state": "cancelling"}))),
+            Err(ServeError::Conflict(..)) => {}
+            Err(error) => return Err(platform_refusal(error)),
+        }
+    }
+    Err(
+        RefusalAnswer::not_run(RefusalReason::PlatformUnavailable, "too many writers")
+            .retry_after(PLATFORM_RETRY),
+    )
+}
+
+async fn find_job(
+    platform: &PlatformClient,
+    name: &str,
+) -> Result<(u64, BatchJobSpec), RefusalAnswer> {
+    let object = platform
+        .get("batchjob", name)
+        .await
+        .map_err(platform_refusal)?;
+    let malformed = |error: serde_json::Error| {
+        RefusalAnswer::not_run(
+            RefusalReason::RequestMalformed,
+            format!("job can't be read: {error}"),
+        )
+    };
+    Ok((
+        object.version,
+        serde_json::from_value(object.spec).map_err(malformed)?,
+    ))
+}
+
+fn identify_caller(
+    state: &EntryState,
+    caller: &CallerRequest,
+) -> Result<CallerIdentity, RefusalAnswer> {
+    check_age(state.store.age(), state.settings.max_config_age_ms)?;
+    identify(&state.store.load(), caller.key.as_deref())
+}
+
+/// Returns the platform's name of a job: workspaces can't reach each other's.
+fn job_name(identity: &CallerIdentity, name: &str) -> CompactString {
+    format_compact!("{}.{name}", identity.workspace.name)
+}
+
+fn submission_refusal(error: ServeError) -> RefusalAnswer {
+    match error {
+        ServeError::Invalid(_, _, field, cause) => RefusalAnswer::not_run(
+            RefusalReason::RequestMalformed,
+            format_compact!("{field}: {cause}"),
+        ),
+        ServeError::Conflict(..) => RefusalAnswer::not_run(
+            RefusalReason::JobConflict,
+            "a job of this name with other content exists",
+        ),
+        // The job may have been created; a resend finds out.
+        error if error.is_ambiguous() => {
+            RefusalAnswer::unknown(RefusalReason::PlatformUnavailable, error.to_string())
+                .retry_after(PLATFORM_RETRY)
+        }
+        error => platform_refusal(error),
+    }
+}
+
+fn platform_refusal(error: ServeError) -> RefusalAnswer {
+    if let ServeError::Missing(..) = error {
+        return RefusalAnswer::not_run(RefusalReason::RouteUnknown, "no such batch job");
+    }
+    RefusalAnswer::not_run(RefusalReason::PlatformUnavailable, error.to_string())
+        .retry_after(PLATFORM_RETRY)
+}
--- /dev/null
+++ b/entry/src/caller.rs
@@ -0,0 +1,77 @@
+//! What a caller's request carries besides its body.
+
+use std::time::Duration;
+
+use boragerill::keys::scan_bearer;
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use rocket::{
+    http::Method,
+    request::{
+        FromRequest,
+        Outcome, //
+    },
+    Request, //
+};
+
+/// Headers that are forwarded to backend servers; all others stay here.
+const FORWARDED_HEADERS: [&str; 4] = ["accept", "content-type", "traceparent", "tracestate"];
+
+/// A caller's request without its body.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerRequest {
+    /// Id that this process gave the request; backend servers repeat it.
+    pub(crate) id: CompactString,
+    /// HTTP method.
+    pub(crate) method: Method,
+    /// Path, still encoded.
+    pub(crate) path: CompactString,
+    /// Query, still encoded.
+    pub(crate) query: Option<CompactString>,
+    /// The caller's key.
+    pub(crate) key: Option<CompactString>,
+    /// Service that the caller names.
+    pub(crate) service: Option<CompactString>,
+    /// The caller's idempotency key.
+    pub(crate) idempotency_key: Option<CompactString>,
+    /// Deadline that the caller names.
+    pub(crate) timeout: Option<Duration>,
+    /// Headers to forward.
+    pub(crate) headers: Vec<(&'static str, CompactString)>,
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for CallerRequest {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<CallerRequest, ()> {
+        let header = |name| request.headers().get_one(name);
+        let text = |name| header(name).map(CompactString::from);
+        let bearer = header("authorization")
+            .and_then(scan_bearer)
+            .map(CompactString::from);
+        let forwarded = FORWARDED_HEADERS
+            .iter()
+            .filter_map(|&name| Some((name, text(name)?)));
+        Outcome::Success(CallerRequest {
+            id: format_compact!("{:016x}", request_draw()),
+            method: request.method(),
+            path: request.uri().path().as_str().into(),
+            query: request.uri().query().map(|query| query.as_str().into()),
+            key: bearer.or_else(|| text("x-api-key")),
+            service: text("x-boragerill-service"),
+            idempotency_key: text("idempotency-key"),
+            timeout: header("x-boragerill-timeout-ms")
+                .and_then(|ms| ms.parse().ok())
+                .map(Duration::from_millis),
+            headers: forwarded.collect(),
+        })
+    }
+}
+
+/// Returns a number that differs from request to request on all VMs.
+pub(crate) fn request_draw() -> u64 {
+    rand::random()
+}
--- /dev/null
+++ b/entry/src/loads.rs
@@ -0,0 +1,166 @@
+//! Load and health of backend servers as this process sees them.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicU32,
+            AtomicU64,
+            Ordering, //
+        },
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Instant,
+};
+
+use arc_swap::ArcSwap;
+use boragerill::{
+    rank::hash_name,
+    route::{
+        ServerHealth,
+        ServerView, //
+    },
+    snapshot::{
+        ServerRecord,
+        ServiceRecord, //
+    }, //
+};
+use compact_str::CompactString;
+
+/// Age beyond which a server's load report counts for nothing, in milliseconds.
+const REPORT_AGE_LIMIT_MS: u64 = 2000;
+
+/// One server's state.
+#[derive(Debug, Default)]
+pub(crate) struct ServerState {
+    in_flight: AtomicU32,
+    others: AtomicU32, // Requests of other VMs by the newest report.
+    reported_ms: AtomicU64,
+    health: Mutex<ServerHealth>,
+}
+
+type ServerEntries = Vec<(CompactString, Arc<ServerState>)>; // Sorted by address.
+
+/// States of all servers that were ever routed to.
+#[derive(Debug)]
+pub(crate) struct ServerTable {
+    entries: ArcSwap<ServerEntries>,
+    started: Instant,
+}
+
+impl Default for ServerTable {
+    fn default() -> ServerTable {
+        ServerTable {
+            entries: ArcSwap::default(),
+            started: Instant::now(),
+        }
+    }
+}
+
+impl ServerTable {
+    /// Returns the state of a server.
+    pub(crate) fn state(&self, address: &str) -> Arc<ServerState> {
+        let entries = self.entries.load();
+        if let Ok(index) = search(&entries, address) {
+            return entries[index].1.clone();
+        }
+        drop(entries);
+        self.entries.rcu(|entries| {
+            let mut entries = ServerEntries::clone(entries);
+            if let Err(index) = search(&entries, address) {
+                entries.insert(index, (address.into(), Arc::default()));
+            }
+            entries
+        });
+        self.state(address)
+    }
+
+    /// Returns a service's servers as a routing decision sees them.
+    pub(crate) fn views(&self, service: &ServiceRecord, domain: &str) -> Vec<ServerView> {
+        let now_ms = self.now_ms();
+        service
+            .servers
+            .iter()
+            .map(|server| self.view(server, domain, now_ms))
+            .collect()
+    }
+
+    /// Notes that an attempt ended well or badly.
+    pub(crate) fn note_end(&self, state: &ServerState, succeeded: bool) {
+        let now_ms = self.now_ms();
+        let mut health = state.lock_health();
+        if succeeded {
+            health.note_success();
+        } else {
+            health.note_failure(now_ms);
+        }
+    }
+
+    /// Takes over a server's load report.
+    pub(crate) fn note_report(&self, state: &ServerState, running: u32) {
+        let own = state.in_flight.load(Ordering::Relaxed);
+        state
+            .others
+            .store(running.saturating_sub(own), Ordering::Relaxed);
+        state.reported_ms.store(self.now_ms(), Ordering::Relaxed);
+    }
+
+    fn view(&self, server: &ServerRecord, domain: &str, now_ms: u64) -> ServerView {
+        let state = self.state(&server.address);
+        let is_fresh = now_ms < state.reported_ms.load(Ordering::Relaxed) + REPORT_AGE_LIMIT_MS;
+        let others = if is_fresh {
+            state.others.load(Ordering::Relaxed)
+        } else {
+            0
+        };
+        let ejected = state.lock_health().is_ejected(now_ms);
+        ServerView {
+            hash: hash_name(&server.address),
+            local: server.domain == domain,
+            leaving: server.leaving,
+            ejected,
+            load: state.in_flight.load(Ordering::Relaxed) + others,
+            slots: server.slots,
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+impl ServerState {
+    fn lock_health(&self) -> MutexGuard<'_, ServerHealth> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts an attempt as in flight until dropped.
+#[derive(Debug)]
+pub(crate) struct FlightGuard {
+    state: Arc<ServerState>,
+}
+
+impl FlightGuard {
+    pub(crate) fn new(state: Arc<ServerState>) -> FlightGuard {
+        state.in_flight.fetch_add(1, Ordering::Relaxed);
+        FlightGuard { state }
+    }
+
+    /// Returns the server's state.
+    pub(crate) fn state(&self) -> &ServerState {
+        &self.state
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.state.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn search(entries: &ServerEntries, address: &str) -> Result<usize, usize> {
+    entries.binary_search_by(|entry| entry.0.as_str().cmp(address))
+}
--- /dev/null
+++ b/entry/src/main.rs
@@ -0,0 +1,36 @@
+//! Entry process: online requests and batch submissions of callers.
+
+use std::process::ExitCode;
+
+use boragerill::{
+    process::{
+        run,
+        start,
+        ProcessInfo,
+        StartMode, //
+    },
+    settings::EntrySettings, //
+};
+
+mod admit;
+mod batches;
+mod caller;
+mod forward;
+mod loads;
+mod rate;
+mod record;
+mod reply;
+mod server;
+
+const INFO: ProcessInfo = ProcessInfo {
+    name: "boragerill-entry",
+    about: "serves callers: online requests and batch submissions",
+    settings: "EntrySettings",
+};
+
+fn main() -> ExitCode {
+    match start::<EntrySettings>(INFO) {
+        StartMode::Exit(code) => code,
+        StartMode::Run(settings) => run(INFO.name, settings.threads, server::run_entry(settings)),
+    }
+}
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,371 @@
+//! The platform's object API and list of VMs.
+
+use std::{
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use compact_str::CompactString;
+use rocket::{
+    delete,
+    get,
+    http::Status,
+    post,
+    put,
+    request::{
+        FromRequest,
+        Outcome, //
+    },
+    routes,
+    serde::json::Json,
+    Build,
+    Request,
+    Rocket,
+    State, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::{
+    json,
+    Value, //
+};
+use tokio::{
+    sync::watch,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+use crate::store::{
+    ObjectStore,
+    StoredObject,
+    WriteFailure,
+    VALUE_LIMIT_BYTES, //
+};
+
+/// Faults of the platform.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformFaults {
+    /// Every call fails.
+    pub down: bool,
+    /// Delay of every call, in milliseconds.
+    pub slow_ms: u64,
+    /// Writes that take effect and whose answers are lost.
+    pub lost_answers: u64,
+    /// Delay with which changes of the VM list become visible, in milliseconds.
+    pub vm_lag_ms: u64,
+}
+
+/// One VM on the list.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmEntry {
+    /// Name of the VM.
+    pub name: CompactString,
+    /// Failure domain of the VM.
+    pub domain: CompactString,
+    /// `live` or `leaving`.
+    pub state: CompactString,
+}
+
+/// Calls counted by type.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct CallCounts {
+    reads: u64,
+    writes: u64,
+    watches: u64,
+    conflicts: u64,
+}
+
+#[derive(Default)]
+struct PlatformInner {
+    store: ObjectStore,
+    faults: PlatformFaults,
+    counts: CallCounts,
+    vms: Vec<(Instant, Vec<VmEntry>)>, // Each list and when it was set.
+}
+
+/// State of the stand-in.
+pub struct PlatformState {
+    inner: Mutex<PlatformInner>,
+    version: watch::Sender<u64>,
+}
+
+impl Default for PlatformState {
+    fn default() -> PlatformState {
+        PlatformState {
+            inner: Mutex::default(),
+            version: watch::channel(0).0,
+        }
+    }
+}
+
+impl PlatformState {
+    fn lock(&self) -> MutexGuard<'_, PlatformInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies the faults that concern every call.
+    async fn admit(&self, count: impl FnOnce(&mut CallCounts)) -> Result<(), Status> {
+        let faults = {
+            let mut inner = self.lock();
+            count(&mut inner.counts);
+            inner.faults.clone()
+        };
+        if faults.slow_ms > 0 {
+            sleep(Duration::from_millis(faults.slow_ms)).await;
+        }
+        if faults.down {
+            return Err(Status::ServiceUnavailable);
+        }
+        Ok(())
+    }
+
+    /// Publishes a write, and holds its answer back when that fault is on.
+    async fn settle(&self, written: Result<u64, WriteFailure>) -> Reply {
+        let version = match written {
+            Ok(version) => version,
+            Err(WriteFailure::Missing) => return Err((Status::NotFound, Json(json!({})))),
+            Err(WriteFailure::Conflict(version)) => {
+                self.lock().counts.conflicts += 1;
+                return Err((Status::Conflict, Json(json!({ "version": version }))));
+            }
+        };
+        self.version.send_replace(version);
+        let lost = {
+            let mut inner = self.lock();
+            let lost = inner.faults.lost_answers > 0;
+            inner.faults.lost_answers = inner.faults.lost_answers.saturating_sub(1);
+            lost
+        };
+        if lost {
+            sleep(Duration::from_secs(30)).await;
+        }
+        Ok(Json(json!({ "version": version })))
+    }
+}
+
+type Reply = Result<Json<Value>, (Status, Json<Value>)>;
+
+/// Headers of a conditional write.
+struct WriteHeaders {
+    expected: Option<u64>,
+    label: CompactString,
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for WriteHeaders {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<WriteHeaders, ()> {
+        let expected = request.headers().get_one("if-match").map(str::parse::<u64>);
+        let label = request
+            .headers()
+            .get_one("x-label")
+            .unwrap_or_default()
+            .into();
+        match expected.transpose() {
+            Ok(expected) => Outcome::Success(WriteHeaders { expected, label }),
+            Err(_) => Outcome::Error((Status::BadRequest, ())),
+        }
+    }
+}
+
+#[get("/objects/<kind>/<name>")]
+async fn get_object(state: &State<PlatformState>, kind: &str, name: &str) -> Reply {
+    state
+        .admit(|counts| counts.reads += 1)
+        .await
+        .map_err(empty)?;
+    let object = state.lock().store.get(kind, name).cloned();
+    object
+        .map(|object| Json(json!(object)))
+        .ok_or_else(|| empty(Status::NotFound))
+}
+
+#[put("/objects/<kind>/<name>", data = "<spec>")]
+async fn put_object(
+    state: &State<PlatformState>,
+    kind: &str,
+    name: &str,
+    headers: WriteHeaders,
+    spec: Json<Value>,
+) -> Reply {
+    state
+        .admit(|counts| counts.writes += 1)
+        .await
+        .map_err(empty)?;
+    let spec = spec.into_inner();
+    if spec.to_string().len() > VALUE_LIMIT_BYTES {
+        return Err(empty(Status::PayloadTooLarge));
+    }
+    let written = state
+        .lock()
+        .store
+        .put(kind, name, headers.expected, &headers.label, spec);
+    state.settle(written).await
+}
+
+#[delete("/objects/<kind>/<name>")]
+async fn delete_object(
+    state: &State<PlatformState>,
+    kind: &str,
+    name: &str,
+    headers: WriteHeaders,
+) -> Reply {
+    state
+        .admit(|counts| counts.writes += 1)
+        .await
+        .map_err(empty)?;
+    let written = state.lock().store.delete(kind, name, headers.expected);
+    state.settle(written).await
+}
+
+#[get("/objects/<kind>?<after>&<prefix>&<fields>&<limit>")]
+async fn list_objects(
+    state: &State<PlatformState>,
+    kind: &str,
+    after: Option<&str>,
+    prefix: Option<&str>,
+    fields: Option<&str>,
+    limit: Option<usize>,
+) -> Reply {
+    state
+        .admit(|counts| counts.reads += 1)
+        .await
+        .map_err(empty)?;
+    let limit = limit.unwrap_or(1000).clamp(1, 1000);
+    let inner = state.lock();
+    let listed = inner.store.list(
+        kind,
+        prefix.unwrap_or_default(),
+        after.unwrap_or_default(),
+        limit,
+    );
+    let mut items: Vec<StoredObject> = Vec::with_capacity(listed.len());
+    for object in listed {
+        let spec = if fields == Some("names") {
+            Value::Null
+        } else {
+            object.spec.clone()
+        };
+        items.push(StoredObject {
+            spec,
+            ..object.clone()
+        });
+    }
+    let next = items
+        .last()
+        .filter(|_| items.len() == limit)
+        .map(|object| object.name.clone());
+    Ok(Json(
+        json!({ "items": items, "next": next, "version": inner.store.version() }),
+    ))
+}
+
+#[get("/watch?<after>&<kinds>&<wait_ms>")]
+async fn watch_objects(
+    state: &State<PlatformState>,
+    after: u64,
+    kinds: &str,
+    wait_ms: u64,
+) -> Reply {
+    state
+        .admit(|counts| counts.watches += 1)
+        .await
+        .map_err(empty)?;
+    let kinds: Vec<&str> = kinds.split(',').collect();
+    let mut changed = state.version.subscribe();
+    let deadline = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        changed.borrow_and_update();
+        {
+            let inner = state.lock();
+            if inner.faults.down {
+                return Err(empty(Status::ServiceUnavailable));
+            }
+            let events = inner
+                .store
+                .changes(&kinds, after)
+                .ok_or_else(|| empty(Status::Gone))?;
+            if !events.is_empty() || Instant::now() >= deadline {
+                return Ok(Json(
+                    json!({ "events": events, "version": inner.store.version() }),
+                ));
+            }
+        }
+        // A time-out ends the loop by the deadline.
+        let _ = timeout(
+            deadline.saturating_duration_since(Instant::now()),
+            changed.changed(),
+        )
+        .await;
+    }
+}
+
+#[get("/vms")]
+async fn list_vms(state: &State<PlatformState>) -> Reply {
+    state
+        .admit(|counts| counts.reads += 1)
+        .await
+        .map_err(empty)?;
+    let inner = state.lock();
+    let lag = Duration::from_millis(inner.faults.vm_lag_ms);
+    let visible = inner.vms.iter().rev().find(|(set, _)| set.elapsed() >= lag);
+    let vms = visible.map(|(_, list)| list.clone()).unwrap_or_default();
+    Ok(Json(json!({ "vms": vms })))
+}
+
+#[post("/standin/vms", data = "<list>")]
+fn set_vms(state: &State<PlatformState>, list: Json<Vec<VmEntry>>) {
+    state.lock().vms.push((Instant::now(), list.into_inner()));
+}
+
+#[post("/standin/faults", data = "<faults>")]
+fn set_faults(state: &State<PlatformState>, faults: Json<PlatformFaults>) {
+    state.lock().faults = faults.into_inner();
+    // Wakes the waiting watches, which an outage ends.
+    state.version.send_modify(|_| {});
+}
+
+#[post("/standin/compact")]
+fn compact(state: &State<PlatformState>) {
+    state.lock().store.compact();
+}
+
+#[get("/standin/counters")]
+fn counters(state: &State<PlatformState>) -> Json<Value> {
+    Json(json!(state.lock().counts))
+}
+
+fn empty(status: Status) -> (Status, Json<Value>) {
+    (status, Json(json!({})))
+}
+
+/// Mounts the platform's routes.
+pub fn mount(server: Rocket<Build>) -> Rocket<Build> {
+    let routes = routes![
+        get_object,
+        put_object,
+        delete_object,
+        list_objects,
+        watch_objects,
+        list_vms,
+        set_vms,
+        set_faults,
+        compact,
+        counters
+    ];
+    server.manage(PlatformState::default()).mount("/", routes)
+}
--- /dev/null
+++ b/standins/src/platform_main.rs
@@ -0,0 +1,9 @@
+//! Stand-in of the platform.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    standins::launch::launch("standin-platform", |server, _| {
+        standins::platform::mount(server)
+    })
+}
