--- a/boragerill/src/share.rs
+++ b/boragerill/src/share.rs
@@ -42,6 +42,9 @@
 /// Own messages remembered for echoes of peers.
 const SENT_HISTORY: usize = 16;
 
+/// Largest deviation of a monotonic clock's rate, as a fraction; earnings are lowered by it.
+const CLOCK_DRIFT: f64 = 0.0005;
+
 /// Slack for the rounding of token arithmetic, in tokens.
 const TOKEN_SLACK: f64 = 1e-9;
 
@@ -129,6 +132,7 @@
     settings: ShareSettings,
     vm: CompactString,
     incarnation: u64,
+    started: Instant,
     rosters: Vec<RosterView>, // Oldest first.
     peers: Vec<PeerState>,    // Sorted by VM.
     sequence: u64,
@@ -150,6 +154,7 @@
             settings,
             vm: vm.into(),
             incarnation,
+            started: now,
             rosters: Vec::new(),
             peers: Vec::new(),
             sequence: 0,
@@ -517,8 +522,10 @@
             let share = f64::from(lease.units) / f64::from(TOTAL_UNITS);
             let start = bucket.updated.max(lease.since);
             let end = lease.expires.map_or(now, |expires| expires.min(now));
-            earned +=
-                bucket.limit.rate * share * end.saturating_duration_since(start).as_secs_f64();
+            earned += bucket.limit.rate
+                * share
+                * end.saturating_duration_since(start).as_secs_f64()
+                * (1.0 - CLOCK_DRIFT);
             most += bucket.limit.burst * share;
         }
         let bucket = &mut self.buckets[index].1;
@@ -537,7 +544,7 @@
                 let bucket = TokenBucket {
                     limit: limit.clone(),
                     level,
-                    updated: now,
+                    updated: self.started,
                 };
                 self.buckets.insert(index, (limit.hash, bucket));
                 index
@@ -545,8 +552,8 @@
         }
     }
 
-    /// Returns the tokens of a workspace that was never asked for: the shares held since before it
-    /// was created are full, the others empty.
+    /// Returns the tokens with which the bucket of a workspace begins: the shares held since before
+    /// it was created are full, the others began empty when their leases did.
     fn first_level(&self, limit: &RateLimit, now: Instant) -> f64 {
         let mut owners = OwnerCache::default();
         let held = self
