Prove the promises to online callers on real processes

Tests on three entry VMs: withdrawn keys, keys never shown, workspaces, configuration in force and never reverting, spoilt answers, at most one run, true "not run", leaving servers, graceful shutdown, killed and frozen control processes.

Found on the way: - Graceful shutdown did not end (10 s later the process still ran): the HTTP library waits its whole grace period while any idle connection stays open. Ruled out: a stuck stream; both answers had arrived whole. The process now counts its running requests, asks callers to leave their connections, and ends when the last response is sent. - Giving units away waited for a lease twice, at the giver and at the receiver. The mutant that drops the giver's wait survived, since the receiver's covers it; the giver's is gone. - Heartbeats in step and the missing loss of single connections hid three mutants; the fleet of the fuzzer now staggers heartbeats and breaks links.

--- a/boragerill/src/share.rs
+++ b/boragerill/src/share.rs
@@ -119,13 +119,6 @@
     usable: Instant,
 }
 
-/// Units that were withheld from lending so that they can be given away.
-#[derive(Clone, Copy, Debug)]
-struct UnitGift {
-    units: Units,
-    free: Instant,
-}
-
 /// One member's decisions on lending, owning and granting.
 #[derive(Clone, Debug)]
 pub struct ShareState {
@@ -139,7 +132,7 @@
     sent: Vec<(u64, Instant)>, // Own sequences and when they were sent.
     units: Units,
     gains: Vec<UnitGain>,
-    gift: Option<UnitGift>,
+    gift: Units, // Withheld, and not yet given away.
     from: Placement,
     to: Placement,
     settled: Instant,                 // When the placement `from` may be dropped.
@@ -161,7 +154,7 @@
             sent: Vec::new(),
             units: 0,
             gains: Vec::new(),
-            gift: None,
+            gift: 0,
             from: Placement::default(),
             to: Placement::default(),
             settled: now,
@@ -205,19 +198,19 @@
         self.place(now);
     }
 
-    /// Withholds units for a gift, and returns them once no lease on them can be in force.
+    /// Withholds units so that they can be given away, and returns those withheld. Whoever gets them
+    /// waits until no lease on them can be in force.
     pub fn offer_gift(&mut self, units: Units, now: Instant) -> Option<Units> {
-        if let Some(gift) = self.gift {
-            return (gift.free <= now).then_some(gift.units);
+        if self.gift > 0 {
+            return Some(self.gift);
         }
         if units == 0 || units > self.units || !self.gains.is_empty() {
             return None;
         }
-        let free = self.last_sent(now) + self.settings.lease + self.settings.margin;
         self.units -= units;
-        self.gift = Some(UnitGift { units, free });
+        self.gift = units;
         self.hold_own(now);
-        None
+        Some(units)
     }
 
     /// Advances timers and returns the heartbeat for each other member.
@@ -314,8 +307,7 @@
 
     fn adopt_units(&mut self, declared: Units, now: Instant) {
         let pending: Units = self.gains.iter().map(|gain| gain.units).sum();
-        let withheld = self.gift.map_or(0, |gift| gift.units);
-        let known = self.units + pending + withheld;
+        let known = self.units + pending + self.gift;
         if declared >= known {
             let usable = now + self.settings.lease + self.settings.margin;
             if declared > known {
@@ -328,11 +320,9 @@
         }
         // A roster with fewer units than known carries this member's own gift.
         let mut lost = known - declared;
-        let given = withheld.min(lost);
+        let given = self.gift.min(lost);
+        self.gift -= given;
         lost -= given;
-        if given == withheld {
-            self.gift = None;
-        }
         for gain in self.gains.iter_mut().rev() {
             let taken = gain.units.min(lost);
             gain.units -= taken;
--- a/boragerill/tests/fleet/mod.rs
+++ b/boragerill/tests/fleet/mod.rs
@@ -42,6 +42,9 @@
 /// Heartbeats come every so many steps.
 const HEARTBEAT_STEPS: u64 = 10;
 
+/// Steps between the heartbeats of one member and the next.
+const PHASE_STEPS: u64 = 3;
+
 /// One member and the conditions it is under.
 pub(crate) struct FleetMember {
     pub(crate) vm: CompactString,
@@ -159,6 +162,14 @@
         self.members[index].asks.clear();
     }
 
+    /// Breaks the connections of one member to another without cutting them off.
+    pub(crate) fn break_link(&mut self, index: usize, peer: usize) {
+        let vm = self.members[peer].vm.clone();
+        let member = &mut self.members[index];
+        let now = self.base + drifted(self.now, member.drift_ppm);
+        member.state.lose_peer(&vm, now);
+    }
+
     /// Asks a member for one token; the caller lets the request go `use_delay` after asking.
     pub(crate) fn ask(&mut self, index: usize, use_delay: Duration) {
         let member = &mut self.members[index];
@@ -215,10 +226,8 @@
             if self.greedy {
                 self.spend(3);
             }
-            if self.steps % HEARTBEAT_STEPS == 0 {
-                self.heartbeat();
-                self.keep_roster();
-            }
+            self.heartbeat();
+            self.keep_roster();
         }
     }
 
@@ -299,7 +308,8 @@
 
     fn heartbeat(&mut self) {
         for index in 0..self.members.len() {
-            if self.members[index].frozen {
+            let is_due = (self.steps + PHASE_STEPS * index as u64) % HEARTBEAT_STEPS == 0;
+            if self.members[index].frozen || !is_due {
                 continue;
             }
             let local = self.base + drifted(self.now, self.members[index].drift_ppm);
@@ -380,7 +390,7 @@
     }
 }
 
-fn member_spec(vm: &str) -> MemberSpec {
+pub(crate) fn member_spec(vm: &str) -> MemberSpec {
     MemberSpec {
         vm: vm.to_owned(),
         domain: "zaragoza-a".to_owned(),
--- a/boragerill/tests/rate.rs
+++ b/boragerill/tests/rate.rs
@@ -4,6 +4,19 @@
 
 use std::time::Duration;
 
+use boragerill::{
+    generated::messages::{
+        Placement,
+        ShareLend, //
+    },
+    kinds::RosterSpec,
+    rank::hash_name,
+    roster::RosterView,
+    share::{
+        ShareSettings,
+        ShareState, //
+    }, //
+};
 use fleet::{
     limit,
     ShareFleet, //
@@ -38,6 +51,10 @@
         side: u8,
     },
     Heal,
+    Break {
+        member: usize,
+        peer: usize,
+    },
     Delay(u64),
     Repeat(bool),
     Restart(usize),
@@ -71,6 +88,7 @@
             2 => member.clone().prop_map(FleetEvent::Thaw),
             2 => (member.clone(), 0_u8..3).prop_map(|(member, side)| FleetEvent::Cut { member, side }),
             1 => Just(FleetEvent::Heal),
+            2 => (member.clone(), member.clone()).prop_map(|(member, peer)| FleetEvent::Break { member, peer }),
             1 => prop_oneof![Just(1_u64), Just(300), Just(1200), Just(3000)].prop_map(FleetEvent::Delay),
             1 => any::<bool>().prop_map(FleetEvent::Repeat),
             1 => member.clone().prop_map(FleetEvent::Restart),
@@ -111,6 +129,7 @@
             FleetEvent::Thaw(member) => fleet.thaw(member),
             FleetEvent::Cut { member, side } => fleet.members[member].cut = side,
             FleetEvent::Heal => fleet.members.iter_mut().for_each(|member| member.cut = 0),
+            FleetEvent::Break { member, peer } => fleet.break_link(member, peer),
             FleetEvent::Delay(ms) => fleet.delay = Duration::from_millis(ms),
             FleetEvent::Repeat(repeats) => fleet.repeats = repeats,
             FleetEvent::Restart(member) => fleet.restart_member(member),
@@ -258,3 +277,38 @@
         fleet.grants.len()
     );
 }
+
+#[test]
+fn lease_that_echoes_an_earlier_process_is_not_held() {
+    // Arrange: a member has sent its first message; a peer echoes the same number of another process.
+    let now = std::time::Instant::now();
+    let roster = RosterSpec {
+        members: ["vm-0", "vm-1"].map(fleet::member_spec).to_vec(),
+    };
+    let mut state = ShareState::new(ShareSettings::default(), "vm-0", 7, now);
+    state.learn_roster(RosterView::new(5, &roster), now);
+    state.tick(now);
+    let placement = Placement {
+        roster: 5,
+        reachable: vec![1],
+    };
+    let lend = |echo_incarnation, sequence| ShareLend {
+        from: Some(placement.clone()),
+        to: Some(placement.clone()),
+        units: 1000,
+        lease_ms: 1500,
+        sequence,
+        incarnation: 3,
+        echo: 1,
+        echo_incarnation,
+    };
+
+    // Act.
+    state.receive_lend("vm-1", lend(6, 1), now);
+    let earlier = state.held_units(hash_name("riegos-norte"), now);
+    state.receive_lend("vm-1", lend(7, 2), now);
+    let current = state.held_units(hash_name("riegos-norte"), now);
+
+    // Assert.
+    assert_eq!((earlier, current), (0, 1000));
+}
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -15,6 +15,7 @@
 mod admit;
 mod batches;
 mod caller;
+mod drain;
 mod forward;
 mod loads;
 mod rate;
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -35,7 +35,10 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::StreamExt;
-use log::info;
+use log::{
+    info,
+    warn, //
+};
 use metrics::{
     counter,
     histogram, //
@@ -58,7 +61,10 @@
     Value, //
 };
 use tokio::{
-    sync::watch,
+    sync::{
+        oneshot,
+        watch, //
+    },
     time::{
         sleep,
         timeout, //
@@ -78,6 +84,7 @@
     },
     batches,
     caller::CallerRequest,
+    drain::DrainState,
     forward::{
         prefix_hash,
         AnswerStream,
@@ -160,20 +167,44 @@
         .manage(state)
         .mount("/", routes)
         .mount("/", batches::routes());
+    let draining = DrainState::default();
+    let server = server
+        .attach(draining.count_requests())
+        .attach(draining.close_connections());
+    let (stopped, stopping) = oneshot::channel();
     info!("listening on {listen}");
-    serve(server, &listen, |shutdown| {
-        tokio::spawn(stop_gracefully(shutdown, health, drain));
-    })
-    .await
+    let serving = serve(server, &listen, |shutdown| {
+        tokio::spawn(async move {
+            stop_gracefully(shutdown, health, draining, drain, grace).await;
+            // An error means that the server has ended first.
+            let _ = stopped.send(());
+        });
+    });
+    tokio::select! {
+        served = serving => served,
+        Ok(()) = stopping => Ok(()),
+    }
 }
 
-/// Fails readiness so that the balancer turns away, and closes the listener after the drain time.
-async fn stop_gracefully(shutdown: rocket::Shutdown, health: HealthState, drain: Duration) {
+/// Fails readiness so that the balancer turns away, closes the listener after the drain time, and
+/// waits for the running requests.
+async fn stop_gracefully(
+    shutdown: rocket::Shutdown,
+    health: HealthState,
+    draining: DrainState,
+    drain: Duration,
+    grace: Duration,
+) {
     wait_for_stop().await;
     info!("stopping: no longer ready, new connections are taken for {drain:?}");
     health.set_ready(false);
+    draining.start();
     sleep(drain).await;
     shutdown.notify();
+    match timeout(grace, draining.wait_until_idle()).await {
+        Ok(()) => info!("stopped: every request has ended"),
+        Err(_) => warn!("stopped: requests were still running after {grace:?}"),
+    }
 }
 
 fn policy_of(policy: EntrySettingsPolicy) -> RoutePolicy {
--- /dev/null
+++ b/standins/tests/online.rs
@@ -0,0 +1,504 @@
+//! Promises to online callers, shown on real processes.
+
+mod system;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use futures_util::StreamExt;
+use serde_json::{
+    json,
+    Value, //
+};
+use system::{
+    eventually,
+    key_spec,
+    pause,
+    SystemFleet,
+    CHAT,
+    KEY,
+    OTHER_KEY, //
+};
+
+/// Time within which a change must be in force on every VM.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+#[tokio::test]
+async fn withdrawn_key_stops_within_seconds() {
+    // Arrange: a long stream runs on each VM.
+    let fleet = SystemFleet::start("withdrawn", 3).await;
+    let mut streams = Vec::new();
+    for vm in 0..3 {
+        let response = fleet
+            .chat(vm, KEY, 5000, true)
+            .send()
+            .await
+            .expect("entry answers");
+        assert_eq!(response.status(), 200);
+        streams.push(response.text());
+    }
+
+    // Act.
+    fleet
+        .declare(
+            "key",
+            "riegos-norte-1",
+            &key_spec("riegos-norte", KEY, "withdrawn"),
+        )
+        .await;
+    let withdrawn = Instant::now();
+    let texts = futures_util::future::join_all(streams).await;
+    let cut = withdrawn.elapsed();
+
+    // Assert: the streams end with an error and without the end marker, new requests are refused, and
+    // the other workspace's key works on.
+    assert!(cut < IN_FORCE, "streams ran on for {cut:?}");
+    for text in texts {
+        let text = text.expect("stream ends");
+        assert!(text.contains("key_withdrawn") && !text.contains("[DONE]"));
+    }
+    for vm in 0..3 {
+        assert_eq!(
+            fleet
+                .chat(vm, KEY, 1, false)
+                .send()
+                .await
+                .expect("answer")
+                .status(),
+            401
+        );
+        assert_eq!(
+            fleet
+                .chat(vm, OTHER_KEY, 1, false)
+                .send()
+                .await
+                .expect("answer")
+                .status(),
+            200
+        );
+    }
+}
+
+#[tokio::test]
+async fn no_backend_server_sees_a_key() {
+    // Arrange.
+    let fleet = SystemFleet::start("unseen", 1).await;
+    let escaped: String = KEY
+        .chars()
+        .map(|letter| format!("\\u{:04x}", u32::from(letter)))
+        .collect();
+    let bodies = [
+        json!({"messages": [{"role": "user", "content": KEY}]}).to_string(),
+        format!("{{\"messages\":[{{\"role\":\"user\",\"content\":\"{escaped}\"}}]}}"),
+    ];
+
+    // Act: the key in the body, escaped in the body, in the URL, and only in its header.
+    let mut refused = Vec::new();
+    for body in bodies {
+        let request = fleet.post(0, CHAT, KEY).body(body);
+        refused.push(request.send().await.expect("answer"));
+    }
+    refused.push(
+        fleet
+            .post(0, &format!("{CHAT}?key={KEY}"), KEY)
+            .body("{}")
+            .send()
+            .await
+            .expect("answer"),
+    );
+    let served = fleet
+        .chat(0, KEY, 2, false)
+        .header("x-api-key", KEY)
+        .header("cookie", KEY);
+    let served = served.send().await.expect("answer");
+    let run = fleet
+        .post(0, "/run/unseen-1", KEY)
+        .header("x-custom", KEY)
+        .body("{}")
+        .send()
+        .await
+        .expect("answer");
+
+    // Assert.
+    for response in refused {
+        assert_eq!(response.status(), 400);
+        assert_eq!(response.headers()["x-boragerill-outcome"], "not-run");
+        let body: Value = response.json().await.expect("JSON");
+        assert_eq!(body["error"]["reason"], "key_exposed");
+    }
+    assert_eq!(
+        (served.status().as_u16(), run.status().as_u16()),
+        (200, 200)
+    );
+    let ports = fleet
+        .engines
+        .iter()
+        .map(|engine| engine.1)
+        .chain([fleet.service.1]);
+    for port in ports {
+        let seen = fleet.standin(port, "seen").await.to_string();
+        assert!(!seen.contains(KEY), "port {port} saw the key");
+    }
+}
+
+#[tokio::test]
+async fn request_runs_only_for_its_keys_workspace() {
+    // Arrange: only one workspace may call the engines.
+    let fleet = SystemFleet::start("workspaces", 1).await;
+    let mut limited = fleet.engine_service(&[]);
+    limited["workspaces"] = json!(["riegos-norte"]);
+    fleet.declare("service", "asesor-pivot", &limited).await;
+    pause(500).await;
+
+    // Act.
+    let own = fleet
+        .chat(0, KEY, 1, false)
+        .header("x-boragerill-workspace", "tienda-sur")
+        .send()
+        .await;
+    let other = fleet
+        .chat(0, OTHER_KEY, 1, false)
+        .send()
+        .await
+        .expect("answer");
+    let unknown = fleet
+        .chat(0, "guessed", 1, false)
+        .send()
+        .await
+        .expect("answer");
+    let url = |path: &str| format!("http://127.0.0.1:{}{path}", fleet.vms[0].entry_port);
+    let missing = fleet
+        .http
+        .post(url(CHAT))
+        .body("{}")
+        .send()
+        .await
+        .expect("answer");
+    let open = fleet
+        .http
+        .get(url("/stock/lona"))
+        .send()
+        .await
+        .expect("answer");
+
+    // Assert.
+    assert_eq!(own.expect("answer").status(), 200);
+    assert_eq!(other.status(), 403);
+    assert_eq!(unknown.status(), 401);
+    assert_eq!(missing.status(), 401);
+    assert_eq!(open.status(), 200);
+    let seen = fleet.standin(fleet.engines[0].1, "seen").await.to_string()
+        + &fleet.standin(fleet.engines[1].1, "seen").await.to_string();
+    assert!(seen.contains("x-boragerill-workspace: riegos-norte"));
+    assert!(!seen.contains("tienda-sur"));
+}
+
+#[tokio::test]
+async fn accepted_configuration_is_in_force_and_never_reverts() {
+    // Arrange.
+    let mut fleet = SystemFleet::start("in-force", 3).await;
+    let closed = json!({"workspace": "tienda-sur", "hash": "0".repeat(64)});
+
+    // Act: a change, then the restart of a control process, an outage and a gap of the watch.
+    fleet.declare("key", "tienda-sur-1", &closed).await;
+    let written = Instant::now();
+    for vm in 0..3 {
+        eventually(IN_FORCE, "change in force", || async {
+            fleet
+                .chat(vm, OTHER_KEY, 1, false)
+                .send()
+                .await
+                .expect("answer")
+                .status()
+                == 401
+        })
+        .await;
+    }
+    let in_force = written.elapsed();
+    fleet.vms[0].control.kill();
+    fleet
+        .faults(fleet.platform_port, json!({"down": true}))
+        .await;
+    fleet.vms[0].control.restart();
+    pause(1000).await;
+    let mut reverted = 0;
+    for round in 0..40 {
+        if round == 20 {
+            fleet.faults(fleet.platform_port, json!({})).await;
+            fleet
+                .http
+                .post(format!(
+                    "http://127.0.0.1:{}/standin/compact",
+                    fleet.platform_port
+                ))
+                .send()
+                .await
+                .expect("answer");
+        }
+        for vm in 0..3 {
+            let status = fleet
+                .chat(vm, OTHER_KEY, 1, false)
+                .send()
+                .await
+                .expect("answer")
+                .status();
+            reverted += usize::from(status == 200);
+        }
+        pause(50).await;
+    }
+
+    // Assert: the changed key never works again, and the untouched one does on every VM.
+    assert!(in_force < IN_FORCE, "in force after {in_force:?}");
+    assert_eq!(reverted, 0);
+    fleet.wait_until_served().await;
+}
+
+#[tokio::test]
+async fn refused_resource_names_its_field_and_leaves_the_last_one_in_force() {
+    // Arrange.
+    let fleet = SystemFleet::start("refused", 2).await;
+
+    // Act.
+    let version = fleet
+        .declare(
+            "workspace",
+            "riegos-norte",
+            &json!({"rate": -1, "burst": 5}),
+        )
+        .await;
+    eventually(Duration::from_secs(8), "status", || async {
+        fleet.object("status", "workspace.riegos-norte").await["spec"]["observed"] == json!(version)
+    })
+    .await;
+    let status = fleet.object("status", "workspace.riegos-norte").await;
+
+    // Assert.
+    assert_eq!(status["spec"]["state"], "refused");
+    assert_eq!(status["spec"]["field"], "rate");
+    for vm in 0..2 {
+        assert_eq!(
+            fleet
+                .chat(vm, KEY, 1, false)
+                .send()
+                .await
+                .expect("answer")
+                .status(),
+            200
+        );
+    }
+}
+
+#[tokio::test]
+async fn spoilt_answers_never_reach_a_caller_as_whole() {
+    // Arrange: every kind of spoilt answer on both engines.
+    let fleet = SystemFleet::start("spoilt", 1).await;
+    let mut wrong = Vec::new();
+
+    // Act.
+    for faults in [
+        json!({"truncated": 3}),
+        json!({"crossed": 3}),
+        json!({"failing": 3}),
+    ] {
+        for engine in &fleet.engines {
+            fleet.faults(engine.1, faults.clone()).await;
+        }
+        for round in 0..8 {
+            let response = fleet
+                .chat(0, KEY, 8, round % 2 == 0)
+                .send()
+                .await
+                .expect("answer");
+            let id = response.headers()["x-request-id"]
+                .to_str()
+                .expect("text")
+                .to_owned();
+            let status = response.status().as_u16();
+            let text = response.text().await.unwrap_or_default();
+            let is_whole =
+                text.contains("t7") && text.contains(&id) && !text.contains("another-request");
+            let looks_whole = status == 200 && (round % 2 == 1 || text.contains("[DONE]"));
+            if looks_whole != is_whole {
+                wrong.push((faults.clone(), text));
+            }
+        }
+    }
+
+    // Assert.
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
+#[tokio::test]
+async fn non_idempotent_request_runs_at_most_once() {
+    // Arrange: the service answers late, fails after the run, or never answers.
+    let mut fleet = SystemFleet::start("once", 2).await;
+    let send = |fleet: &SystemFleet, vm: usize, id: usize| {
+        let request = fleet
+            .post(vm, &format!("/run/order-{id}"), KEY)
+            .header("idempotency-key", format!("key-{id}"));
+        request
+            .header("x-boragerill-timeout-ms", "700")
+            .body("{}")
+            .send()
+    };
+
+    // Act: each request is sent, then sent again to another VM; one VM dies with runs in flight.
+    let faults = [
+        json!({}),
+        json!({"failing": 1}),
+        json!({"silent": 1}),
+        json!({"run_ms": 300}),
+    ];
+    let mut answers = Vec::new();
+    for (id, faults) in faults.iter().enumerate() {
+        fleet.faults(fleet.service.1, faults.clone()).await;
+        let first = send(&fleet, 0, id).await.expect("answer").status().as_u16();
+        let second = send(&fleet, 1, id).await.expect("answer").status().as_u16();
+        answers.push((first, second));
+    }
+    let dying: Vec<_> = (10..14)
+        .map(|id| tokio::spawn(send(&fleet, 0, id)))
+        .collect();
+    pause(150).await;
+    fleet.vms[0].entry.kill();
+    futures_util::future::join_all(dying).await;
+    for id in 10..14 {
+        let resent = send(&fleet, 1, id).await.expect("answer");
+        assert_eq!(resent.status(), 409);
+        assert_eq!(resent.headers()["x-boragerill-outcome"], "unknown");
+    }
+
+    // Assert.
+    assert_eq!(answers[0], (200, 200));
+    assert_eq!(answers[1], (502, 409));
+    assert_eq!(answers[2], (504, 409));
+    assert_eq!(answers[3], (200, 200));
+    let runs = fleet.standin(fleet.service.1, "runs").await;
+    let counts = runs.as_object().expect("runs");
+    assert!(
+        counts.len() >= 8 && counts.values().all(|count| count == 1),
+        "{runs}"
+    );
+}
+
+#[tokio::test]
+async fn not_run_is_true_when_no_server_can_be_reached() {
+    // Arrange: both engines are gone.
+    let mut fleet = SystemFleet::start("not-run", 1).await;
+    let completed = fleet.standin(fleet.engines[0].1, "counters").await["requests"].clone();
+    fleet.engines.iter_mut().for_each(|engine| engine.0.kill());
+
+    // Act.
+    let response = fleet.chat(0, KEY, 1, false).send().await.expect("answer");
+
+    // Assert.
+    assert!(completed.is_u64());
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers()["x-boragerill-outcome"], "not-run");
+    assert!(response.headers().contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn leaving_server_gets_no_new_work() {
+    // Arrange.
+    let fleet = SystemFleet::start("leaving", 3).await;
+    let long = fleet.chat(0, KEY, 400, true).send().await.expect("answer");
+
+    // Act: the first engine leaves; requests go on.
+    fleet
+        .declare("service", "asesor-pivot", &fleet.engine_service(&[0]))
+        .await;
+    pause(2000).await;
+    let before = fleet.standin(fleet.engines[0].1, "counters").await["requests"].clone();
+    for round in 0..30 {
+        assert_eq!(
+            fleet
+                .chat(round % 3, KEY, 1, false)
+                .send()
+                .await
+                .expect("answer")
+                .status(),
+            200
+        );
+    }
+    let after = fleet.standin(fleet.engines[0].1, "counters").await["requests"].clone();
+
+    // Assert: no new work, and the stream that ran before has ended whole.
+    assert_eq!(before, after);
+    assert!(long.text().await.expect("stream").contains("[DONE]"));
+}
+
+#[tokio::test]
+async fn graceful_shutdown_cuts_no_request() {
+    // Arrange: a stream of two seconds and a whole answer are running.
+    let mut fleet = SystemFleet::start("shutdown", 2).await;
+    let streamed = fleet.chat(0, KEY, 1000, true).send().await.expect("answer");
+    let whole = tokio::spawn(fleet.chat(0, KEY, 700, false).send());
+    let mut body = streamed.bytes_stream();
+    let first = body.next().await.expect("event").expect("bytes");
+    pause(100).await;
+
+    // Act.
+    fleet.vms[0].entry.signal("TERM");
+    let mut text = String::from_utf8_lossy(&first).into_owned();
+    while let Some(part) = body.next().await {
+        text.push_str(&String::from_utf8_lossy(&part.expect("stream goes on")));
+    }
+    let whole = whole
+        .await
+        .expect("task")
+        .expect("answer")
+        .text()
+        .await
+        .expect("body");
+    let code = fleet.vms[0].entry.wait(Duration::from_secs(10)).await;
+
+    // Assert.
+    assert!(text.ends_with("data: [DONE]\n\n"));
+    assert!(whole.contains("t699"));
+    assert_eq!(code, Some(0));
+}
+
+#[tokio::test]
+async fn killed_or_frozen_control_process_costs_seconds() {
+    // Arrange.
+    let mut fleet = SystemFleet::start("control", 3).await;
+
+    // Act: one control process is killed, then another is frozen.
+    fleet.vms[1].control.kill();
+    pause(4500).await;
+    let mut after_kill = 0;
+    for round in 0..30 {
+        after_kill += usize::from(
+            fleet
+                .chat(round % 3, KEY, 1, false)
+                .send()
+                .await
+                .expect("answer")
+                .status()
+                == 200,
+        );
+    }
+    fleet.vms[1].control.restart();
+    pause(6000).await;
+    fleet.vms[2].control.signal("STOP");
+    pause(4500).await;
+    let mut after_freeze = 0;
+    for round in 0..30 {
+        after_freeze += usize::from(
+            fleet
+                .chat(round % 3, KEY, 1, false)
+                .send()
+                .await
+                .expect("answer")
+                .status()
+                == 200,
+        );
+    }
+    fleet.vms[2].control.signal("CONT");
+
+    // Assert.
+    assert_eq!((after_kill, after_freeze), (30, 30));
+}
