--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -1,6 +1,7 @@
 //! A model engine: continuous batching, a bounded cache of prompt prefixes, no priorities.
 
 use std::{
+    pin::Pin,
     sync::{
         atomic::{
             AtomicU64,
@@ -18,6 +19,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use futures_util::Stream;
 use rocket::{
     get,
     http::{
@@ -32,7 +34,10 @@
     },
     response::{
         self,
-        stream::ByteStream,
+        stream::{
+            stream,
+            ByteStream, //
+        },
         Responder, //
     },
     routes,
@@ -228,9 +233,11 @@
     body: AnswerBody,
 }
 
+type BodyStream = Pin<Box<dyn Stream<Item = Bytes> + Send>>;
+
 enum AnswerBody {
     Whole(Status, String),
-    Stream(ByteStream<std::pin::Pin<Box<dyn futures_util::Stream<Item = Bytes> + Send>>>),
+    Stream(ContentType, ByteStream<BodyStream>),
 }
 
 impl<'r> Responder<'r, 'r> for ChatAnswer {
@@ -240,8 +247,8 @@
                 Response::build_from((status, (ContentType::JSON, text)).respond_to(request)?)
                     .finalize()
             }
-            AnswerBody::Stream(stream) => Response::build_from(stream.respond_to(request)?)
-                .header(ContentType::EventStream)
+            AnswerBody::Stream(kind, stream) => Response::build_from(stream.respond_to(request)?)
+                .header(kind)
                 .finalize(),
         };
         response.set_header(Header::new("x-request-id", self.request_id.to_string()));
@@ -300,12 +307,11 @@
         )
     } else if chat.stream {
         let stream = stream_tokens(guard, request_id.clone(), chat.max_tokens, spoilt);
-        AnswerBody::Stream(ByteStream(Box::pin(stream)))
+        AnswerBody::Stream(ContentType::EventStream, ByteStream(Box::pin(stream)))
     } else {
-        AnswerBody::Whole(
-            Status::Ok,
-            whole_answer(guard, &request_id, &prompt, chat.max_tokens, spoilt).await,
-        )
+        let tokens = chat.max_tokens;
+        let stream = whole_answer(guard, request_id.clone(), prompt.len() / 4, tokens, spoilt);
+        AnswerBody::Stream(ContentType::JSON, ByteStream(Box::pin(stream)))
     };
     ChatAnswer {
         state,
@@ -321,29 +327,35 @@
     taken
 }
 
-async fn whole_answer(
+/// Makes a whole answer. White space goes out with each token, so that a caller that hangs up is
+/// noticed and its request cancelled.
+fn whole_answer(
     guard: RunningGuard,
-    request_id: &str,
-    prompt: &str,
+    request_id: CompactString,
+    prompt_tokens: usize,
     tokens: u64,
     spoilt: Spoilt,
-) -> String {
-    for _ in 1..tokens {
-        sleep(guard.0.stretch(guard.0.model.token_us)).await;
-    }
-    guard.0.lock().completed += 1;
-    let words: Vec<String> = (0..tokens).map(|index| format!("t{index}")).collect();
-    let answer = json!({
-        "id": request_id,
-        "object": "chat.completion",
-        "choices": [{"index": 0, "message": {"role": "assistant", "content": words.join(" ")}, "finish_reason": "stop"}],
-        "usage": {"prompt_tokens": prompt.len() / 4, "completion_tokens": tokens},
-    });
-    let text = answer.to_string();
-    if spoilt == Spoilt::Truncated {
-        return text[..text.len() / 2].to_owned();
+) -> impl Stream<Item = Bytes> + Send {
+    stream! {
+        for _ in 1..tokens {
+            sleep(guard.0.stretch(guard.0.model.token_us)).await;
+            yield Bytes::from_static(b" ");
+        }
+        guard.0.lock().completed += 1;
+        let words: Vec<String> = (0..tokens).map(|index| format!("t{index}")).collect();
+        let message = json!({"role": "assistant", "content": words.join(" ")});
+        let answer = json!({
+            "id": request_id,
+            "object": "chat.completion",
+            "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+            "usage": {"prompt_tokens": prompt_tokens, "completion_tokens": tokens},
+        });
+        let mut text = answer.to_string();
+        if spoilt == Spoilt::Truncated {
+            text.truncate(text.len() / 2);
+        }
+        yield Bytes::from(text);
     }
-    text
 }
 
 fn stream_tokens(
@@ -351,8 +363,8 @@
     request_id: CompactString,
     tokens: u64,
     spoilt: Spoilt,
-) -> impl futures_util::Stream<Item = Bytes> + Send {
-    rocket::async_stream::stream! {
+) -> impl Stream<Item = Bytes> + Send {
+    stream! {
         for index in 0..tokens {
             if index > 0 {
                 sleep(guard.0.stretch(guard.0.model.token_us)).await;
--- a/standins/tests/system/mod.rs
+++ b/standins/tests/system/mod.rs
@@ -1,5 +1,7 @@
 //! Starts the system's processes and stand-ins for process-level tests, and ends those it started.
 
+#![expect(dead_code, reason = "each test binary uses a part of the fixtures")]
+
 use std::{
     net::TcpListener,
     path::PathBuf,
@@ -106,7 +108,7 @@
 
 /// Stand-ins and entry VMs.
 pub(crate) struct SystemFleet {
-    pub(crate) platform: SystemProcess,
+    _platform: SystemProcess,
     pub(crate) platform_port: u16,
     pub(crate) engines: Vec<(SystemProcess, u16)>,
     pub(crate) service: (SystemProcess, u16),
@@ -158,7 +160,7 @@
         let service = standin("standin-service", "service.log", &[]);
         let http = Client::builder().no_proxy().build().expect("client");
         let mut fleet = SystemFleet {
-            platform,
+            _platform: platform,
             platform_port,
             engines,
             service,
