Keep deletions when configuration passes between VMs

Versions at or below the last listing are now passed over. - A receiver took a delta's version although the delta began after its own. It now takes the objects, and the version only if nothing lies between.

--- a/batch/src/chunk.rs
+++ b/batch/src/chunk.rs
@@ -8,7 +8,6 @@
 use boragerill::{
     batch::{
         chunk_name,
-        resume_results,
         BatchItem,
         ChunkClaim,
         ItemOutcome,
@@ -18,6 +17,10 @@
         INPUT_KIND,
         RESULT_KIND, //
     },
+    chunk::{
+        ChunkRun,
+        ChunkStep, //
+    },
     error::ServeError,
     feed::SnapshotStore,
     platform::{
@@ -51,9 +54,6 @@
     ItemTarget, //
 };
 
-/// Items of a non-idempotent service that are marked as started by one write.
-const WAVE_ITEMS: usize = 32;
-
 /// Pause before a write is tried again during an outage of the platform.
 const OUTAGE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -90,32 +90,40 @@
         let Some(items) = self.read_items(&name).await else {
             return false;
         };
-        let mut results = resume_results(&items, &chunk.claim);
-        while results.len() < items.len() {
+        let mut run = ChunkRun::resume(items, &chunk.claim);
+        loop {
             let Some(target) = self.find_target(&chunk.job) else {
                 warn!("{name}: service {} is not declared", chunk.job.spec.service);
                 sleep(OUTAGE_PAUSE).await;
                 if self.is_cancelled(&chunk.job) {
-                    results.extend(items[results.len()..].iter().map(cancelled));
+                    run.note_results(run.open_items().iter().map(cancelled).collect());
+                    return self.commit(&name, run.results()).await;
                 }
                 continue;
             };
-            let wave = if target.idempotent {
-                items.len()
-            } else {
-                (results.len() + WAVE_ITEMS).min(items.len())
-            };
-            if !target.idempotent && !self.mark_started(&name, &mut chunk, wave, &results).await {
-                return false;
+            match run.next_step(target.idempotent) {
+                ChunkStep::Commit => return self.commit(&name, run.results()).await,
+                ChunkStep::MarkStarted { started } => {
+                    if !self
+                        .mark_started(&name, &mut chunk, started, run.results())
+                        .await
+                    {
+                        return false;
+                    }
+                    run.note_marked(started);
+                }
+                ChunkStep::Run(range) => {
+                    let Some(ended) = self
+                        .run_wave(&name, &mut chunk, &target, run.items(range))
+                        .await
+                    else {
+                        info!("{name}: claim was taken over");
+                        return false;
+                    };
+                    run.note_results(ended);
+                }
             }
-            let pending = &items[results.len()..wave];
-            let Some(ended) = self.run_wave(&name, &mut chunk, &target, pending).await else {
-                info!("{name}: claim was taken over");
-                return false;
-            };
-            results.extend(ended);
         }
-        self.commit(&name, &results).await
     }
 
     async fn read_items(&self, name: &str) -> Option<Vec<BatchItem>> {
@@ -154,15 +162,15 @@
             .is_none_or(|known| known.spec.cancelled)
     }
 
-    /// Records that the items up to `wave` may have been started, before the first of them is.
+    /// Records that the items before `started` may have been started, before the first of them is.
     async fn mark_started(
         &self,
         name: &str,
         chunk: &mut ClaimedChunk,
-        wave: usize,
+        started: usize,
         results: &[ItemResult],
     ) -> bool {
-        chunk.claim.started = wave;
+        chunk.claim.started = started;
         chunk.claim.results = results.to_vec();
         loop {
             match self.write_claim(name, chunk).await {
--- a/boragerill/src/config.rs
+++ b/boragerill/src/config.rs
@@ -2,6 +2,9 @@
 //!
 //! Each object is replaced only by a higher platform version, deletions included, so that merging is
 //! idempotent and independent of order: no source, however late, can revert an object.
+//!
+//! A listing shows no deletions. A table that was filled by one can't tell others what was deleted
+//! before it, so it hands them all that exists instead of a delta.
 
 use compact_str::CompactString;
 
@@ -28,6 +31,7 @@
 pub struct ConfigTable {
     objects: Vec<ConfigObject>, // Sorted by kind and name.
     through: Version,
+    floor: Version, // Deletions up to this version may be unknown.
 }
 
 impl ConfigTable {
@@ -52,19 +56,71 @@
             .filter(|object| !object.deleted)
     }
 
-    /// Returns the objects, deletions included, that changed after `version`, oldest first.
-    pub fn changes_after(&self, version: Version) -> Vec<ConfigObject> {
-        let changed = self
-            .objects
-            .iter()
-            .filter(|object| object.version > version);
-        let mut changes: Vec<ConfigObject> = changed.cloned().collect();
-        changes.sort_by_key(|object| object.version);
-        changes
+    /// Returns what brings a receiver that is complete to `since` up to date.
+    pub fn delta_since(&self, since: Version) -> ConfigDelta {
+        let full = since < self.floor;
+        let wanted = |object: &&ConfigObject| {
+            if full {
+                !object.deleted
+            } else {
+                object.version > since
+            }
+        };
+        let mut objects: Vec<ConfigObject> = self.objects.iter().filter(wanted).cloned().collect();
+        objects.sort_by_key(|object| object.version);
+        let since = if full { 0 } else { since };
+        ConfigDelta {
+            objects,
+            since,
+            through: self.through,
+            full,
+            ..Default::default()
+        }
+    }
+
+    /// Takes over a whole delta and returns the objects that were newer.
+    ///
+    /// The objects of a delta that begins after this table's version are taken, but the table is
+    /// then not complete to the delta's version.
+    pub fn apply(&mut self, delta: ConfigDelta) -> Vec<ConfigObject> {
+        if delta.full {
+            return self.apply_full(delta.objects, delta.through);
+        }
+        let fresh = self.merge(delta.objects);
+        if delta.since <= self.through {
+            self.through = self.through.max(delta.through);
+        }
+        fresh
+    }
+
+    /// Takes over all objects of the watched kinds, as they were at a version or later.
+    pub fn apply_full(
+        &mut self,
+        objects: Vec<ConfigObject>,
+        version: Version,
+    ) -> Vec<ConfigObject> {
+        let mut listed: Vec<(CompactString, CompactString)> = objects.iter().map(name_of).collect();
+        listed.sort();
+        let mut fresh = self.merge(objects);
+        for object in &mut self.objects {
+            let is_listed = listed.binary_search(&name_of(object)).is_ok();
+            if is_listed || object.deleted || object.version > version {
+                continue;
+            }
+            object.deleted = true;
+            object.spec.clear();
+            object.version = version;
+            fresh.push(object.clone());
+        }
+        if version > self.through {
+            self.floor = version;
+            self.through = version;
+        }
+        fresh
     }
 
     /// Takes over one object and returns whether it was newer.
-    pub fn merge_object(&mut self, object: ConfigObject) -> bool {
+    fn merge_object(&mut self, object: ConfigObject) -> bool {
         match self.search(&object.kind, &object.name) {
             Ok(index) if self.objects[index].version >= object.version => false,
             Ok(index) => {
@@ -78,8 +134,10 @@
         }
     }
 
-    /// Merges many objects at once and returns those that were newer.
-    pub fn merge(&mut self, objects: Vec<ConfigObject>) -> Vec<ConfigObject> {
+    /// Merges objects and returns those that were newer.
+    pub fn merge(&mut self, mut objects: Vec<ConfigObject>) -> Vec<ConfigObject> {
+        // What existed at `floor` is known; an older version that isn't was replaced or deleted.
+        objects.retain(|object| object.version > self.floor);
         if objects.len() > self.objects.len() / 4 + 64 {
             return self.merge_bulk(objects);
         }
@@ -95,8 +153,8 @@
     /// Merges by one sort instead of one insertion for each object.
     fn merge_bulk(&mut self, mut objects: Vec<ConfigObject>) -> Vec<ConfigObject> {
         objects.retain(|object| {
-            self.find(&object.kind, &object.name)
-                .is_none_or(|known| known.version < object.version)
+            let known = self.find(&object.kind, &object.name);
+            known.is_none_or(|known| known.version < object.version)
         });
         let fresh = objects.clone();
         self.objects.append(&mut objects);
@@ -109,47 +167,6 @@
         fresh
     }
 
-    /// Raises the version up to which the table is complete.
-    pub fn complete_to(&mut self, through: Version) {
-        self.through = self.through.max(through);
-    }
-
-    /// Takes over a complete listing that was begun at platform version `version`.
-    ///
-    /// Objects that the listing lacks were deleted, unless they are newer than the listing.
-    pub fn merge_listing(
-        &mut self,
-        kind: &str,
-        objects: Vec<ConfigObject>,
-        version: Version,
-    ) -> Vec<ConfigObject> {
-        let mut names: Vec<CompactString> = objects
-            .iter()
-            .map(|object| object.name.as_str().into())
-            .collect();
-        names.sort();
-        let mut fresh = self.merge(objects);
-        let start = self
-            .objects
-            .partition_point(|object| object.kind.as_str() < kind);
-        for object in self.objects[start..]
-            .iter_mut()
-            .take_while(|object| object.kind == kind)
-        {
-            let listed = names
-                .binary_search_by(|name| name.as_str().cmp(&object.name))
-                .is_ok();
-            if listed || object.deleted || object.version > version {
-                continue;
-            }
-            object.deleted = true;
-            object.spec.clear();
-            object.version = version;
-            fresh.push(object.clone());
-        }
-        fresh
-    }
-
     fn search(&self, kind: &str, name: &str) -> Result<usize, usize> {
         self.objects.binary_search_by(|object| {
             (object.kind.as_str(), object.name.as_str()).cmp(&(kind, name))
@@ -157,16 +174,42 @@
     }
 }
 
-/// Splits a set of changes into messages of bounded size; all but the last are marked as partial.
-pub fn split_delta(changes: Vec<ConfigObject>, through: Version, age_ms: u64) -> Vec<ConfigDelta> {
+fn name_of(object: &ConfigObject) -> (CompactString, CompactString) {
+    (object.kind.as_str().into(), object.name.as_str().into())
+}
+
+/// Splits a delta into messages of bounded size; all but the last are marked as partial.
+pub fn split_delta(delta: ConfigDelta) -> Vec<ConfigDelta> {
     const OBJECTS_PER_MESSAGE: usize = 2000;
-    let count = changes.len().div_ceil(OBJECTS_PER_MESSAGE).max(1);
-    let mut changes = changes.into_iter();
+    let count = delta.objects.len().div_ceil(OBJECTS_PER_MESSAGE).max(1);
+    let mut objects = delta.objects.into_iter();
     let parts = (0..count).map(|part| ConfigDelta {
-        objects: changes.by_ref().take(OBJECTS_PER_MESSAGE).collect(),
-        through: if part + 1 == count { through } else { 0 },
-        age_ms,
+        objects: objects.by_ref().take(OBJECTS_PER_MESSAGE).collect(),
+        since: delta.since,
+        through: delta.through,
+        full: delta.full,
         partial: part + 1 < count,
+        age_ms: delta.age_ms,
     });
     parts.collect()
 }
+
+/// Puts the parts of one sender's deltas together again.
+#[derive(Debug, Default)]
+pub struct DeltaBuffer {
+    objects: Vec<ConfigObject>,
+}
+
+impl DeltaBuffer {
+    /// Takes a part, and returns the whole delta with the last one.
+    pub fn push(&mut self, mut part: ConfigDelta) -> Option<ConfigDelta> {
+        self.objects.append(&mut part.objects);
+        if part.partial {
+            return None;
+        }
+        Some(ConfigDelta {
+            objects: std::mem::take(&mut self.objects),
+            ..part
+        })
+    }
+}
--- a/boragerill/src/feed.rs
+++ b/boragerill/src/feed.rs
@@ -33,6 +33,7 @@
 use crate::{
     config::{
         ConfigTable,
+        DeltaBuffer,
         Version, //
     },
     error::{
@@ -113,43 +114,25 @@
         read(&self.lock())
     }
 
-    /// Merges objects and publishes the snapshot; returns the objects that were newer.
-    pub fn merge(&self, objects: Vec<ConfigObject>, through: Option<Version>) -> Vec<ConfigObject> {
+    /// Takes over a whole delta and publishes the snapshot; returns the objects that were newer.
+    pub fn apply(&self, delta: ConfigDelta) -> Vec<ConfigObject> {
         let mut table = self.lock();
-        let fresh = table.merge(objects);
-        self.publish(&mut table, &fresh, through);
-        fresh
-    }
-
-    /// Merges what a control process sent.
-    pub fn apply_delta(&self, delta: ConfigDelta) {
-        let through = (!delta.partial).then_some(delta.through);
-        self.merge(delta.objects, through);
-        if through.is_some() && delta.age_ms != AGE_UNKNOWN {
-            self.confirm(Duration::from_millis(delta.age_ms));
+        let before = table.through();
+        let age_ms = delta.age_ms;
+        let is_complete = delta.full || delta.since <= before;
+        let fresh = table.apply(delta);
+        self.publish(&table, &fresh, before);
+        if is_complete && age_ms != AGE_UNKNOWN {
+            self.confirm(Duration::from_millis(age_ms));
         }
-    }
-
-    /// Merges a complete listing of one kind; returns the objects that were newer.
-    pub fn merge_listing(
-        &self,
-        kind: &str,
-        objects: Vec<ConfigObject>,
-        version: Version,
-    ) -> Vec<ConfigObject> {
-        let mut table = self.lock();
-        let fresh = table.merge_listing(kind, objects, version);
-        self.publish(&mut table, &fresh, None);
         fresh
     }
 
     /// Publishes while the table is locked, so that snapshots appear in the order of merging.
-    fn publish(&self, table: &mut ConfigTable, fresh: &[ConfigObject], through: Option<Version>) {
-        let rises = through.is_some_and(|through| through > table.through());
-        if fresh.is_empty() && !rises {
+    fn publish(&self, table: &ConfigTable, fresh: &[ConfigObject], before: Version) {
+        if fresh.is_empty() && table.through() == before {
             return;
         }
-        table.complete_to(through.unwrap_or(0));
         let mut snapshot = Snapshot::clone(&self.current.load());
         for object in fresh {
             if let Some(violation) = snapshot.apply(object) {
@@ -175,7 +158,10 @@
     while !controls.is_empty() {
         for address in &controls {
             let after = store.with_table(ConfigTable::through);
-            let ended = follow_one(address, after, |delta| store.apply_delta(delta)).await;
+            let ended = follow_one(address, after, |delta| {
+                store.apply(delta);
+            })
+            .await;
             info!("configuration feed ended: {ended}");
             sleep(RECONNECT_PAUSE).await;
         }
@@ -195,6 +181,7 @@
     if let Err(error) = link.push(0, Body::Subscribe(Subscribe { after })) {
         return error;
     }
+    let mut buffer = DeltaBuffer::default();
     loop {
         let envelope = match timeout(FEED_SILENCE, inbox.recv()).await {
             Ok(Some(envelope)) => envelope,
@@ -207,7 +194,10 @@
             }
             Err(_) => return ServeError::Timeout(Step::Receive, address.into()),
         };
-        if let Some(Body::ConfigDelta(delta)) = envelope.body {
+        let Some(Body::ConfigDelta(part)) = envelope.body else {
+            continue;
+        };
+        if let Some(delta) = buffer.push(part) {
             apply(delta);
         }
     }
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod answer;
 pub mod batch;
+pub mod chunk;
 pub mod config;
 pub mod error;
 pub mod feed;
--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -157,7 +157,8 @@
         self.call(Step::PlatformWrite, request).await
     }
 
-    /// Writes one object; when the answer is lost, reads back whether the write took effect.
+    /// Writes one object; when the answer is lost, reads back whether the write took effect. The value
+    /// must tell this writer from others.
     ///
     /// # Errors
     ///
@@ -174,7 +175,8 @@
             Ok(receipt) => return Ok(receipt),
             Err(error) => error,
         };
-        if !error.is_ambiguous() {
+        // A conflict may be with an own earlier write of the same value whose answer was lost.
+        if !error.is_ambiguous() && !matches!(error, ServeError::Conflict(..)) {
             return Err(error);
         }
         let known = match self.get(kind, name).await {
@@ -182,15 +184,16 @@
             Err(ServeError::Missing(..)) => PlatformObject::default(),
             Err(_) => return Err(error),
         };
-        if known.spec == *spec && known.label == label && known.version > 0 {
+        if known.version > 0 && known.spec == *spec && known.label == label {
             return Ok(WriteReceipt {
                 version: known.version,
             });
         }
         if expected == Expected::Absent && known.version > 0 {
+            let peer = self.base.clone();
             return Err(ServeError::Conflict(
                 Step::PlatformWrite,
-                self.base.clone(),
+                peer,
                 known.version,
             ));
         }
--- a/control/src/hub.rs
+++ b/control/src/hub.rs
@@ -45,6 +45,15 @@
 /// Changes that a slow subscriber may lag behind before it is sent all that it lacks.
 const CHANGE_QUEUE: usize = 256;
 
+/// What subscribers are told.
+#[derive(Debug)]
+pub(crate) enum HubChange {
+    /// Objects changed.
+    Delta(ConfigDelta),
+    /// The configuration was listed anew; deltas from before can't be continued.
+    Relisted,
+}
+
 /// State shared by the tasks of one control process.
 pub(crate) struct ControlHub {
     /// Settings of the process.
@@ -56,7 +65,7 @@
     /// Configuration in force.
     pub(crate) store: SnapshotStore,
     share: Mutex<ShareState>,
-    changes: broadcast::Sender<Arc<ConfigDelta>>,
+    changes: broadcast::Sender<Arc<HubChange>>,
     publishing: Mutex<()>,
 }
 
@@ -86,57 +95,68 @@
         self.share.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Merges objects and passes the newer ones on to subscribers; returns those.
+    /// Takes over a delta and passes the newer objects on to subscribers; returns those.
     ///
-    /// Merging and passing on happen under one lock: a subscriber that sees a version must have seen
-    /// every object up to it.
-    pub(crate) fn merge(
-        &self,
-        objects: Vec<ConfigObject>,
-        through: Option<Version>,
-    ) -> Vec<ConfigObject> {
+    /// Both happen under one lock: a subscriber that sees a version must have seen every object up
+    /// to it.
+    pub(crate) fn apply(&self, mut delta: ConfigDelta) -> Vec<ConfigObject> {
         let _publishing = self
             .publishing
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let before = self.store.load().through();
-        let fresh = self.store.merge(self.keep_own_region(objects), through);
-        self.pass_on(&fresh, before);
+        delta
+            .objects
+            .retain(|object| object.kind != "roster" || object.name == self.settings.region);
+        let full = delta.full;
+        let since = self.store.load().through();
+        let fresh = self.store.apply(delta);
+        let snapshot = self.store.load();
+        self.learn_roster(&fresh);
+        if fresh.is_empty() && snapshot.through() == since {
+            return fresh;
+        }
+        gauge!("config_through").set(snapshot.through() as f64);
+        let change = if full {
+            HubChange::Relisted
+        } else {
+            let (objects, through) = (fresh.clone(), snapshot.through());
+            HubChange::Delta(ConfigDelta {
+                objects,
+                since,
+                through,
+                age_ms: self.age_ms(),
+                ..Default::default()
+            })
+        };
+        // An error means that nobody is subscribed.
+        let _ = self.changes.send(Arc::new(change));
         fresh
     }
 
-    /// Merges a complete listing and passes on what was newer.
-    pub(crate) fn merge_listing(&self, kind: &str, objects: Vec<ConfigObject>, version: Version) {
-        let _publishing = self
-            .publishing
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let before = self.store.load().through();
-        let fresh = self
-            .store
-            .merge_listing(kind, self.keep_own_region(objects), version);
-        self.pass_on(&fresh, before);
-    }
-
     /// Returns the parts that bring a subscriber up to date and a receiver of all later changes.
     pub(crate) fn subscribe(
         &self,
-        after: Version,
-    ) -> (Vec<ConfigDelta>, broadcast::Receiver<Arc<ConfigDelta>>) {
+        since: Version,
+    ) -> (Vec<ConfigDelta>, broadcast::Receiver<Arc<HubChange>>) {
         let _publishing = self
             .publishing
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let receiver = self.changes.subscribe();
-        let missing = self
-            .store
-            .with_table(|table| (table.changes_after(after), table.through()));
-        (split_delta(missing.0, missing.1, self.age_ms()), receiver)
+        let delta = self.store.with_table(|table| table.delta_since(since));
+        (
+            split_delta(ConfigDelta {
+                age_ms: self.age_ms(),
+                ..delta
+            }),
+            receiver,
+        )
     }
 
     /// Returns an empty delta that confirms the version sent to a subscriber so far.
     pub(crate) fn confirmation(&self, through: Version) -> ConfigDelta {
         ConfigDelta {
+            since: through,
             through,
             age_ms: self.age_ms(),
             ..Default::default()
@@ -160,26 +180,13 @@
         })
     }
 
-    fn keep_own_region(&self, mut objects: Vec<ConfigObject>) -> Vec<ConfigObject> {
-        objects.retain(|object| object.kind != "roster" || object.name == self.settings.region);
-        objects
-    }
-
-    fn pass_on(&self, fresh: &[ConfigObject], before: Version) {
-        let snapshot = self.store.load();
-        if fresh.iter().any(|object| object.kind == "roster") {
-            if let Some(roster) = snapshot.roster() {
-                self.lock_share()
-                    .learn_roster(roster.as_ref().clone(), Instant::now());
-            }
-        }
-        if fresh.is_empty() && snapshot.through() == before {
+    fn learn_roster(&self, fresh: &[ConfigObject]) {
+        if !fresh.iter().any(|object| object.kind == "roster") {
             return;
         }
-        gauge!("config_through").set(snapshot.through() as f64);
-        for part in split_delta(fresh.to_vec(), snapshot.through(), self.age_ms()) {
-            // An error means that nobody is subscribed.
-            let _ = self.changes.send(Arc::new(part));
+        if let Some(roster) = self.store.load().roster() {
+            self.lock_share()
+                .learn_roster(roster.as_ref().clone(), Instant::now());
         }
     }
 }
--- a/control/src/keeper.rs
+++ b/control/src/keeper.rs
@@ -11,7 +11,11 @@
 use boragerill::{
     config::Version,
     error::ServeError,
-    generated::messages::ConfigObject,
+    feed::AGE_UNKNOWN,
+    generated::messages::{
+        ConfigDelta,
+        ConfigObject, //
+    },
     kinds::{
         MemberSpec,
         RosterSpec, //
@@ -186,6 +190,12 @@
         spec: value.to_string().into_bytes(),
         ..Default::default()
     };
-    hub.merge(vec![object], None);
+    // Only this object is known at the new version.
+    hub.apply(ConfigDelta {
+        objects: vec![object],
+        since: Version::MAX,
+        age_ms: AGE_UNKNOWN,
+        ..Default::default()
+    });
     Ok(())
 }
--- a/control/src/peers.rs
+++ b/control/src/peers.rs
@@ -10,13 +10,9 @@
 
 use boragerill::{
     config::ConfigTable,
-    feed::{
-        follow_one,
-        AGE_UNKNOWN, //
-    },
+    feed::follow_one,
     generated::messages::{
         envelope::Body,
-        ConfigDelta,
         Hello, //
     },
     links::LinkTable,
@@ -68,7 +64,10 @@
     loop {
         if let Some(address) = draw_peer(&hub) {
             let after = hub.store.with_table(ConfigTable::through);
-            let ended = follow_one(&address, after, |delta| take_delta(&hub, delta)).await;
+            let ended = follow_one(&address, after, |delta| {
+                hub.apply(delta);
+            })
+            .await;
             info!("configuration feed of a peer ended: {ended}");
         }
         sleep(FOLLOW_PAUSE).await;
@@ -91,11 +90,3 @@
             .filter(|&count| count > 0)?;
     addresses.into_iter().nth(usize::try_from(draw).ok()?)
 }
-
-fn take_delta(hub: &ControlHub, delta: ConfigDelta) {
-    let through = (!delta.partial).then_some(delta.through);
-    hub.merge(delta.objects, through);
-    if through.is_some() && delta.age_ms != AGE_UNKNOWN {
-        hub.store.confirm(Duration::from_millis(delta.age_ms));
-    }
-}
--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -9,6 +9,10 @@
 };
 
 use boragerill::{
+    config::{
+        split_delta,
+        Version, //
+    },
     error::{
         ServeError,
         Step, //
@@ -46,7 +50,10 @@
 };
 
 use crate::{
-    hub::ControlHub,
+    hub::{
+        ControlHub,
+        HubChange, //
+    },
     keeper::keep_roster,
     peers::{
         follow_peers,
@@ -147,40 +154,40 @@
 }
 
 /// Sends all that a subscriber lacks, then every change, then confirmations while nothing changes.
-async fn feed_subscriber(hub: Arc<ControlHub>, link: FrameLink, after: u64) {
-    let (missing, mut changes) = hub.subscribe(after);
+async fn feed_subscriber(hub: Arc<ControlHub>, link: FrameLink, after: Version) {
     let mut sent_through = after;
-    for delta in missing {
-        if !send_delta(&link, delta, &mut sent_through).await {
-            return;
-        }
-    }
     let mut ticks = interval(CONFIRM_PERIOD);
     loop {
-        let delta = tokio::select! {
-            change = changes.recv() => match change {
-                Ok(delta) => ConfigDelta::clone(&delta),
-                Err(RecvError::Lagged(_)) => {
-                    let (missing, receiver) = hub.subscribe(sent_through);
-                    changes = receiver;
-                    for delta in missing {
-                        if !send_delta(&link, delta, &mut sent_through).await {
-                            return;
-                        }
-                    }
-                    continue;
-                }
-                Err(RecvError::Closed) => return,
-            },
-            _ = ticks.tick() => hub.confirmation(sent_through),
-        };
-        if !send_delta(&link, delta, &mut sent_through).await {
-            return;
+        let (missing, mut changes) = hub.subscribe(sent_through);
+        for delta in missing {
+            if !send_delta(&link, delta, &mut sent_through).await {
+                return;
+            }
+        }
+        loop {
+            let delta = tokio::select! {
+                change = changes.recv() => match change.as_deref() {
+                    Ok(HubChange::Delta(delta)) => delta.clone(),
+                    Ok(HubChange::Relisted) | Err(RecvError::Lagged(_)) => break,
+                    Err(RecvError::Closed) => return,
+                },
+                _ = ticks.tick() => hub.confirmation(sent_through),
+            };
+            if !send_delta(&link, delta, &mut sent_through).await {
+                return;
+            }
         }
     }
 }
 
-async fn send_delta(link: &FrameLink, delta: ConfigDelta, sent_through: &mut u64) -> bool {
-    *sent_through = (*sent_through).max(delta.through);
-    link.push_patiently(Body::ConfigDelta(delta)).await.is_ok()
+async fn send_delta(link: &FrameLink, delta: ConfigDelta, sent_through: &mut Version) -> bool {
+    if !delta.partial {
+        *sent_through = (*sent_through).max(delta.through);
+    }
+    for part in split_delta(delta) {
+        if link.push_patiently(Body::ConfigDelta(part)).await.is_err() {
+            return false;
+        }
+    }
+    true
 }
--- a/control/src/watcher.rs
+++ b/control/src/watcher.rs
@@ -14,7 +14,8 @@
         Version,
         WATCHED_KINDS, //
     },
-    error::ServeError, //
+    error::ServeError,
+    generated::messages::ConfigDelta, //
 };
 use log::{
     info,
@@ -76,17 +77,22 @@
     }
 }
 
-/// Lists every kind; the table is complete to the version at which the first listing began.
+/// Lists every kind; the configuration is complete to the version at which the first listing began.
 async fn list_all(hub: &ControlHub) -> Result<(), ServeError> {
-    let mut complete: Option<Version> = None;
+    let mut objects = Vec::new();
+    let mut begun: Option<Version> = None;
     for kind in WATCHED_KINDS {
-        let (objects, version) = hub.platform.list(kind).await?;
-        complete.get_or_insert(version);
-        let objects = objects.into_iter().map(config_object).collect();
-        hub.merge_listing(kind, objects, version);
+        let (listed, version) = hub.platform.list(kind).await?;
+        begun.get_or_insert(version);
+        objects.extend(listed.into_iter().map(config_object));
     }
-    hub.merge(Vec::new(), complete);
-    hub.store.confirm(Duration::ZERO);
+    let through = begun.unwrap_or_default();
+    hub.apply(ConfigDelta {
+        objects,
+        through,
+        full: true,
+        ..Default::default()
+    });
     Ok(())
 }
 
@@ -98,9 +104,14 @@
     let sent = Instant::now();
     let wait = Duration::from_millis(hub.settings.watch_wait_ms);
     let batch = hub.platform.watch(&WATCHED_KINDS, after, wait).await?;
-    let events = batch.events.into_iter().map(config_object).collect();
-    let fresh = hub.merge(events, Some(batch.version));
-    hub.store.confirm(Duration::ZERO);
+    let objects = batch.events.into_iter().map(config_object).collect();
+    let delta = ConfigDelta {
+        objects,
+        since: after,
+        through: batch.version,
+        ..Default::default()
+    };
+    let fresh = hub.apply(delta);
     hub.lock_share().confirm(sent, batch.version);
     for object in fresh {
         // A full queue only delays a status until the resource changes again.
