--- a/boragerill/src/schema.rs
+++ b/boragerill/src/schema.rs
@@ -5,7 +5,10 @@
     CompactString,
     ToCompactString, //
 };
-use jsonschema::Validator;
+use jsonschema::{
+    error::ValidationErrorKind,
+    Validator, //
+};
 use serde_json::{
     json,
     Value, //
@@ -74,15 +77,22 @@
         }
         let error = self.validator.iter_errors(value).next()?;
         let path = error.instance_path.to_string();
-        let field = path.trim_start_matches('/').replace('/', ".");
-        let field = if field.is_empty() {
-            self.kind.clone()
-        } else {
-            field.to_compact_string()
+        let path = path.trim_start_matches('/').replace('/', ".");
+        let child = |name: &str| match path.as_str() {
+            "" => CompactString::from(name),
+            path => format_compact!("{path}.{name}"),
+        };
+        let (field, cause) = match &error.kind {
+            ValidationErrorKind::AdditionalProperties { unexpected } => {
+                (child(unexpected.first()?), "is not a known field".into())
+            }
+            ValidationErrorKind::Required { property } => (
+                child(property.as_str().unwrap_or_default()),
+                "is required".into(),
+            ),
+            _ if path.is_empty() => (self.kind.clone(), format_compact!("{error}")),
+            _ => (path.to_compact_string(), format_compact!("{error}")),
         };
-        Some(FieldViolation {
-            field,
-            cause: format_compact!("{error}"),
-        })
+        Some(FieldViolation { field, cause })
     }
 }
--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -48,7 +48,52 @@
     for (name, text) in outputs {
         emit(&root.join("src/generated").join(name), &text, check)?;
     }
-    Ok(())
+    let page = describe_settings(&schema.join("settings.schema.json"))?;
+    emit(&root.join("../docs/SETTINGS.md"), &page, check)
+}
+
+/// Describes every setting with its bounds and default.
+fn describe_settings(path: &Path) -> Result<String, Box<dyn Error>> {
+    let root: Value = serde_json::from_str(&fs::read_to_string(path)?)?;
+    let mut page = String::from(
+        "# Settings\n\nWritten by `cargo run -p codegen` from `boragerill/schema/settings.schema.json`.\n\
+         Each daemon reads one JSON file: `--settings FILE`; `--check` validates it and exits.\n",
+    );
+    let definitions = root["definitions"].as_object().ok_or("no definitions")?;
+    for definition in definitions.values() {
+        page.push_str(&format!(
+            "\n## {}\n\n",
+            definition["description"].as_str().unwrap_or_default()
+        ));
+        page.push_str("| field | default | bounds | meaning |\n|---|---|---|---|\n");
+        let properties = definition["properties"]
+            .as_object()
+            .ok_or("no properties")?;
+        for (name, field) in properties {
+            page.push_str(&setting_row(name, field, &definition["x-required"]));
+        }
+    }
+    Ok(page)
+}
+
+fn setting_row(name: &str, field: &Value, required: &Value) -> String {
+    let is_required = required
+        .as_array()
+        .is_some_and(|names| names.iter().any(|entry| entry == name));
+    let default = if is_required {
+        "required".to_owned()
+    } else {
+        format!("`{}`", field["default"])
+    };
+    let bounds = match (&field["minimum"], &field["maximum"], &field["enum"]) {
+        (Value::Null, Value::Null, Value::Null) => String::new(),
+        (Value::Null, Value::Null, names) => format!("one of {names}"),
+        (low, high, _) => format!("{low} to {high}"),
+    };
+    format!(
+        "| {name} | {default} | {bounds} | {} |\n",
+        field["description"].as_str().unwrap_or_default()
+    )
 }
 
 /// Writes `text` to `path`, or with `check` fails when the file differs.
