Let batch yield to online requests, and share short capacity fairly

Each backend server has one feeder VM, ranked among those whose batch processes run. Entry processes tell it their online requests in flight at most 5 ms after a change; batch items beyond what is left are cut at once and run again later. Requests beyond the service's slots wait in a start-time fair queue by workspace, and are refused at once when their deadline can't be met. A workspace whose next token is known to come later is refused without asking its owner again.

Heartbeats now say whether a VM's batch process runs.

--- a/batch/src/feeder.rs
+++ b/batch/src/feeder.rs
@@ -20,6 +20,7 @@
         follow_any,
         SnapshotStore, //
     },
+    generated::messages::Hello,
     platform::{
         Expected,
         PlatformClient, //
@@ -72,6 +73,12 @@
 /// Least time between two listings of a job's results.
 const REFRESH_PERIOD: Duration = Duration::from_secs(1);
 
+/// Period of waking waiting items when room has come with time.
+const WAKE_PERIOD: Duration = Duration::from_millis(10);
+
+/// Period of reading the servers' load reports.
+const REPORT_PERIOD: Duration = Duration::from_millis(250);
+
 /// Time that running HTTP requests get on shutdown.
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(1);
 
@@ -87,8 +94,17 @@
     )?;
     let store: Arc<SnapshotStore> = Arc::default();
     let controls = settings.controls.iter().map(CompactString::from).collect();
-    tokio::spawn(follow_any(store.clone(), controls));
-    let feeder = BatchFeeder::new(settings, store);
+    let hello = Hello {
+        vm: settings.vm.clone(),
+        takes_loads: true,
+        ..Default::default()
+    };
+    let feeder = BatchFeeder::new(settings, store.clone());
+    let runner = feeder.runner.clone();
+    tokio::spawn(follow_any(store, hello, controls, move |load| {
+        runner.items.note_loads(&load)
+    }));
+    tokio::spawn(follow_room(feeder.runner.clone()));
     health.set_ready(true);
     info!("health on {listen}");
     tokio::select! {
@@ -98,6 +114,24 @@
     }
 }
 
+/// Reads the servers' load reports and wakes waiting items for as long as the process runs.
+async fn follow_room(runner: Arc<ChunkRunner>) {
+    let mut timer = TimerService::default();
+    let mut reports = timer.subscribe(REPORT_PERIOD);
+    let mut wakes = timer.subscribe(WAKE_PERIOD);
+    let reading = async {
+        while reports.next().await.is_some() {
+            runner.items.read_reports().await;
+        }
+    };
+    let waking = async {
+        while wakes.next().await.is_some() {
+            runner.items.wake_waiting();
+        }
+    };
+    tokio::join!(reading, waking);
+}
+
 struct BatchFeeder {
     settings: BatchSettings,
     holder: CompactString,
@@ -123,8 +157,10 @@
         let runner = ChunkRunner {
             platform: platform.clone(),
             store: store.clone(),
-            items: ItemRunner::new(&settings.domain, settings.attempts, item_timeout),
-            concurrency: usize::try_from(settings.concurrency).unwrap_or(1),
+            items: ItemRunner::new(settings.attempts, item_timeout),
+            concurrency: usize::try_from(settings.concurrency)
+                .unwrap_or(1)
+                .div_ceil(HELD_CHUNKS),
             renewal: Duration::from_millis(settings.claim_lapse_ms / 3),
         };
         BatchFeeder {
@@ -153,7 +189,11 @@
                     return;
                 },
             }
-            self.jobs.update(&self.store.load(), Instant::now());
+            let snapshot = self.store.load();
+            self.runner
+                .items
+                .update_servers(&self.settings.vm, &snapshot, &self.store.feeders());
+            self.jobs.update(&snapshot, Instant::now());
             if let Err(error) = self.take_work(&ended).await {
                 counter!("platform_failures_total").increment(1);
                 warn!("no work taken: {error}");
@@ -180,7 +220,7 @@
         let order = self.jobs.order(&self.store.load(), Instant::now());
         for name in order {
             self.refresh(&name).await?;
-            while self.held < HELD_CHUNKS {
+            while self.held < HELD_CHUNKS && self.feeds(&name) {
                 let Some(chunk) = self.claim_next(&name).await? else {
                     break;
                 };
@@ -214,6 +254,14 @@
         Ok(())
     }
 
+    /// Returns whether this process feeds a server of a job's service; others leave its chunks alone.
+    fn feeds(&mut self, name: &str) -> bool {
+        let snapshot = self.store.load();
+        let job = snapshot.find_job(name);
+        let service = job.and_then(|job| snapshot.find_service(&job.spec.service));
+        service.is_some_and(|service| self.runner.items.feeds(service))
+    }
+
     fn is_lead(&self, name: &str) -> bool {
         let snapshot = self.store.load();
         let first = snapshot.roster().and_then(|roster| {
--- a/boragerill/src/feed.rs
+++ b/boragerill/src/feed.rs
@@ -45,6 +45,9 @@
         envelope::Body,
         ConfigDelta,
         ConfigObject,
+        FeederList,
+        Hello,
+        LoadShare,
         Subscribe, //
     },
     snapshot::Snapshot, //
@@ -68,6 +71,7 @@
     table: Mutex<ConfigTable>,
     current: ArcSwap<Snapshot>,
     changed: watch::Sender<Version>,
+    feeders: ArcSwap<Vec<CompactString>>, // Sorted.
     started: Instant,
     confirmed_ms: AtomicU64, // Since `started`; zero until the first confirmation.
 }
@@ -78,6 +82,7 @@
             table: Mutex::default(),
             current: ArcSwap::default(),
             changed: watch::channel(0).0,
+            feeders: ArcSwap::default(),
             started: Instant::now(),
             confirmed_ms: AtomicU64::new(0),
         }
@@ -90,6 +95,19 @@
         self.current.load_full()
     }
 
+    /// Returns the VMs whose batch processes are known to run, sorted.
+    pub fn feeders(&self) -> Arc<Vec<CompactString>> {
+        self.feeders.load_full()
+    }
+
+    /// Takes over the VMs whose batch processes are known to run.
+    pub fn set_feeders(&self, list: FeederList) {
+        let mut feeders: Vec<CompactString> =
+            list.vms.into_iter().map(CompactString::from).collect();
+        feeders.sort();
+        self.feeders.store(Arc::new(feeders));
+    }
+
     /// Returns a receiver that is notified after each change.
     pub fn subscribe(&self) -> watch::Receiver<Version> {
         self.changed.subscribe()
@@ -153,13 +171,23 @@
     }
 }
 
-/// Follows the control processes of a VM's own list, the first reachable one at a time.
-pub async fn follow_any(store: Arc<SnapshotStore>, controls: Vec<CompactString>) {
+/// Follows the control processes of a VM's own list, the first reachable one at a time; `on_load`
+/// sees the loads that entry processes share.
+pub async fn follow_any(
+    store: Arc<SnapshotStore>,
+    hello: Hello,
+    controls: Vec<CompactString>,
+    mut on_load: impl FnMut(LoadShare),
+) {
     while !controls.is_empty() {
         for address in &controls {
             let after = store.with_table(ConfigTable::through);
-            let ended = follow_one(address, after, |delta| {
-                store.apply(delta);
+            let ended = follow_one(address, &hello, after, |message| match message {
+                FeedMessage::Delta(delta) => {
+                    store.apply(delta);
+                }
+                FeedMessage::Load(load) => on_load(load),
+                FeedMessage::Feeders(list) => store.set_feeders(list),
             })
             .await;
             info!("configuration feed ended: {ended}");
@@ -168,37 +196,56 @@
     }
 }
 
+/// What a control process pushes to those that follow it.
+#[derive(Clone, Debug)]
+pub enum FeedMessage {
+    /// A whole change of the configuration.
+    Delta(ConfigDelta),
+    /// Loads that an entry process shares.
+    Load(LoadShare),
+    /// VMs whose batch processes are known to run.
+    Feeders(FeederList),
+}
+
 /// Follows one control process until it falls silent, and returns the error that ended the feed.
 pub async fn follow_one(
     address: &str,
+    hello: &Hello,
     after: Version,
-    mut apply: impl FnMut(ConfigDelta),
+    mut on_message: impl FnMut(FeedMessage),
 ) -> ServeError {
     let (link, mut inbox) = match FrameLink::connect(address).await {
         Ok(opened) => opened,
         Err(error) => return error,
     };
-    if let Err(error) = link.push(0, Body::Subscribe(Subscribe { after })) {
-        return error;
+    for body in [
+        Body::Hello(hello.clone()),
+        Body::Subscribe(Subscribe { after }),
+    ] {
+        if let Err(error) = link.push(0, body) {
+            return error;
+        }
     }
     let mut buffer = DeltaBuffer::default();
     loop {
         let envelope = match timeout(FEED_SILENCE, inbox.recv()).await {
             Ok(Some(envelope)) => envelope,
             Ok(None) => {
-                return ServeError::Unreachable(
-                    Step::Receive,
-                    address.into(),
-                    "connection ended".into(),
-                )
+                let cause = CompactString::from("connection ended");
+                return ServeError::Unreachable(Step::Receive, address.into(), cause);
             }
             Err(_) => return ServeError::Timeout(Step::Receive, address.into()),
         };
-        let Some(Body::ConfigDelta(part)) = envelope.body else {
-            continue;
-        };
-        if let Some(delta) = buffer.push(part) {
-            apply(delta);
+        match envelope.body {
+            Some(Body::ConfigDelta(part)) => {
+                buffer
+                    .push(part)
+                    .into_iter()
+                    .for_each(|delta| on_message(FeedMessage::Delta(delta)));
+            }
+            Some(Body::LoadShare(load)) => on_message(FeedMessage::Load(load)),
+            Some(Body::FeederList(list)) => on_message(FeedMessage::Feeders(list)),
+            _ => {}
         }
     }
 }
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod links;
 pub mod platform;
 pub mod process;
+pub mod queue;
 pub mod rank;
 pub mod refusal;
 pub mod retry;
@@ -32,6 +33,7 @@
 pub mod settings;
 pub mod share;
 pub mod snapshot;
+pub mod spare;
 pub mod submit;
 pub mod timer;
 
--- a/boragerill/src/roster.rs
+++ b/boragerill/src/roster.rs
@@ -12,7 +12,10 @@
         MemberSpec,
         RosterSpec, //
     },
-    rank::hash_name, //
+    rank::{
+        first_ranked,
+        hash_name, //
+    }, //
 };
 
 /// Part of every workspace's rate and burst.
@@ -77,6 +80,23 @@
             .ok()
     }
 
+    /// Returns the VM that feeds a backend server with batch, out of the `feeders`, which are sorted:
+    /// one of the server's failure domain if there is any.
+    pub fn feeder_of(
+        &self,
+        address: &str,
+        domain: &str,
+        feeders: &[CompactString],
+    ) -> Option<&CompactString> {
+        let hash = hash_name(address);
+        let feeds = |index: usize| feeders.binary_search(&self.members[index].vm).is_ok();
+        let local = first_ranked(hash, &self.hashes, |index| {
+            feeds(index) && self.members[index].domain == domain
+        });
+        let index = local.or_else(|| first_ranked(hash, &self.hashes, feeds))?;
+        Some(&self.members[index].vm)
+    }
+
     /// Returns the units that a VM holds; none when it is no member.
     pub fn units_of(&self, vm: &str) -> Units {
         self.position(vm)
--- a/boragerill/src/share.rs
+++ b/boragerill/src/share.rs
@@ -402,6 +402,7 @@
             incarnation: self.incarnation,
             echo: known.map_or(0, |peer| peer.sequence),
             echo_incarnation: known.map_or(0, |peer| peer.incarnation),
+            feeds: false,
         }
     }
 
--- a/boragerill/tests/rate.rs
+++ b/boragerill/tests/rate.rs
@@ -301,6 +301,7 @@
         incarnation: 3,
         echo: 1,
         echo_incarnation,
+        feeds: false,
     };
 
     // Act.
--- a/control/src/hub.rs
+++ b/control/src/hub.rs
@@ -22,9 +22,14 @@
         SnapshotStore,
         AGE_UNKNOWN, //
     },
+    frame::FrameLink,
     generated::messages::{
+        envelope::Body,
         ConfigDelta,
         ConfigObject,
+        FeederList,
+        Hello,
+        LoadShare,
         TokenAnswer,
         TokenAsk, //
     },
@@ -39,6 +44,7 @@
         GRANT_VALIDITY, //
     }, //
 };
+use compact_str::CompactString;
 use metrics::gauge;
 use tokio::sync::broadcast;
 
@@ -67,6 +73,8 @@
     share: Mutex<ShareState>,
     changes: broadcast::Sender<Arc<HubChange>>,
     publishing: Mutex<()>,
+    load_takers: Mutex<Vec<FrameLink>>,
+    feeders: Mutex<Vec<(CompactString, Instant)>>, // VM and last heartbeat; sorted by VM.
 }
 
 impl ControlHub {
@@ -86,6 +94,8 @@
             share: Mutex::new(share),
             changes: broadcast::channel(CHANGE_QUEUE).0,
             publishing: Mutex::default(),
+            load_takers: Mutex::default(),
+            feeders: Mutex::default(),
             settings,
         }
     }
@@ -163,6 +173,69 @@
         }
     }
 
+    /// Returns the introduction of this process.
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
+            vm: self.settings.vm.clone(),
+            incarnation: self.incarnation,
+            takes_loads: false,
+        }
+    }
+
+    /// Sends the loads that entry processes share to a process of the own VM.
+    pub(crate) fn add_load_taker(&self, link: FrameLink) {
+        self.lock_takers().push(link);
+    }
+
+    /// Passes shared loads on.
+    pub(crate) fn pass_load(&self, load: &LoadShare) {
+        // A connection that has ended takes nothing more.
+        self.lock_takers()
+            .retain(|link| link.push(0, Body::LoadShare(load.clone())).is_ok());
+    }
+
+    /// Returns whether a batch process of the own VM is connected.
+    pub(crate) fn feeds(&self) -> bool {
+        let mut takers = self.lock_takers();
+        takers.retain(|link| !link.is_closed());
+        !takers.is_empty()
+    }
+
+    /// Notes a heartbeat that says whether a peer's batch process runs.
+    pub(crate) fn note_feeder(&self, vm: &str, feeds: bool) {
+        let mut feeders = self.lock_feeders();
+        let known = feeders.binary_search_by(|entry| entry.0.as_str().cmp(vm));
+        match (known, feeds) {
+            (Ok(index), true) => feeders[index].1 = Instant::now(),
+            (Ok(index), false) => {
+                feeders.remove(index);
+            }
+            (Err(index), true) => feeders.insert(index, (vm.into(), Instant::now())),
+            (Err(_), false) => {}
+        }
+    }
+
+    /// Returns the VMs whose batch processes are known to run.
+    pub(crate) fn feeder_list(&self) -> FeederList {
+        let lifetime = Duration::from_millis(self.settings.lease_ms);
+        let own = self.feeds().then(|| self.settings.vm.clone());
+        let feeders = self.lock_feeders();
+        let fresh = feeders.iter().filter(|entry| entry.1.elapsed() < lifetime);
+        FeederList {
+            vms: fresh.map(|entry| entry.0.to_string()).chain(own).collect(),
+        }
+    }
+
+    fn lock_feeders(&self) -> MutexGuard<'_, Vec<(CompactString, Instant)>> {
+        self.feeders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_takers(&self) -> MutexGuard<'_, Vec<FrameLink>> {
+        self.load_takers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Answers an ask for tokens.
     pub(crate) fn answer_ask(&self, ask: &TokenAsk) -> TokenAnswer {
         let snapshot = self.store.load();
--- a/control/src/peers.rs
+++ b/control/src/peers.rs
@@ -10,10 +10,13 @@
 
 use boragerill::{
     config::ConfigTable,
-    feed::follow_one,
+    feed::{
+        follow_one,
+        FeedMessage, //
+    },
     generated::messages::{
         envelope::Body,
-        Hello, //
+        ShareLend, //
     },
     links::LinkTable,
     timer::TimerService, //
@@ -33,10 +36,7 @@
 
 /// Sends heartbeats with leases to all members.
 pub(crate) async fn send_heartbeats(hub: Arc<ControlHub>, timer: &mut TimerService) {
-    let links = LinkTable::new(Hello {
-        vm: hub.settings.vm.clone(),
-        incarnation: hub.incarnation,
-    });
+    let links = LinkTable::new(hub.hello());
     let mut ticks = timer.subscribe(Duration::from_millis(hub.settings.heartbeat_ms));
     while ticks.next().await.is_some() {
         if let Some(roster) = hub.store.load().roster() {
@@ -47,11 +47,12 @@
         }
         let now = Instant::now();
         let lends = hub.lock_share().tick(now);
+        let feeds = hub.feeds();
         for (vm, lend) in lends {
             counter!("heartbeats_total").increment(1);
             let sent = links
                 .find(&vm, now)
-                .map(|link| link.push(0, Body::ShareLend(lend)));
+                .map(|link| link.push(0, Body::ShareLend(ShareLend { feeds, ..lend })));
             if let Some(Err(error)) = sent {
                 debug!("heartbeat to {vm}: {error}");
             }
@@ -61,11 +62,14 @@
 
 /// Follows one peer's configuration after another, beside the platform's own watch.
 pub(crate) async fn follow_peers(hub: Arc<ControlHub>) {
+    let hello = hub.hello();
     loop {
         if let Some(address) = draw_peer(&hub) {
             let after = hub.store.with_table(ConfigTable::through);
-            let ended = follow_one(&address, after, |delta| {
-                hub.apply(delta);
+            let ended = follow_one(&address, &hello, after, |message| {
+                if let FeedMessage::Delta(delta) = message {
+                    hub.apply(delta);
+                }
             })
             .await;
             info!("configuration feed of a peer ended: {ended}");
--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -136,11 +136,18 @@
     let mut vm = CompactString::default();
     while let Some(envelope) = inbox.recv().await {
         match envelope.body {
-            Some(Body::Hello(hello)) => vm = hello.vm.into(),
+            Some(Body::Hello(hello)) => {
+                if hello.takes_loads {
+                    hub.add_load_taker(link.clone());
+                }
+                vm = hello.vm.into();
+            }
+            Some(Body::LoadShare(load)) => hub.pass_load(&load),
             Some(Body::Subscribe(subscribe)) => {
                 tokio::spawn(feed_subscriber(hub.clone(), link.clone(), subscribe.after));
             }
             Some(Body::ShareLend(lend)) if !vm.is_empty() => {
+                hub.note_feeder(&vm, lend.feeds);
                 hub.lock_share().receive_lend(&vm, lend, Instant::now());
             }
             Some(Body::TokenAsk(ask)) => {
@@ -171,7 +178,11 @@
                     Ok(HubChange::Relisted) | Err(RecvError::Lagged(_)) => break,
                     Err(RecvError::Closed) => return,
                 },
-                _ = ticks.tick() => hub.confirmation(sent_through),
+                _ = ticks.tick() => {
+                    // Lost only when the connection is, which ends the feed.
+                    let _ = link.push(0, Body::FeederList(hub.feeder_list()));
+                    hub.confirmation(sent_through)
+                }
             };
             if !send_delta(&link, delta, &mut sent_through).await {
                 return;
--- a/ctl/tests/texts.rs
+++ b/ctl/tests/texts.rs
@@ -3,7 +3,10 @@
 use std::{
     io::Write,
     net::TcpListener,
-    path::PathBuf,
+    path::{
+        Path,
+        PathBuf, //
+    },
     process::{
         Command,
         Output,
@@ -49,7 +52,7 @@
 }
 
 /// Returns the exit code and the error text, with the file's path left out.
-fn failure(output: &Output, path: &PathBuf) -> String {
+fn failure(output: &Output, path: &Path) -> String {
     let text = String::from_utf8_lossy(&output.stderr);
     let text = text.replace(&path.to_string_lossy().into_owned(), "FILE");
     format!("{}: {}", output.status.code().unwrap_or(-1), text.trim())
--- a/entry/src/forward.rs
+++ b/entry/src/forward.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Returns the table of servers.
+    pub(crate) fn servers(&self) -> &ServerTable {
+        &self.servers
+    }
+
     /// Runs a request and returns its checked answer.
     ///
     /// # Errors
--- a/entry/src/loads.rs
+++ b/entry/src/loads.rs
@@ -36,6 +36,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServerState {
     in_flight: AtomicU32,
+    shared: AtomicU32, // In flight as last told to the server's feeder.
     others: AtomicU32, // Requests of other VMs by the newest report.
     reported_ms: AtomicU64,
     health: Mutex<ServerHealth>,
@@ -87,6 +88,28 @@
             .collect()
     }
 
+    /// Returns the requests in flight on a server if its feeder has to be told.
+    pub(crate) fn load_to_share(&self, address: &str, repeats: bool) -> Option<u32> {
+        let entries = self.entries.load();
+        let state = &entries[search(&entries, address).ok()?].1;
+        let in_flight = state.in_flight.load(Ordering::Relaxed);
+        let shared = state.shared.swap(in_flight, Ordering::Relaxed);
+        (in_flight != shared || (repeats && in_flight > 0)).then_some(in_flight)
+    }
+
+    /// Returns how many requests of this process may run on a service: the slots of its servers less
+    /// what other VMs run there.
+    pub(crate) fn capacity(&self, service: &ServiceRecord) -> u32 {
+        let now_ms = self.now_ms();
+        let staying = service.servers.iter().filter(|server| !server.leaving);
+        let rooms = staying.map(|server| {
+            server
+                .slots
+                .saturating_sub(self.state(&server.address).others_at(now_ms))
+        });
+        rooms.sum::<u32>().max(1)
+    }
+
     /// Notes that an attempt ended well or badly.
     pub(crate) fn note_end(&self, state: &ServerState, succeeded: bool) {
         let now_ms = self.now_ms();
@@ -109,19 +132,13 @@
 
     fn view(&self, server: &ServerRecord, domain: &str, now_ms: u64) -> ServerView {
         let state = self.state(&server.address);
-        let is_fresh = now_ms < state.reported_ms.load(Ordering::Relaxed) + REPORT_AGE_LIMIT_MS;
-        let others = if is_fresh {
-            state.others.load(Ordering::Relaxed)
-        } else {
-            0
-        };
         let ejected = state.lock_health().is_ejected(now_ms);
         ServerView {
             hash: hash_name(&server.address),
             local: server.domain == domain,
             leaving: server.leaving,
             ejected,
-            load: state.in_flight.load(Ordering::Relaxed) + others,
+            load: state.in_flight.load(Ordering::Relaxed) + state.others_at(now_ms),
             slots: server.slots,
         }
     }
@@ -132,6 +149,16 @@
 }
 
 impl ServerState {
+    /// Returns the requests of other VMs by the server's report, if that is fresh.
+    fn others_at(&self, now_ms: u64) -> u32 {
+        let is_fresh = now_ms < self.reported_ms.load(Ordering::Relaxed) + REPORT_AGE_LIMIT_MS;
+        if is_fresh {
+            self.others.load(Ordering::Relaxed)
+        } else {
+            0
+        }
+    }
+
     fn lock_health(&self) -> MutexGuard<'_, ServerHealth> {
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -17,11 +17,13 @@
 mod caller;
 mod drain;
 mod forward;
+mod gate;
 mod loads;
 mod rate;
 mod record;
 mod reply;
 mod server;
+mod share;
 
 const INFO: ProcessInfo = ProcessInfo {
     name: "boragerill-entry",
--- a/entry/src/rate.rs
+++ b/entry/src/rate.rs
@@ -1,7 +1,12 @@
 //! Asks the owner of a workspace's bucket for tokens.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
     time::{
         Duration,
         Instant, //
@@ -39,10 +44,20 @@
 /// When a caller may come back while no member holds the rate.
 const UNAVAILABLE_RETRY: Duration = Duration::from_secs(1);
 
+/// Longest time for which a refusal is repeated without asking again.
+const REFUSAL_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Refusals kept before those that have passed are dropped.
+const REFUSALS_KEPT: usize = 1024;
+
+/// Workspaces whose next token comes no earlier than a known time.
+type KnownRefusals = Vec<(u64, Instant)>; // Sorted by the workspace's hash.
+
 /// Connections to the members that may own buckets.
 #[derive(Clone, Debug)]
 pub(crate) struct RateClient {
     links: LinkTable,
+    refusals: Arc<Mutex<KnownRefusals>>,
 }
 
 impl RateClient {
@@ -50,8 +65,9 @@
         RateClient {
             links: LinkTable::new(Hello {
                 vm: vm.into(),
-                incarnation: 0,
+                ..Default::default()
             }),
+            refusals: Arc::default(),
         }
     }
 
@@ -68,6 +84,45 @@
         }
     }
 
+    /// Returns the connections to control processes.
+    pub(crate) fn links(&self) -> &LinkTable {
+        &self.links
+    }
+
+    /// Refuses a request whose workspace is known to have no token yet.
+    pub(crate) fn check_known(&self, workspace: &WorkspaceRecord) -> Result<(), RefusalAnswer> {
+        let refusals = self.lock_refusals();
+        let found = refusals.binary_search_by_key(&workspace.limit.hash, |entry| entry.0);
+        let wait = found.map(|index| refusals[index].1.saturating_duration_since(Instant::now()));
+        match wait {
+            Ok(wait) if wait > Duration::ZERO => {
+                counter!("token_asks_saved_total").increment(1);
+                Err(exceeded(
+                    u32::try_from(wait.as_millis()).unwrap_or(u32::MAX).max(1),
+                ))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Remembers when a workspace's next token comes: until then every ask would be refused.
+    fn note_refusal(&self, workspace: &WorkspaceRecord, retry_after_ms: u32) {
+        let now = Instant::now();
+        let until = now + Duration::from_millis(retry_after_ms.into()).min(REFUSAL_LIFETIME);
+        let mut refusals = self.lock_refusals();
+        if refusals.len() >= REFUSALS_KEPT {
+            refusals.retain(|entry| entry.1 > now);
+        }
+        match refusals.binary_search_by_key(&workspace.limit.hash, |entry| entry.0) {
+            Ok(index) => refusals[index].1 = until,
+            Err(index) => refusals.insert(index, (workspace.limit.hash, until)),
+        }
+    }
+
+    fn lock_refusals(&self) -> MutexGuard<'_, KnownRefusals> {
+        self.refusals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes one token of a workspace.
     ///
     /// # Errors
@@ -93,7 +148,8 @@
                 Outcome::Granted => return Ok(()),
                 // A member that holds most of the rate speaks for the others.
                 Outcome::Refused if answer.units > TOTAL_UNITS / 2 => {
-                    return Err(exceeded(answer.retry_after_ms))
+                    self.note_refusal(workspace, answer.retry_after_ms);
+                    return Err(exceeded(answer.retry_after_ms));
                 }
                 Outcome::Refused => {
                     let wait = answer.retry_after_ms;
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -15,6 +15,7 @@
         follow_any,
         SnapshotStore, //
     },
+    generated::messages::Hello,
     platform::PlatformClient,
     process::{
         http_server,
@@ -22,6 +23,7 @@
         wait_for_stop,
         HealthState, //
     },
+    queue::QueueRequest,
     refusal::{
         RefusalAnswer,
         RefusalReason, //
@@ -93,6 +95,10 @@
         OutgoingRequest,
         SharedForward, //
     },
+    gate::{
+        GatePermit,
+        GateTable, //
+    },
     rate::RateClient,
     record::{
         begin_run,
@@ -104,6 +110,10 @@
         EntryReply,
         ReplyBody,
         ReplyStream, //
+    },
+    share::{
+        share_loads,
+        update_gates, //
     }, //
 };
 
@@ -128,8 +138,12 @@
     pub(crate) store: Arc<SnapshotStore>,
     /// Client of the platform.
     pub(crate) platform: PlatformClient,
-    rate: RateClient,
-    forward: SharedForward,
+    /// Takes tokens of the workspaces' rates.
+    pub(crate) rate: RateClient,
+    /// Sends requests to backend servers.
+    pub(crate) forward: SharedForward,
+    /// Holds requests back while a service is short of capacity.
+    pub(crate) gates: GateTable,
 }
 
 /// Runs the entry process until it is told to stop and every request has ended.
@@ -142,6 +156,7 @@
         store: Arc::default(),
         platform: PlatformClient::new(&settings.platform),
         rate: RateClient::new(&settings.vm),
+        gates: GateTable::default(),
         forward: Arc::new(ForwardClient::new(
             policy_of(settings.policy),
             &settings.domain,
@@ -155,7 +170,13 @@
         .iter()
         .map(CompactString::from)
         .collect();
-    tokio::spawn(follow_any(state.store.clone(), controls));
+    let hello = Hello {
+        vm: state.settings.vm.clone(),
+        ..Default::default()
+    };
+    tokio::spawn(follow_any(state.store.clone(), hello, controls, |_| {}));
+    tokio::spawn(share_loads(state.clone()));
+    tokio::spawn(update_gates(state.clone()));
     tokio::spawn(state.rate.clone().follow_roster(state.store.clone()));
     tokio::spawn(report_readiness(state.store.clone(), health.clone()));
     let drain = Duration::from_millis(state.settings.drain_ms);
@@ -277,11 +298,37 @@
             "body is no JSON",
         ));
     }
+    let request = outgoing(state, caller, route, &identity, body, parsed.as_ref());
+    let permit = enter_gate(state, &request, identity.as_ref()).await?;
+    // The token comes last: the request leaves at once, and not after waiting for capacity.
     if let Some(identity) = &identity {
         state.rate.take(&state.store, &identity.workspace).await?;
     }
-    let request = outgoing(state, caller, route, &identity, body, parsed.as_ref());
-    run_request(state, request, identity).await
+    run_request(state, request, identity, permit).await
+}
+
+/// Waits until the service has capacity for the request.
+async fn enter_gate(
+    state: &EntryState,
+    request: &OutgoingRequest,
+    identity: Option<&CallerIdentity>,
+) -> Result<GatePermit, RefusalAnswer> {
+    let workspace = identity.map(|identity| &identity.workspace);
+    if let Some(workspace) = workspace {
+        state.rate.check_known(workspace)?;
+    }
+    let service = &request.route.service;
+    let queued = QueueRequest {
+        workspace: workspace.map_or(0, |workspace| workspace.limit.hash),
+        weight: workspace.map_or(1, |workspace| workspace.weight),
+        deadline: request.deadline,
+    };
+    let capacity = state.forward.servers().capacity(service);
+    state
+        .gates
+        .find(&service.name)
+        .enter(queued, capacity)
+        .await
 }
 
 fn outgoing(
@@ -315,6 +362,7 @@
     state: &EntryState,
     request: OutgoingRequest,
     identity: Option<CallerIdentity>,
+    permit: GatePermit,
 ) -> Result<EntryReply, RefusalAnswer> {
     let record = match (&request.caller.idempotency_key, request.route.idempotent) {
         (Some(key), false) => {
@@ -342,7 +390,7 @@
     let id = request.caller.id.clone();
     let Some(record) = record else {
         let answer = run_guarded(state, &forward, &request, identity.as_ref()).await?;
-        return Ok(to_reply(state, &request, identity, answer));
+        return Ok(to_reply(state, &request, identity, answer, permit));
     };
     // A recorded run goes on when its caller hangs up, so that a resend finds the answer.
     let running = tokio::spawn(async move { run_recorded(&forward, &request, record).await });
@@ -428,6 +476,7 @@
     request: &OutgoingRequest,
     identity: Option<CallerIdentity>,
     answer: CheckedAnswer,
+    permit: GatePermit,
 ) -> EntryReply {
     let id = request.caller.id.clone();
     match answer {
@@ -449,7 +498,7 @@
                 ("content-type", "text/event-stream".into()),
                 ("x-request-id", id.clone()),
             ],
-            body: ReplyBody::Stream(pass_on(state.clone(), id, identity, answer)),
+            body: ReplyBody::Stream(pass_on(state.clone(), id, identity, answer, permit)),
         },
     }
 }
@@ -472,9 +521,11 @@
     id: CompactString,
     identity: Option<CallerIdentity>,
     mut answer: Box<AnswerStream>,
+    permit: GatePermit,
 ) -> ReplyStream {
     let patience = Duration::from_millis(state.settings.request_timeout_ms);
     stream! {
+        let _permit = permit;
         let mut changes = state.store.subscribe();
         let mut event = answer.first.clone();
         loop {
--- /dev/null
+++ b/entry/src/share.rs
@@ -0,0 +1,100 @@
+//! Tells the feeders of batch how many online requests run on their servers.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use boragerill::{
+    generated::messages::{
+        envelope::Body,
+        LoadShare,
+        ServerLoad, //
+    },
+    timer::TimerService, //
+};
+use compact_str::CompactString;
+
+use crate::server::EntryState;
+
+/// Period of looking for changed loads; bounds how late batch yields.
+const SHARE_PERIOD: Duration = Duration::from_millis(5);
+
+/// Period of repeating loads that haven't changed.
+const REPEAT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Period of admitting waiting requests when capacity changes elsewhere.
+const GATE_PERIOD: Duration = Duration::from_millis(20);
+
+/// Shares loads for as long as the process runs.
+pub(crate) async fn share_loads(state: EntryState) {
+    let mut timer = TimerService::default();
+    let mut ticks = timer.subscribe(SHARE_PERIOD);
+    let mut repeated = Instant::now();
+    while let Some(now) = ticks.next().await {
+        let repeats = now.saturating_duration_since(repeated) >= REPEAT_PERIOD;
+        if repeats {
+            repeated = now;
+        }
+        for (vm, servers) in collect_loads(&state, repeats) {
+            let load = LoadShare {
+                vm: state.settings.vm.clone(),
+                servers,
+            };
+            if let Some(link) = state.rate.links().find(&vm, now) {
+                // A lost message is made up for by the next repetition.
+                let _ = link.push(0, Body::LoadShare(load));
+            }
+        }
+    }
+}
+
+/// Returns the loads to share, by the VM that feeds the server.
+fn collect_loads(state: &EntryState, repeats: bool) -> Vec<(CompactString, Vec<ServerLoad>)> {
+    let snapshot = state.store.load();
+    let Some(roster) = snapshot.roster() else {
+        return Vec::new();
+    };
+    let feeders = state.store.feeders();
+    let mut shares: Vec<(CompactString, Vec<ServerLoad>)> = Vec::new(); // Sorted by VM.
+    for server in snapshot
+        .services()
+        .iter()
+        .flat_map(|service| &service.servers)
+    {
+        let Some(in_flight) = state
+            .forward
+            .servers()
+            .load_to_share(&server.address, repeats)
+        else {
+            continue;
+        };
+        let Some(vm) = roster.feeder_of(&server.address, &server.domain, &feeders) else {
+            continue;
+        };
+        let load = ServerLoad {
+            address: server.address.to_string(),
+            in_flight,
+        };
+        match shares.binary_search_by(|entry| entry.0.cmp(vm)) {
+            Ok(found) => shares[found].1.push(load),
+            Err(found) => shares.insert(found, (vm.clone(), vec![load])),
+        }
+    }
+    shares
+}
+
+/// Keeps the gates up to date with capacity that other VMs free.
+pub(crate) async fn update_gates(state: EntryState) {
+    let mut timer = TimerService::default();
+    let mut ticks = timer.subscribe(GATE_PERIOD);
+    while ticks.next().await.is_some() {
+        for (name, gate) in state.gates.crowded() {
+            let snapshot = state.store.load();
+            let capacity = snapshot
+                .find_service(&name)
+                .map(|service| state.forward.servers().capacity(service));
+            gate.update(capacity.unwrap_or(0));
+        }
+    }
+}
