--- a/batch/src/feeder.rs
+++ b/batch/src/feeder.rs
@@ -157,7 +157,7 @@
         let runner = ChunkRunner {
             platform: platform.clone(),
             store: store.clone(),
-            items: ItemRunner::new(settings.attempts, item_timeout),
+            items: ItemRunner::new(settings.attempts, item_timeout, settings.yields),
             concurrency: usize::try_from(settings.concurrency)
                 .unwrap_or(1)
                 .div_ceil(HELD_CHUNKS),
--- a/batch/src/item.rs
+++ b/batch/src/item.rs
@@ -77,6 +77,7 @@
 pub(crate) struct ItemRunner {
     http: Client,
     attempts: u32,
+    yields: bool,
     state: Mutex<RunnerState>,
     freed: Notify,
 }
@@ -97,7 +98,7 @@
 }
 
 impl ItemRunner {
-    pub(crate) fn new(attempts: u32, item_timeout: Duration) -> ItemRunner {
+    pub(crate) fn new(attempts: u32, item_timeout: Duration, yields: bool) -> ItemRunner {
         let client = Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
             .timeout(item_timeout)
@@ -109,6 +110,7 @@
                 .build()
                 .unwrap_or_default(),
             attempts,
+            yields,
             state: Mutex::default(),
             freed: Notify::new(),
         }
@@ -150,6 +152,9 @@
 
     /// Takes over the loads that an entry process shares, and lets batch yield at once.
     pub(crate) fn note_loads(&self, load: &LoadShare) {
+        if !self.yields {
+            return;
+        }
         let now = Instant::now();
         let mut state = self.lock();
         for server in &load.servers {
@@ -173,6 +178,9 @@
 
     /// Reads the load reports of the servers that this process feeds.
     pub(crate) async fn read_reports(&self) {
+        if !self.yields {
+            return;
+        }
         let addresses: Vec<CompactString> = self.lock().spare.addresses().cloned().collect();
         let reads = addresses.iter().map(|address| self.read_report(address));
         futures_util::future::join_all(reads).await;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,3 +1,48 @@
-//! Load and experiment tool.
+//! Load and experiment tool: open-loop load on a fleet of real processes, variants in one run.
 
-fn main() {}
+use std::process::ExitCode;
+
+mod case;
+mod load;
+mod report;
+mod run;
+mod slopes;
+mod ways;
+
+const HELP: &str = "\
+bench: measures variants of the system in one run
+
+Usage: bench run CASE.json [--json FILE]   open-loop load on real processes, each variant in turn
+       bench ways                          ways to hold a rate over all VMs, on decision code alone
+       bench slopes                        cost of control against VMs and workspaces, and of a request
+
+Programs are taken from the folder of this one; build with `cargo build --release --bins` first.";
+
+fn main() -> ExitCode {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        println!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    let Ok(runtime) = runtime else {
+        eprintln!("bench: no runtime");
+        return ExitCode::FAILURE;
+    };
+    let result = match arguments.subcommand().ok().flatten().as_deref() {
+        Some("run") => runtime.block_on(run::run_case(arguments)),
+        Some("ways") => ways::compare(),
+        Some("slopes") => runtime.block_on(slopes::measure()),
+        _ => Err(HELP.to_owned()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => {
+            eprintln!("bench: {cause}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/boragerill/src/lease.rs
@@ -0,0 +1,165 @@
+//! Share leases as their owner holds them, with the history that unasked buckets need.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use compact_str::CompactString;
+
+use crate::{
+    generated::messages::Placement,
+    roster::Units, //
+};
+
+/// Segments of one lease that are kept; what an older one earned is lost.
+const SEGMENTS_KEPT: usize = 32;
+
+/// A time during which a lease had the same placement and units.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaseSegment {
+    /// Placement that the lender is leaving, or its only one.
+    pub(crate) from: Placement,
+    /// Placement that the lender is entering, or its only one.
+    pub(crate) to: Placement,
+    /// Units lent.
+    pub(crate) units: Units,
+    since: Instant,
+    until: Option<Instant>, // None while it lasts.
+}
+
+/// One lender's share, without a gap since its first segment.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldLease {
+    lender: CompactString,
+    segments: Vec<LeaseSegment>, // Oldest first; never empty.
+    expires: Option<Instant>,    // None for the member's own share.
+}
+
+/// What a lender grants at one time.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaseTerms {
+    /// Placement that the lender is leaving, or its only one.
+    pub(crate) from: Placement,
+    /// Placement that the lender is entering, or its only one.
+    pub(crate) to: Placement,
+    /// Units lent.
+    pub(crate) units: Units,
+    /// End of the lease; none for the member's own share.
+    pub(crate) expires: Option<Instant>,
+}
+
+impl HeldLease {
+    /// Starts a lease.
+    pub(crate) fn new(lender: &str, terms: LeaseTerms, now: Instant) -> HeldLease {
+        let expires = terms.expires;
+        HeldLease {
+            lender: lender.into(),
+            segments: vec![segment(terms, now)],
+            expires,
+        }
+    }
+
+    /// Returns the VM that lends.
+    pub(crate) fn lender(&self) -> &CompactString {
+        &self.lender
+    }
+
+    /// Returns whether the lease is in force.
+    pub(crate) fn is_in_force(&self, now: Instant) -> bool {
+        self.expires.is_none_or(|expires| now < expires)
+    }
+
+    /// Returns the current segment.
+    pub(crate) fn current(&self) -> &LeaseSegment {
+        &self.segments[self.segments.len() - 1]
+    }
+
+    /// Returns whether new terms change more than the end of the lease.
+    pub(crate) fn differs(&self, terms: &LeaseTerms, now: Instant) -> bool {
+        let current = self.current();
+        !self.is_in_force(now)
+            || (&current.from, &current.to, current.units) != (&terms.from, &terms.to, terms.units)
+    }
+
+    /// Takes over new terms. A lease that has lapsed starts anew: its share may have been used
+    /// elsewhere meanwhile.
+    pub(crate) fn renew(&mut self, terms: LeaseTerms, now: Instant) {
+        if !self.is_in_force(now) {
+            *self = HeldLease::new(&self.lender, terms, now);
+            return;
+        }
+        self.expires = self.expires.max(terms.expires);
+        if !self.differs(&terms, now) {
+            return;
+        }
+        if let Some(last) = self.segments.last_mut() {
+            last.until = Some(now);
+        }
+        self.segments.push(segment(terms, now));
+        if self.segments.len() > SEGMENTS_KEPT {
+            self.segments.remove(0);
+        }
+    }
+
+    /// Returns the units times seconds of the segments that `owns` accepts, between two times.
+    pub(crate) fn unit_seconds<'a>(
+        &'a self,
+        owns: impl Fn(&'a LeaseSegment) -> bool,
+        from: Instant,
+        now: Instant,
+    ) -> f64 {
+        let end = self.expires.map_or(now, |expires| expires.min(now));
+        let parts = self
+            .segments
+            .iter()
+            .filter(|part| part.until.is_none_or(|until| until > from));
+        let parts = parts.filter(|part| owns(part));
+        parts
+            .map(|part| f64::from(part.units) * part.overlap(from, end).as_secs_f64())
+            .sum()
+    }
+
+    /// Returns since when every segment up to the current one is accepted by `owns`.
+    pub(crate) fn owned_since<'a>(
+        &'a self,
+        owns: impl Fn(&'a LeaseSegment) -> bool,
+    ) -> Option<Instant> {
+        let owned = self.segments.iter().rev().take_while(|part| owns(part));
+        owned.last().map(|part| part.since)
+    }
+
+    /// Returns the fewest units since `time`, if every segment since then is accepted by `owns`.
+    pub(crate) fn owned_units<'a>(
+        &'a self,
+        owns: impl Fn(&'a LeaseSegment) -> bool,
+        time: Instant,
+    ) -> Option<Units> {
+        let mut fewest = Units::MAX;
+        for part in self.segments.iter().rev().take_while(|part| owns(part)) {
+            fewest = fewest.min(part.units);
+            if part.since < time {
+                return Some(fewest);
+            }
+        }
+        None
+    }
+}
+
+impl LeaseSegment {
+    fn overlap(&self, from: Instant, end: Instant) -> Duration {
+        let start = self.since.max(from);
+        let end = self.until.map_or(end, |until| until.min(end));
+        end.saturating_duration_since(start)
+    }
+}
+
+fn segment(terms: LeaseTerms, now: Instant) -> LeaseSegment {
+    LeaseSegment {
+        from: terms.from,
+        to: terms.to,
+        units: terms.units,
+        since: now,
+        until: None,
+    }
+}
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod frame;
 pub mod keys;
 pub mod kinds;
+mod lease;
 pub mod links;
 pub mod platform;
 pub mod process;
--- a/boragerill/src/route.rs
+++ b/boragerill/src/route.rs
@@ -40,6 +40,8 @@
     pub policy: RoutePolicy,
     /// Hash of the prompt's prefix, if the request has one.
     pub prefix: Option<u64>,
+    /// Whether prefixes stay in the own failure domain as well.
+    pub local_prefixes: bool,
     /// Any number that differs from request to request.
     pub draw: u64,
 }
@@ -55,7 +57,8 @@
 
 /// Chooses a server; `excluded` holds the indices already tried.
 ///
-/// Servers of the own failure domain come first, those of others once the own ones are full.
+/// Servers of the own failure domain come first, those of others once the own ones are full; for
+/// prefixes only if the query says so, since each domain would then cache every prefix.
 pub fn choose(servers: &[ServerView], excluded: &[usize], query: RouteQuery) -> Option<usize> {
     let eligible = eligible_servers(servers, excluded);
     let local: Vec<usize> = eligible
@@ -66,7 +69,12 @@
     let has_room = local
         .iter()
         .any(|&index| servers[index].load < servers[index].slots);
-    let candidates = if has_room { local } else { eligible };
+    let prefers_local = query.prefix.is_none() || query.local_prefixes;
+    let candidates = if prefers_local && has_room {
+        local
+    } else {
+        eligible
+    };
     choose_among(servers, &candidates, query)
 }
 
@@ -109,7 +117,7 @@
     }
 }
 
-/// Returns the load that a server must stay under to take a prefix.
+/// Returns the load that a server must stay under to take a prefix once half its slots are in use.
 fn load_bound(servers: &[ServerView], candidates: &[usize]) -> u32 {
     let total: u32 = candidates.iter().map(|&index| servers[index].load).sum();
     let average = f64::from(total + 1) / candidates.len() as f64;
@@ -125,7 +133,7 @@
     let fitting = candidates
         .iter()
         .copied()
-        .filter(|&index| servers[index].load < bound);
+        .filter(|&index| servers[index].load < bound.max(servers[index].slots / 2));
     fitting.max_by_key(|&index| score(prefix, servers[index].hash))
 }
 
--- a/boragerill/src/settings.rs
+++ b/boragerill/src/settings.rs
@@ -24,7 +24,8 @@
     BatchSettings,
     ControlSettings,
     EntrySettings,
-    EntrySettingsPolicy, //
+    EntrySettingsPolicy,
+    EntrySettingsQueue, //
 };
 
 const SCHEMA: &str = include_str!("../schema/settings.schema.json");
--- a/boragerill/src/share.rs
+++ b/boragerill/src/share.rs
@@ -10,9 +10,12 @@
 //! owner *sent* the message that the lender echoes, so a delayed message can't prolong it, and the lender
 //! waits for the lease and a margin from its own last sending.
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    cell::RefCell,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use compact_str::CompactString;
@@ -25,6 +28,11 @@
         ShareLend,
         TokenAnswer, //
     },
+    lease::{
+        HeldLease,
+        LeaseSegment,
+        LeaseTerms, //
+    },
     rank::first_ranked,
     roster::{
         RosterView,
@@ -39,6 +47,9 @@
 /// Rosters kept for the placements of peers that lag behind.
 const ROSTER_HISTORY: usize = 6;
 
+/// Confirmations of the platform's version that are kept.
+const CONFIRMATIONS_KEPT: usize = 64;
+
 /// Own messages remembered for echoes of peers.
 const SENT_HISTORY: usize = 16;
 
@@ -92,18 +103,6 @@
     sequence: u64,
 }
 
-/// A share that this member holds, its own included.
-#[derive(Clone, Debug)]
-struct HeldLease {
-    lender: CompactString,
-    from: Placement,
-    to: Placement,
-    units: Units,
-    since: Instant,
-    expires: Option<Instant>, // None for the member's own share.
-    full_after: Option<Version>,
-}
-
 /// Tokens of one workspace at this member.
 #[derive(Clone, Debug)]
 struct TokenBucket {
@@ -125,7 +124,6 @@
     settings: ShareSettings,
     vm: CompactString,
     incarnation: u64,
-    started: Instant,
     rosters: Vec<RosterView>, // Oldest first.
     peers: Vec<PeerState>,    // Sorted by VM.
     sequence: u64,
@@ -138,6 +136,7 @@
     settled: Instant,                 // When the placement `from` may be dropped.
     leases: Vec<HeldLease>,           // Sorted by lender.
     buckets: Vec<(u64, TokenBucket)>, // Sorted by the workspace's hash.
+    confirmations: Vec<(Instant, Version)>, // When the platform was asked, and its version; oldest first.
 }
 
 impl ShareState {
@@ -147,7 +146,6 @@
             settings,
             vm: vm.into(),
             incarnation,
-            started: now,
             rosters: Vec::new(),
             peers: Vec::new(),
             sequence: 0,
@@ -160,6 +158,7 @@
             settled: now,
             leases: Vec::new(),
             buckets: Vec::new(),
+            confirmations: Vec::new(),
         }
     }
 
@@ -253,8 +252,9 @@
     /// Notes that the platform, asked at `sent`, was at version `through`: a workspace created later
     /// can't have been served from the shares that this member held before.
     pub fn confirm(&mut self, sent: Instant, through: Version) {
-        for lease in self.leases.iter_mut().filter(|lease| lease.since < sent) {
-            lease.full_after.get_or_insert(through);
+        self.confirmations.push((sent, through));
+        if self.confirmations.len() > CONFIRMATIONS_KEPT {
+            self.confirmations.remove(0);
         }
     }
 
@@ -272,7 +272,7 @@
         let share = f64::from(units) / f64::from(TOTAL_UNITS);
         let bucket = &mut self.buckets[index].1;
         bucket.limit = limit.clone();
-        bucket.level = bucket.level.min(limit.burst * share);
+        bucket.level = bucket.level.min(share_of_burst(limit, units));
         let tokens = f64::from(tokens);
         if bucket.level + TOKEN_SLACK >= tokens {
             bucket.level = (bucket.level - tokens).max(0.0);
@@ -296,13 +296,12 @@
 
     /// Returns the units of a workspace that are lent to this member at `now`.
     pub fn held_units(&self, hash: u64, now: Instant) -> Units {
-        let mut owners = OwnerCache::default();
-        let held = self
-            .leases
-            .iter()
-            .filter(|lease| lease.expires.is_none_or(|expires| now < expires));
-        let held = held.filter(|lease| self.owns_lease(lease, hash, &mut owners));
-        held.map(|lease| lease.units).sum()
+        let owners = OwnerCache::new(self, hash);
+        let held = self.leases.iter().filter(|lease| lease.is_in_force(now));
+        let held = held
+            .map(HeldLease::current)
+            .filter(|segment| owners.owns(segment));
+        held.map(|segment| segment.units).sum()
     }
 
     fn adopt_units(&mut self, declared: Units, now: Instant) {
@@ -408,16 +407,14 @@
 
     /// Holds the member's own share under its current placement.
     fn hold_own(&mut self, now: Instant) {
-        let own = HeldLease {
-            lender: self.vm.clone(),
+        let terms = LeaseTerms {
             from: self.from.clone(),
             to: self.to.clone(),
             units: self.units,
-            since: now,
             expires: None,
-            full_after: None,
         };
-        self.hold(own, now);
+        let own = self.vm.clone();
+        self.hold(&own, terms, now);
     }
 
     fn hold_lease(&mut self, vm: &str, lend: ShareLend, now: Instant) {
@@ -431,55 +428,46 @@
             return;
         };
         let expires = sent + Duration::from_millis(lend.lease_ms.into());
-        if expires <= now {
-            return;
+        if expires > now {
+            self.hold(
+                vm,
+                LeaseTerms {
+                    from,
+                    to,
+                    units: lend.units,
+                    expires: Some(expires),
+                },
+                now,
+            );
         }
-        let lender = CompactString::from(vm);
-        let lease = HeldLease {
-            lender,
-            from,
-            to,
-            units: lend.units,
-            since: now,
-            expires: Some(expires),
-            full_after: None,
-        };
-        self.hold(lease, now);
     }
 
-    /// Keeps a lease; an unchanged one that is still in force is only prolonged.
-    fn hold(&mut self, lease: HeldLease, now: Instant) {
-        match self
+    /// Keeps a lease; one that changes is settled first.
+    fn hold(&mut self, lender: &str, terms: LeaseTerms, now: Instant) {
+        let found = self
             .leases
-            .binary_search_by(|known| known.lender.cmp(&lease.lender))
-        {
-            Ok(index) => {
-                let known = &mut self.leases[index];
-                let in_force = known.expires.is_none_or(|expires| now < expires);
-                let unchanged =
-                    (&known.from, &known.to, known.units) == (&lease.from, &lease.to, lease.units);
-                if in_force && unchanged {
-                    known.expires = known.expires.max(lease.expires);
-                    return;
-                }
-                self.settle_all(now);
-                self.leases[index] = lease;
-            }
-            Err(index) => {
-                self.settle_all(now);
-                self.leases.insert(index, lease);
-            }
+            .binary_search_by(|known| known.lender().as_str().cmp(lender));
+        let changes = found.map_or(true, |index| self.leases[index].differs(&terms, now));
+        if changes {
+            self.settle_all(now);
+        }
+        match found {
+            Ok(index) => self.leases[index].renew(terms, now),
+            Err(index) => self
+                .leases
+                .insert(index, HeldLease::new(lender, terms, now)),
+        }
+        if changes {
+            self.clip_all(now);
         }
-        self.clip_all(now);
     }
 
     fn drop_expired(&mut self, now: Instant) {
-        let is_expired = |lease: &HeldLease| lease.expires.is_some_and(|expires| expires <= now);
-        if !self.leases.iter().any(is_expired) {
+        if self.leases.iter().all(|lease| lease.is_in_force(now)) {
             return;
         }
         self.settle_all(now);
-        self.leases.retain(|lease| !is_expired(lease));
+        self.leases.retain(|lease| lease.is_in_force(now));
         self.clip_all(now);
     }
 
@@ -494,7 +482,7 @@
         for index in 0..self.buckets.len() {
             let bucket = &self.buckets[index].1;
             let units = self.held_units(bucket.limit.hash, now);
-            let most = bucket.limit.burst * f64::from(units) / f64::from(TOTAL_UNITS);
+            let most = share_of_burst(&bucket.limit, units);
             let bucket = &mut self.buckets[index].1;
             bucket.level = bucket.level.min(most);
         }
@@ -503,24 +491,19 @@
     /// Adds what each held share earned since the last update, while its lease was in force.
     fn settle_bucket(&mut self, index: usize, now: Instant) {
         let bucket = &self.buckets[index].1;
-        let mut owners = OwnerCache::default();
-        let mut earned = 0.0;
-        let mut most = 0.0;
+        let owners = OwnerCache::new(self, bucket.limit.hash);
+        let mut seconds = 0.0; // Units times seconds.
+        let mut units: Units = 0;
         for lease in &self.leases {
-            if !self.owns_lease(lease, bucket.limit.hash, &mut owners) {
-                continue;
+            seconds += lease.unit_seconds(|segment| owners.owns(segment), bucket.updated, now);
+            if owners.owns(lease.current()) {
+                units += lease.current().units;
             }
-            let share = f64::from(lease.units) / f64::from(TOTAL_UNITS);
-            let start = bucket.updated.max(lease.since);
-            let end = lease.expires.map_or(now, |expires| expires.min(now));
-            earned += bucket.limit.rate
-                * share
-                * end.saturating_duration_since(start).as_secs_f64()
-                * (1.0 - CLOCK_DRIFT);
-            most += bucket.limit.burst * share;
         }
+        let level = bucket.level + earned_tokens(&bucket.limit, seconds);
+        let level = level.min(share_of_burst(&bucket.limit, units));
         let bucket = &mut self.buckets[index].1;
-        bucket.level = (bucket.level + earned).min(most);
+        bucket.level = level;
         bucket.updated = bucket.updated.max(now);
     }
 
@@ -535,7 +518,7 @@
                 let bucket = TokenBucket {
                     limit: limit.clone(),
                     level,
-                    updated: self.started,
+                    updated: now,
                 };
                 self.buckets.insert(index, (limit.hash, bucket));
                 index
@@ -543,31 +526,32 @@
         }
     }
 
-    /// Returns the tokens with which the bucket of a workspace begins: the shares held since before
-    /// it was created are full, the others began empty when their leases did.
+    /// Returns the tokens of a workspace that was never asked for: what each share earned since this
+    /// member owns it, or all of it if the workspace was created after that.
     fn first_level(&self, limit: &RateLimit, now: Instant) -> f64 {
-        let mut owners = OwnerCache::default();
-        let held = self
-            .leases
-            .iter()
-            .filter(|lease| lease.expires.is_none_or(|expires| now < expires));
-        let full = held.filter(|lease| {
-            lease
-                .full_after
-                .is_some_and(|version| limit.created > version)
+        let owners = OwnerCache::new(self, limit.hash);
+        let absent = self.known_absent(limit);
+        let held = self.leases.iter().filter(|lease| lease.is_in_force(now));
+        let levels = held.filter_map(|lease| {
+            let since = lease.owned_since(|segment| owners.owns(segment))?;
+            let seconds = lease.unit_seconds(|segment| owners.owns(segment), since, now);
+            let unused =
+                absent.and_then(|time| lease.owned_units(|segment| owners.owns(segment), time));
+            let full = share_of_burst(limit, unused.unwrap_or(0));
+            let most = share_of_burst(limit, lease.current().units);
+            Some(earned_tokens(limit, seconds).max(full).min(most))
         });
-        let full = full.filter(|lease| self.owns_lease(lease, limit.hash, &mut owners));
-        let units: Units = full.map(|lease| lease.units).sum();
-        limit.burst * f64::from(units) / f64::from(TOTAL_UNITS)
+        levels.sum()
     }
 
-    fn owns_lease<'a>(
-        &'a self,
-        lease: &'a HeldLease,
-        hash: u64,
-        owners: &mut OwnerCache<'a>,
-    ) -> bool {
-        owners.is_owner(self, &lease.from, hash) && owners.is_owner(self, &lease.to, hash)
+    /// Returns the latest time at which the workspace is known not to have existed yet.
+    fn known_absent(&self, limit: &RateLimit) -> Option<Instant> {
+        let before = self
+            .confirmations
+            .iter()
+            .rev()
+            .find(|entry| entry.1 < limit.created)?;
+        Some(before.0)
     }
 
     /// Returns whether this member is a workspace's owner under a placement.
@@ -608,20 +592,48 @@
         .is_some_and(|word| word >> (index % 64) & 1 == 1)
 }
 
-/// Remembers the verdict for each distinct placement: most lenders place alike.
-#[derive(Default)]
+/// Returns the tokens that units earn over some seconds, lowered by the largest drift of a clock.
+fn earned_tokens(limit: &RateLimit, unit_seconds: f64) -> f64 {
+    limit.rate * unit_seconds / f64::from(TOTAL_UNITS) * (1.0 - CLOCK_DRIFT)
+}
+
+fn share_of_burst(limit: &RateLimit, units: Units) -> f64 {
+    limit.burst * f64::from(units) / f64::from(TOTAL_UNITS)
+}
+
+/// Remembers who owns a workspace under each distinct placement: most lenders place alike.
 struct OwnerCache<'a> {
-    verdicts: Vec<(&'a Placement, bool)>,
+    state: &'a ShareState,
+    hash: u64,
+    verdicts: RefCell<Vec<(&'a Placement, bool)>>,
 }
 
 impl<'a> OwnerCache<'a> {
-    fn is_owner(&mut self, state: &'a ShareState, placement: &'a Placement, hash: u64) -> bool {
-        let known = self.verdicts.iter().find(|(known, _)| *known == placement);
-        if let Some(&(_, verdict)) = known {
+    fn new(state: &'a ShareState, hash: u64) -> OwnerCache<'a> {
+        OwnerCache {
+            state,
+            hash,
+            verdicts: RefCell::default(),
+        }
+    }
+
+    /// Returns whether the member owns the workspace under both placements of a segment.
+    fn owns(&self, segment: &'a LeaseSegment) -> bool {
+        self.is_owner(&segment.from) && self.is_owner(&segment.to)
+    }
+
+    fn is_owner(&self, placement: &'a Placement) -> bool {
+        let known = self
+            .verdicts
+            .borrow()
+            .iter()
+            .find(|(known, _)| *known == placement)
+            .copied();
+        if let Some((_, verdict)) = known {
             return verdict;
         }
-        let verdict = state.is_owner(placement, hash);
-        self.verdicts.push((placement, verdict));
+        let verdict = self.state.is_owner(placement, self.hash);
+        self.verdicts.borrow_mut().push((placement, verdict));
         verdict
     }
 }
--- a/entry/src/forward.rs
+++ b/entry/src/forward.rs
@@ -35,6 +35,7 @@
         RouteQuery,
         PREFIX_BYTES, //
     },
+    settings::EntrySettings,
     snapshot::ServiceRecord, //
 };
 use bytes::Bytes;
@@ -135,12 +136,13 @@
     budget: Mutex<RetryBudget>,
     servers: ServerTable,
     policy: RoutePolicy,
+    local_prefixes: bool,
     domain: CompactString,
     most_attempts: u32,
 }
 
 impl ForwardClient {
-    pub(crate) fn new(policy: RoutePolicy, domain: &str, most_attempts: u32) -> ForwardClient {
+    pub(crate) fn new(policy: RoutePolicy, settings: &EntrySettings) -> ForwardClient {
         let builder = || {
             let client = Client::builder()
                 .connect_timeout(CONNECT_TIMEOUT)
@@ -160,8 +162,9 @@
             budget: Mutex::default(),
             servers: ServerTable::default(),
             policy,
-            domain: domain.into(),
-            most_attempts,
+            local_prefixes: settings.local_prefixes,
+            domain: settings.domain.as_str().into(),
+            most_attempts: settings.attempts,
         }
     }
 
@@ -222,6 +225,7 @@
         let query = RouteQuery {
             policy: self.policy,
             prefix: request.prefix,
+            local_prefixes: self.local_prefixes,
             draw: request_draw(),
         };
         choose(&views, tried, query)
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -31,7 +31,8 @@
     route::RoutePolicy,
     settings::{
         EntrySettings,
-        EntrySettingsPolicy, //
+        EntrySettingsPolicy,
+        EntrySettingsQueue, //
     }, //
 };
 use bytes::Bytes;
@@ -157,11 +158,7 @@
         platform: PlatformClient::new(&settings.platform),
         rate: RateClient::new(&settings.vm),
         gates: GateTable::default(),
-        forward: Arc::new(ForwardClient::new(
-            policy_of(settings.policy),
-            &settings.domain,
-            settings.attempts,
-        )),
+        forward: Arc::new(ForwardClient::new(policy_of(settings.policy), &settings)),
         settings: Arc::new(settings),
     };
     let controls = state
@@ -318,12 +315,19 @@
         state.rate.check_known(workspace)?;
     }
     let service = &request.route.service;
+    let by_workspace = workspace.filter(|_| state.settings.queue == EntrySettingsQueue::Fair);
     let queued = QueueRequest {
-        workspace: workspace.map_or(0, |workspace| workspace.limit.hash),
-        weight: workspace.map_or(1, |workspace| workspace.weight),
+        // All requests of one tag are served in the order in which they came.
+        workspace: by_workspace.map_or(0, |workspace| workspace.limit.hash),
+        weight: by_workspace.map_or(1, |workspace| workspace.weight),
         deadline: request.deadline,
     };
-    let capacity = state.forward.servers().capacity(service);
+    let capacity = match state.settings.queue {
+        EntrySettingsQueue::None => u32::MAX,
+        EntrySettingsQueue::Fair | EntrySettingsQueue::Fifo => {
+            state.forward.servers().capacity(service)
+        }
+    };
     state
         .gates
         .find(&service.name)
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each is a process of its own whose faults are switched at run time by one HTTP call.
 
 pub mod engine;
+pub mod fleet;
 pub mod launch;
 pub mod platform;
 pub mod service;
