Start lapsed leases empty also when nobody looked meanwhile

Seven of seventeen mutants survived the fuzzers. What they showed: - A process that was frozen past a lease could, on waking, take the renewal before its timer and keep the level from before the freeze. Lapsed leases are now dropped before every ask and every renewal. Red before: lease::lapsed_share_starts_empty with the old order (mutant lapsed-lease-goes-on). - Clipping all buckets after a change did nothing that settling doesn't; it is gone. - The fuzzer of replicas hardly ever listed on a fresh process; its weights changed, and messages on their way now survive a restart.

--- a/boragerill/src/lease.rs
+++ b/boragerill/src/lease.rs
@@ -76,21 +76,15 @@
     }
 
     /// Returns whether new terms change more than the end of the lease.
-    pub(crate) fn differs(&self, terms: &LeaseTerms, now: Instant) -> bool {
+    pub(crate) fn differs(&self, terms: &LeaseTerms) -> bool {
         let current = self.current();
-        !self.is_in_force(now)
-            || (&current.from, &current.to, current.units) != (&terms.from, &terms.to, terms.units)
+        (&current.from, &current.to, current.units) != (&terms.from, &terms.to, terms.units)
     }
 
-    /// Takes over new terms. A lease that has lapsed starts anew: its share may have been used
-    /// elsewhere meanwhile.
+    /// Takes over new terms while the lease is in force.
     pub(crate) fn renew(&mut self, terms: LeaseTerms, now: Instant) {
-        if !self.is_in_force(now) {
-            *self = HeldLease::new(&self.lender, terms, now);
-            return;
-        }
         self.expires = self.expires.max(terms.expires);
-        if !self.differs(&terms, now) {
+        if !self.differs(&terms) {
             return;
         }
         if let Some(last) = self.segments.last_mut() {
--- a/boragerill/src/route.rs
+++ b/boragerill/src/route.rs
@@ -117,7 +117,8 @@
     }
 }
 
-/// Returns the load that a server must stay under to take a prefix once half its slots are in use.
+/// Returns the load that a server must stay under to take a prefix once three quarters of its
+/// slots are in use.
 fn load_bound(servers: &[ServerView], candidates: &[usize]) -> u32 {
     let total: u32 = candidates.iter().map(|&index| servers[index].load).sum();
     let average = f64::from(total + 1) / candidates.len() as f64;
@@ -133,7 +134,7 @@
     let fitting = candidates
         .iter()
         .copied()
-        .filter(|&index| servers[index].load < bound.max(servers[index].slots / 2));
+        .filter(|&index| servers[index].load < bound.max(servers[index].slots * 3 / 4));
     fitting.max_by_key(|&index| score(prefix, servers[index].hash))
 }
 
--- a/boragerill/src/share.rs
+++ b/boragerill/src/share.rs
@@ -260,6 +260,7 @@
 
     /// Takes tokens of a workspace, if this member holds them.
     pub fn ask(&mut self, limit: &RateLimit, tokens: u32, now: Instant) -> TokenAnswer {
+        self.drop_expired(now);
         let units = self.held_units(limit.hash, now);
         if units == 0 {
             return TokenAnswer {
@@ -442,12 +443,14 @@
         }
     }
 
-    /// Keeps a lease; one that changes is settled first.
+    /// Keeps a lease; one that changes is settled first, and one that has lapsed starts anew: its share
+    /// may have been used elsewhere meanwhile.
     fn hold(&mut self, lender: &str, terms: LeaseTerms, now: Instant) {
+        self.drop_expired(now);
         let found = self
             .leases
             .binary_search_by(|known| known.lender().as_str().cmp(lender));
-        let changes = found.map_or(true, |index| self.leases[index].differs(&terms, now));
+        let changes = found.map_or(true, |index| self.leases[index].differs(&terms));
         if changes {
             self.settle_all(now);
         }
@@ -457,9 +460,6 @@
                 .leases
                 .insert(index, HeldLease::new(lender, terms, now)),
         }
-        if changes {
-            self.clip_all(now);
-        }
     }
 
     fn drop_expired(&mut self, now: Instant) {
@@ -468,7 +468,6 @@
         }
         self.settle_all(now);
         self.leases.retain(|lease| lease.is_in_force(now));
-        self.clip_all(now);
     }
 
     fn settle_all(&mut self, now: Instant) {
@@ -477,18 +476,8 @@
         }
     }
 
-    /// Lowers every bucket to the burst of the shares still held.
-    fn clip_all(&mut self, now: Instant) {
-        for index in 0..self.buckets.len() {
-            let bucket = &self.buckets[index].1;
-            let units = self.held_units(bucket.limit.hash, now);
-            let most = share_of_burst(&bucket.limit, units);
-            let bucket = &mut self.buckets[index].1;
-            bucket.level = bucket.level.min(most);
-        }
-    }
-
-    /// Adds what each held share earned since the last update, while its lease was in force.
+    /// Adds what each held share earned since the last update, while its lease was in force, and clips
+    /// the level to the burst of the shares held.
     fn settle_bucket(&mut self, index: usize, now: Instant) {
         let bucket = &self.buckets[index].1;
         let owners = OwnerCache::new(self, bucket.limit.hash);
--- a/boragerill/tests/config.rs
+++ b/boragerill/tests/config.rs
@@ -97,12 +97,12 @@
         prop_oneof![
             4 => (0..NAMES).prop_map(|name| ConfigEvent::Write { name }),
             2 => (0..NAMES).prop_map(|name| ConfigEvent::Delete { name }),
-            3 => replica.clone().prop_map(|replica| ConfigEvent::Watch { replica }),
-            1 => replica.clone().prop_map(|replica| ConfigEvent::BeginListing { replica }),
-            1 => replica.clone().prop_map(|replica| ConfigEvent::EndListing { replica }),
+            1 => replica.clone().prop_map(|replica| ConfigEvent::Watch { replica }),
+            3 => replica.clone().prop_map(|replica| ConfigEvent::BeginListing { replica }),
+            3 => replica.clone().prop_map(|replica| ConfigEvent::EndListing { replica }),
             3 => (replica.clone(), replica.clone()).prop_map(|(from, to)| ConfigEvent::Send { from, to }),
             4 => (replica.clone(), 0_usize..8).prop_map(|(replica, index)| ConfigEvent::Receive { replica, index }),
-            1 => replica.prop_map(|replica| ConfigEvent::Restart { replica }),
+            2 => replica.prop_map(|replica| ConfigEvent::Restart { replica }),
         ]
         .boxed()
     }
@@ -198,7 +198,14 @@
                     replica.table.apply(delta);
                 }
             }
-            ConfigEvent::Restart { replica } => replicas[replica] = Replica::default(),
+            ConfigEvent::Restart { replica } => {
+                // Messages on their way to the process before reach the new one.
+                let inbox = std::mem::take(&mut replicas[replica].inbox);
+                replicas[replica] = Replica {
+                    inbox,
+                    ..Default::default()
+                };
+            }
         }
         replicas.iter_mut().for_each(Replica::note_versions);
         replicas
@@ -231,6 +238,7 @@
     ProptestConfig {
         failure_persistence: None,
         rng_seed: RngSeed::Fixed(seed),
+        cases: 4000,
         ..ProptestConfig::default()
     }
 }
@@ -292,3 +300,30 @@
     );
     assert_eq!(receiver.list("key").count(), sender.list("key").count());
 }
+
+#[test]
+fn fresh_listing_hands_on_deletions() {
+    // Arrange: one VM knows an object that was deleted before another listed the platform.
+    let object = |version| ConfigObject {
+        kind: "key".to_owned(),
+        name: "withdrawn".to_owned(),
+        version,
+        created: version,
+        ..Default::default()
+    };
+    let mut older = ConfigTable::default();
+    older.apply(ConfigDelta {
+        objects: vec![object(1)],
+        through: 1,
+        ..Default::default()
+    });
+    let mut listed = ConfigTable::default();
+    listed.apply_full(Vec::new(), 3);
+
+    // Act.
+    older.apply(listed.delta_since(older.through()));
+
+    // Assert.
+    assert_eq!(older.through(), 3);
+    assert_eq!(older.list("key").count(), 0);
+}
--- a/control/src/keeper.rs
+++ b/control/src/keeper.rs
@@ -37,12 +37,22 @@
     info,
     warn, //
 };
+use tokio::time::sleep;
 
 use crate::hub::ControlHub;
 
 /// Listings in a row that must lack a VM before its units are handed on.
 const ABSENCES: u32 = 2;
 
+/// First pause after a conflict; each further one doubles.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause after a conflict.
+const CONFLICT_PAUSE_LIMIT: Duration = Duration::from_millis(800);
+
+/// Attempts within one period.
+const CONFLICT_ATTEMPTS: u32 = 12;
+
 /// Absences seen so far.
 #[derive(Debug, Default)]
 struct AbsenceCount {
@@ -93,15 +103,35 @@
         if hub.store.age().is_none() {
             continue;
         }
-        if let Err(error) = keep_once(&hub, &mut absences).await {
+        if let Err(error) = keep_with_retries(&hub, &mut absences).await {
             warn!("roster not kept: {error}");
         }
     }
 }
 
-async fn keep_once(hub: &ControlHub, absences: &mut AbsenceCount) -> Result<(), ServeError> {
+/// Keeps the roster, again after a while when another VM wrote it first: many start at once.
+async fn keep_with_retries(
+    hub: &ControlHub,
+    absences: &mut AbsenceCount,
+) -> Result<(), ServeError> {
     let listed = hub.platform.list_vms().await?;
-    if !is_listed(&listed, &hub.settings.vm) {
+    let mut pause = CONFLICT_PAUSE;
+    for _ in 0..CONFLICT_ATTEMPTS {
+        match keep_once(hub, &listed, absences).await {
+            Err(ServeError::Conflict(..)) => sleep(pause.mul_f64(rand::random::<f64>())).await,
+            kept => return kept,
+        }
+        pause = (pause * 2).min(CONFLICT_PAUSE_LIMIT);
+    }
+    Ok(())
+}
+
+async fn keep_once(
+    hub: &ControlHub,
+    listed: &[ListedVm],
+    absences: &mut AbsenceCount,
+) -> Result<(), ServeError> {
+    if !is_listed(listed, &hub.settings.vm) {
         info!("the platform doesn't list this VM yet");
         return Ok(());
     }
@@ -115,7 +145,7 @@
         .position(|member| member.vm == hub.settings.vm);
     let gone = absences.note(
         &roster,
-        &listed,
+        listed,
         u32::try_from(own_place.unwrap_or(0)).unwrap_or(0),
     );
     if let Some(plan) = plan_removal(&roster, |vm| !gone.iter().any(|name| name == vm)) {
@@ -161,7 +191,7 @@
     })
 }
 
-/// Writes the roster if nobody else has; a conflict is settled by the next period.
+/// Writes the roster if nobody else has.
 async fn write_roster(
     hub: &ControlHub,
     version: Version,
@@ -174,15 +204,10 @@
     };
     let value = serde_json::to_value(plan).unwrap_or_default();
     let region = hub.settings.region.as_str();
-    let receipt = match hub
+    let receipt = hub
         .platform
         .put_settled("roster", region, expected, "", &value)
-        .await
-    {
-        Ok(receipt) => receipt,
-        Err(ServeError::Conflict(..)) => return Ok(()),
-        Err(error) => return Err(error),
-    };
+        .await?;
     let object = ConfigObject {
         kind: "roster".to_owned(),
         name: region.to_owned(),
