Keep the last accepted form of a refused resource for VMs that start later

A VM that started after an invalid write had nothing to put in force for the resource. Shown by the restart of every control and entry process after an invalid write.

--- a/boragerill/src/feed.rs
+++ b/boragerill/src/feed.rs
@@ -22,6 +22,7 @@
     info,
     warn, //
 };
+use metrics::gauge;
 use tokio::{
     sync::watch,
     time::{
@@ -69,6 +70,7 @@
 #[derive(Debug)]
 pub struct SnapshotStore {
     table: Mutex<ConfigTable>,
+    replaced: Mutex<Vec<ConfigObject>>, // Last accepted forms of refused objects; sorted by kind and name.
     current: ArcSwap<Snapshot>,
     changed: watch::Sender<Version>,
     feeders: ArcSwap<Vec<CompactString>>, // Sorted.
@@ -80,6 +82,7 @@
     fn default() -> SnapshotStore {
         SnapshotStore {
             table: Mutex::default(),
+            replaced: Mutex::default(),
             current: ArcSwap::default(),
             changed: watch::channel(0).0,
             feeders: ArcSwap::default(),
@@ -137,9 +140,10 @@
         let mut table = self.lock();
         let before = table.through();
         let age_ms = delta.age_ms;
+        let former = former_objects(&table, &delta.objects);
         let is_complete = delta.full || delta.since <= before;
         let fresh = table.apply(delta);
-        self.publish(&table, &fresh, before);
+        self.publish(&table, &fresh, &former, before);
         if is_complete && age_ms != AGE_UNKNOWN {
             self.confirm(Duration::from_millis(age_ms));
         }
@@ -147,30 +151,84 @@
     }
 
     /// Publishes while the table is locked, so that snapshots appear in the order of merging.
-    fn publish(&self, table: &ConfigTable, fresh: &[ConfigObject], before: Version) {
+    fn publish(
+        &self,
+        table: &ConfigTable,
+        fresh: &[ConfigObject],
+        former: &[ConfigObject],
+        before: Version,
+    ) {
         if fresh.is_empty() && table.through() == before {
             return;
         }
         let mut snapshot = Snapshot::clone(&self.current.load());
         for object in fresh {
-            if let Some(violation) = snapshot.apply(object) {
+            let violation = snapshot.apply(object);
+            if let Some(violation) = &violation {
                 let (kind, name, version) = (&object.kind, &object.name, object.version);
                 warn!(
                     "{kind}/{name}: version {version} refused: {}: {}",
                     violation.field, violation.cause
                 );
             }
+            self.note_replaced(object, former, violation.is_some());
         }
         snapshot.complete_to(table.through());
+        gauge!("config_through").set(table.through() as f64);
         self.current.store(Arc::new(snapshot));
         self.changed.send_replace(table.through());
     }
 
+    /// Returns the form of a refused object that was accepted last, if this process saw it.
+    pub fn last_accepted(&self, kind: &str, name: &str) -> Option<ConfigObject> {
+        let replaced = self.lock_replaced();
+        let index = replaced
+            .binary_search_by(|known| key_of(known).cmp(&(kind, name)))
+            .ok()?;
+        Some(replaced[index].clone())
+    }
+
+    /// Keeps the former object when its successor is refused, and forgets it when one is accepted.
+    fn note_replaced(&self, object: &ConfigObject, former: &[ConfigObject], refused: bool) {
+        let mut replaced = self.lock_replaced();
+        let found = replaced.binary_search_by(|known| key_of(known).cmp(&key_of(object)));
+        match (found, refused) {
+            (Ok(index), false) => {
+                replaced.remove(index);
+            }
+            (Err(index), true) => {
+                let accepted = former
+                    .iter()
+                    .find(|known| key_of(known) == key_of(object) && !known.deleted);
+                if let Some(accepted) = accepted {
+                    replaced.insert(index, accepted.clone());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn lock_replaced(&self) -> std::sync::MutexGuard<'_, Vec<ConfigObject>> {
+        self.replaced.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, ConfigTable> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Returns the known forms of objects that are about to be replaced.
+fn former_objects(table: &ConfigTable, objects: &[ConfigObject]) -> Vec<ConfigObject> {
+    let known = objects
+        .iter()
+        .filter_map(|object| table.find(&object.kind, &object.name));
+    known.cloned().collect()
+}
+
+fn key_of(object: &ConfigObject) -> (&str, &str) {
+    (&object.kind, &object.name)
+}
+
 /// Follows the control processes of a VM's own list, the first reachable one at a time; `on_load`
 /// sees the loads that entry processes share.
 pub async fn follow_any(
--- a/boragerill/src/frame.rs
+++ b/boragerill/src/frame.rs
@@ -21,6 +21,7 @@
     SinkExt,
     StreamExt, //
 };
+use metrics::counter;
 use prost::Message;
 use tokio::{
     net::TcpStream,
@@ -49,6 +50,9 @@
 /// Largest frame, in bytes.
 const FRAME_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
+/// Length that precedes each frame.
+const FRAME_HEADER_BYTES: u64 = 4;
+
 /// Messages that may wait for a slow connection before it is closed.
 const SEND_QUEUE: usize = 4096;
 
@@ -205,16 +209,17 @@
 ) {
     let (mut sink, mut stream) = framed.split();
     let mut writer = std::pin::pin!(async {
+        let sent = counter!("frame_bytes_sent_total");
         while let Some(envelope) = outbox.recv().await {
-            if sink
-                .feed(Bytes::from(envelope.encode_to_vec()))
-                .await
-                .is_err()
-            {
+            let frame = Bytes::from(envelope.encode_to_vec());
+            sent.increment(frame.len() as u64 + FRAME_HEADER_BYTES);
+            if sink.feed(frame).await.is_err() {
                 return;
             }
             while let Ok(more) = outbox.try_recv() {
-                if sink.feed(Bytes::from(more.encode_to_vec())).await.is_err() {
+                let frame = Bytes::from(more.encode_to_vec());
+                sent.increment(frame.len() as u64 + FRAME_HEADER_BYTES);
+                if sink.feed(frame).await.is_err() {
                     return;
                 }
             }
--- a/boragerill/src/snapshot.rs
+++ b/boragerill/src/snapshot.rs
@@ -3,6 +3,10 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use serde_json::Value;
 
 use crate::{
@@ -28,6 +32,22 @@
     share::RateLimit, //
 };
 
+/// Kind of the objects that keep the last accepted form of a refused one.
+pub const REFUSAL_KIND: &str = "refusal";
+
+/// The last accepted form of an object whose newest one was refused.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RefusalRecord {
+    /// Kind of the object.
+    pub kind: CompactString,
+    /// Name of the object.
+    pub name: CompactString,
+    /// Platform version that created the object.
+    pub created: Version,
+    /// Its last accepted value.
+    pub spec: Value,
+}
+
 /// A workspace in force.
 #[derive(Clone, Debug)]
 pub struct WorkspaceRecord {
@@ -196,6 +216,10 @@
             self.apply_roster(object);
             return None;
         }
+        if object.kind == REFUSAL_KIND {
+            self.apply_refusal(object);
+            return None;
+        }
         if object.deleted {
             self.remove(&object.kind, &object.name);
             return None;
@@ -233,6 +257,34 @@
         }
     }
 
+    /// Puts the last accepted form of a refused object in force, unless a form is in force already.
+    fn apply_refusal(&mut self, object: &ConfigObject) {
+        let Ok(record) = serde_json::from_slice::<RefusalRecord>(&object.spec) else {
+            return;
+        };
+        if self.has(&record.kind, &record.name) {
+            return;
+        }
+        if let Ok(declared) = kinds::check(&record.kind, &record.name, &record.spec) {
+            let accepted = ConfigObject {
+                kind: record.kind.to_string(),
+                name: record.name.to_string(),
+                created: record.created,
+                ..Default::default()
+            };
+            self.put(&accepted, declared);
+        }
+    }
+
+    fn has(&self, kind: &str, name: &str) -> bool {
+        match kind {
+            "workspace" => self.find_workspace(name).is_some(),
+            "key" => self.keys.iter().any(|record| record.name == name),
+            "service" => self.find_service(name).is_some(),
+            _ => self.find_job(name).is_some(),
+        }
+    }
+
     fn put(&mut self, object: &ConfigObject, declared: DeclaredSpec) {
         let name = CompactString::from(object.name.as_str());
         match declared {
--- a/control/src/hub.rs
+++ b/control/src/hub.rs
@@ -45,7 +45,6 @@
     }, //
 };
 use compact_str::CompactString;
-use metrics::gauge;
 use tokio::sync::broadcast;
 
 /// Changes that a slow subscriber may lag behind before it is sent all that it lacks.
@@ -125,7 +124,6 @@
         if fresh.is_empty() && snapshot.through() == since {
             return fresh;
         }
-        gauge!("config_through").set(snapshot.through() as f64);
         let change = if full {
             HubChange::Relisted
         } else {
--- a/control/src/status.rs
+++ b/control/src/status.rs
@@ -8,11 +8,19 @@
 use boragerill::{
     error::ServeError,
     generated::messages::ConfigObject,
-    kinds,
+    kinds::{
+        self,
+        DeclaredSpec, //
+    },
     platform::Expected,
     rank::{
         hash_name,
         ranking, //
+    },
+    schema::FieldViolation,
+    snapshot::{
+        RefusalRecord,
+        REFUSAL_KIND, //
     }, //
 };
 use compact_str::format_compact;
@@ -88,6 +96,9 @@
 
 async fn write_status(hub: &ControlHub, object: &ConfigObject) -> Result<(), ServeError> {
     let name = format_compact!("{}.{}", object.kind, object.name);
+    let spec: Value = serde_json::from_slice(&object.spec).unwrap_or_default();
+    let checked = kinds::check(&object.kind, &object.name, &spec);
+    write_refusal(hub, object, &name, checked.is_err() && !object.deleted).await?;
     if object.deleted {
         return match hub.platform.delete("status", &name, Expected::Any).await {
             Err(ServeError::Missing(..)) => Ok(()),
@@ -102,7 +113,13 @@
     };
     match hub
         .platform
-        .put("status", &name, expected, "", &status_value(object))
+        .put(
+            "status",
+            &name,
+            expected,
+            "",
+            &status_value(object, checked),
+        )
         .await
     {
         // Another VM wrote in between, for this version or a later one.
@@ -111,9 +128,50 @@
     }
 }
 
-fn status_value(object: &ConfigObject) -> Value {
-    let spec = serde_json::from_slice(&object.spec).unwrap_or_default();
-    match kinds::check(&object.kind, &object.name, &spec) {
+/// Keeps the last accepted form of a refused object for VMs that start later, and drops it once a
+/// form is accepted.
+async fn write_refusal(
+    hub: &ControlHub,
+    object: &ConfigObject,
+    name: &str,
+    refused: bool,
+) -> Result<(), ServeError> {
+    let is_kept = hub.store.with_table(|table| {
+        table
+            .find(REFUSAL_KIND, name)
+            .is_some_and(|known| !known.deleted)
+    });
+    if !refused && is_kept {
+        hub.platform
+            .delete(REFUSAL_KIND, name, Expected::Any)
+            .await?;
+    }
+    let Some(accepted) = hub
+        .store
+        .last_accepted(&object.kind, &object.name)
+        .filter(|_| refused && !is_kept)
+    else {
+        return Ok(());
+    };
+    let record = RefusalRecord {
+        kind: accepted.kind.into(),
+        name: accepted.name.into(),
+        created: accepted.created,
+        spec: serde_json::from_slice(&accepted.spec).unwrap_or_default(),
+    };
+    let value = serde_json::to_value(&record).unwrap_or_default();
+    match hub
+        .platform
+        .put(REFUSAL_KIND, name, Expected::Absent, "", &value)
+        .await
+    {
+        Ok(_) | Err(ServeError::Conflict(..)) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+fn status_value(object: &ConfigObject, checked: Result<DeclaredSpec, FieldViolation>) -> Value {
+    match checked {
         Ok(_) => json!({"observed": object.version, "state": "accepted"}),
         Err(violation) => json!({
             "observed": object.version,
