Give up chunks whose servers are fed by others; count batch out of online load

- A job stood still now and then (one of four runs of the test of kills and outages): a VM that had fed a server while the server's own feeder was down kept its chunk, and renewed its claim, after the feeder was back, with no slot to run it in.
Ruled out: lost claims (every other chunk had its results).
A holder now gives such a chunk up within a second.
- Entry processes took batch in the servers' reports for online requests of other VMs, so online requests could wait behind batch.
Control processes now answer shared loads with the online total of all VMs.
Test: a burst of 24 requests into engines full of batch, first token within the target's 340 ms.
Keys are now found by name as well.
- Entry processes looked for changed loads 200 times a second; they now wait for changes.
- The first chunks of a job are small, so that small jobs use many VMs.
- Retry budget in whole tenths: fifty successes earned four retries instead of five.

--- a/batch/src/chunk.rs
+++ b/batch/src/chunk.rs
@@ -54,6 +54,9 @@
     ItemTarget, //
 };
 
+/// Period of checking that this process still feeds the servers of a chunk.
+const FEED_CHECK_PERIOD: Duration = Duration::from_secs(1);
+
 /// Pause before a write is tried again during an outage of the platform.
 const OUTAGE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -117,7 +120,7 @@
                         .run_wave(&name, &mut chunk, &target, run.items(range))
                         .await
                     else {
-                        info!("{name}: claim was taken over");
+                        info!("{name}: no longer held");
                         return false;
                     };
                     run.note_results(ended);
@@ -216,12 +219,19 @@
         let mut results = Vec::with_capacity(pending.len());
         let mut renewals = interval(self.renewal);
         renewals.tick().await;
+        let mut checks = interval(FEED_CHECK_PERIOD);
         loop {
             tokio::select! {
                 ended = runs.next() => match ended {
                     Some(ended) => results.push(ended),
                     None => break,
                 },
+                _ = checks.tick() => {
+                    if !self.items.feeds(&target.service) {
+                        self.give_up(name, chunk).await;
+                        return None;
+                    }
+                }
                 _ = renewals.tick() => {
                     if let Err(ServeError::Conflict(..)) = self.write_claim(name, chunk).await {
                         return None;
@@ -233,6 +243,22 @@
         Some(results.into_iter().map(|entry| entry.1).collect())
     }
 
+    /// Lets others have a chunk whose servers this process feeds no more. Items that may have been
+    /// started need the claim's record of them, which others take over once it lapses.
+    async fn give_up(&self, name: &str, chunk: &ClaimedChunk) {
+        info!("{name}: given up, its servers are fed by others");
+        if chunk.claim.started > 0 {
+            return;
+        }
+        if let Err(error) = self
+            .platform
+            .delete(CLAIM_KIND, name, Expected::At(chunk.version))
+            .await
+        {
+            warn!("{name}: claim left to lapse: {error}");
+        }
+    }
+
     /// Runs an item unless its job is cancelled before or meanwhile.
     async fn run_item(
         &self,
--- a/batch/src/feeder.rs
+++ b/batch/src/feeder.rs
@@ -74,7 +74,7 @@
 const REFRESH_PERIOD: Duration = Duration::from_secs(1);
 
 /// Period of waking waiting items when room has come with time.
-const WAKE_PERIOD: Duration = Duration::from_millis(10);
+const WAKE_PERIOD: Duration = Duration::from_millis(20);
 
 /// Period of reading the servers' load reports.
 const REPORT_PERIOD: Duration = Duration::from_millis(250);
--- a/boragerill/src/batch.rs
+++ b/boragerill/src/batch.rs
@@ -33,6 +33,12 @@
 /// Most items of one chunk.
 pub const CHUNK_ITEMS: usize = 500;
 
+/// Chunks at the beginning of a job that hold fewer items.
+pub const SMALL_CHUNKS: u32 = 20;
+
+/// Most items of one of those chunks.
+pub const SMALL_CHUNK_ITEMS: usize = 100;
+
 /// Most bytes of items in one chunk, so that its results stay under the platform's limit as well.
 pub const CHUNK_BYTES: usize = 256 * 1024;
 
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod kinds;
 mod lease;
 pub mod links;
+pub mod online;
 pub mod platform;
 pub mod process;
 pub mod queue;
--- a/boragerill/src/links.rs
+++ b/boragerill/src/links.rs
@@ -36,6 +36,15 @@
     suspect_until: Option<Instant>,
 }
 
+/// What happens on a connection.
+#[derive(Clone, Debug)]
+pub enum LinkEvent {
+    /// A message came that answers no request.
+    Message(Body),
+    /// The connection ended.
+    Closed,
+}
+
 /// Connections to the control processes of a roster, by VM.
 #[derive(Clone, Debug)]
 pub struct LinkTable {
@@ -52,11 +61,11 @@
         }
     }
 
-    /// Connects to members that are new or have moved, and drops those that are gone; `on_close` is
-    /// called with the VM whenever its connection ends.
-    pub fn update<F>(&self, roster: &RosterView, skipped: &str, on_close: F)
+    /// Connects to members that are new or have moved, and drops those that are gone; `on_event` is
+    /// called with the VM and what happened on its connection.
+    pub fn update<F>(&self, roster: &RosterView, skipped: &str, on_event: F)
     where
-        F: Fn(&str) + Clone + Send + 'static,
+        F: Fn(&str, LinkEvent) + Clone + Send + 'static,
     {
         let mut entries = self.lock();
         entries.retain(|entry| {
@@ -77,7 +86,7 @@
                 self.clone(),
                 vm.clone(),
                 address.clone(),
-                on_close.clone(),
+                on_event.clone(),
             ));
             entries.insert(
                 index,
@@ -133,7 +142,7 @@
     links: LinkTable,
     vm: CompactString,
     address: CompactString,
-    on_close: impl Fn(&str),
+    on_event: impl Fn(&str, LinkEvent),
 ) {
     loop {
         if let Ok((link, mut inbox)) = FrameLink::connect(&address).await {
@@ -141,9 +150,13 @@
             if greeted && !links.store(&vm, &address, Some(link)) {
                 return;
             }
-            // Nothing is pushed on these connections; the inbox ends with the connection.
-            while inbox.recv().await.is_some() {}
-            on_close(&vm);
+            // The inbox ends with the connection.
+            while let Some(envelope) = inbox.recv().await {
+                if let Some(body) = envelope.body {
+                    on_event(&vm, LinkEvent::Message(body));
+                }
+            }
+            on_event(&vm, LinkEvent::Closed);
         }
         if !links.store(&vm, &address, None) {
             return;
--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -216,13 +216,17 @@
             .await
     }
 
-    /// Lists all objects of a kind and the version at which the listing began.
+    /// Lists all objects of a kind, converted page by page, and the version at which the listing began.
     ///
     /// # Errors
     ///
     /// Fails when any page fails.
-    pub async fn list(&self, kind: &str) -> Result<(Vec<PlatformObject>, Version), ServeError> {
-        self.list_pages(kind, "", "all").await
+    pub async fn list<T>(
+        &self,
+        kind: &str,
+        convert: impl Fn(PlatformObject) -> T,
+    ) -> Result<(Vec<T>, Version), ServeError> {
+        self.list_pages(kind, "", "all", convert).await
     }
 
     /// Lists names, versions and labels of the objects whose name starts with `prefix`.
@@ -235,7 +239,10 @@
         kind: &str,
         prefix: &str,
     ) -> Result<Vec<PlatformObject>, ServeError> {
-        Ok(self.list_pages(kind, prefix, "names").await?.0)
+        let (objects, _) = self
+            .list_pages(kind, prefix, "names", |object| object)
+            .await?;
+        Ok(objects)
     }
 
     /// Waits for objects of the kinds that changed after a version.
@@ -271,12 +278,13 @@
         Ok(list.vms)
     }
 
-    async fn list_pages(
+    async fn list_pages<T>(
         &self,
         kind: &str,
         prefix: &str,
         fields: &str,
-    ) -> Result<(Vec<PlatformObject>, Version), ServeError> {
+        convert: impl Fn(PlatformObject) -> T,
+    ) -> Result<(Vec<T>, Version), ServeError> {
         let mut objects = Vec::new();
         let mut begun = None;
         let mut after = CompactString::default();
@@ -291,7 +299,7 @@
                 ]);
             let page: ObjectPage = self.call(Step::PlatformRead, request).await?;
             begun.get_or_insert(page.version);
-            objects.extend(page.items);
+            objects.extend(page.items.into_iter().map(&convert));
             match page.next {
                 Some(next) => after = next,
                 None => return Ok((objects, begun.unwrap_or_default())),
--- a/boragerill/src/retry.rs
+++ b/boragerill/src/retry.rs
@@ -48,14 +48,14 @@
 /// Bounds retries to a share of recent successes.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    tokens: f64,
+    tenths: u32, // Of a retry.
 }
 
-/// Retries earned by each success.
-const BUDGET_PER_SUCCESS: f64 = 0.1;
+/// Tenths of a retry that a retry costs; each success earns one.
+const RETRY_TENTHS: u32 = 10;
 
-/// Most retries that can be saved up.
-const BUDGET_LIMIT: f64 = 20.0;
+/// Most tenths of a retry that can be saved up.
+const LIMIT_TENTHS: u32 = 200;
 
 /// Least time left for which another attempt is worth starting.
 const LEAST_REMAINING: Duration = Duration::from_millis(20);
@@ -63,7 +63,7 @@
 impl Default for RetryBudget {
     fn default() -> RetryBudget {
         RetryBudget {
-            tokens: BUDGET_LIMIT / 2.0,
+            tenths: LIMIT_TENTHS / 2,
         }
     }
 }
@@ -71,7 +71,7 @@
 impl RetryBudget {
     /// Notes a success.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + BUDGET_PER_SUCCESS).min(BUDGET_LIMIT);
+        self.tenths = (self.tenths + 1).min(LIMIT_TENTHS);
     }
 
     /// Decides on another attempt and pays for it.
@@ -79,11 +79,11 @@
         let reason = retry_reason(failed)?;
         if failed.attempts >= most_attempts
             || failed.remaining < LEAST_REMAINING
-            || self.tokens < 1.0
+            || self.tenths < RETRY_TENTHS
         {
             return None;
         }
-        self.tokens -= 1.0;
+        self.tenths -= RETRY_TENTHS;
         Some(reason)
     }
 }
--- a/boragerill/src/snapshot.rs
+++ b/boragerill/src/snapshot.rs
@@ -128,6 +128,7 @@
     through: Version,
     workspaces: Vec<Arc<WorkspaceRecord>>, // Sorted by name.
     keys: Vec<Arc<KeyRecord>>,             // Sorted by hash, then name.
+    key_names: Vec<Arc<KeyRecord>>,        // The same records, sorted by name.
     services: Vec<Arc<ServiceRecord>>,     // Sorted by name.
     jobs: Vec<Arc<JobRecord>>,             // Sorted by name.
     roster: Option<Arc<RosterView>>,
@@ -279,7 +280,7 @@
     fn has(&self, kind: &str, name: &str) -> bool {
         match kind {
             "workspace" => self.find_workspace(name).is_some(),
-            "key" => self.keys.iter().any(|record| record.name == name),
+            "key" => find(&self.key_names, name, |record| &record.name).is_some(),
             "service" => self.find_service(name).is_some(),
             _ => self.find_job(name).is_some(),
         }
@@ -305,18 +306,15 @@
             }
             DeclaredSpec::Key(spec) => {
                 let hash = parse_hash(&spec.hash).unwrap_or_default();
-                self.keys.retain(|record| record.name != name);
+                self.remove_key(&name);
                 let withdrawn = spec.state == KeySpecState::Withdrawn;
-                let record = KeyRecord {
+                let workspace = spec.workspace.into();
+                self.insert_key(Arc::new(KeyRecord {
                     hash,
                     name,
-                    workspace: spec.workspace.into(),
+                    workspace,
                     withdrawn,
-                };
-                let index = self
-                    .keys
-                    .partition_point(|known| (known.hash, &known.name) < (hash, &record.name));
-                self.keys.insert(index, Arc::new(record));
+                }));
             }
             DeclaredSpec::Service(spec) => {
                 upsert(&mut self.services, service_record(name, spec), |record| {
@@ -334,10 +332,36 @@
         }
     }
 
+    fn insert_key(&mut self, record: Arc<KeyRecord>) {
+        let order =
+            |known: &Arc<KeyRecord>| (known.hash, &known.name) < (record.hash, &record.name);
+        let index = self.keys.partition_point(order);
+        self.keys.insert(index, record.clone());
+        let index = self
+            .key_names
+            .partition_point(|known| known.name < record.name);
+        self.key_names.insert(index, record);
+    }
+
+    fn remove_key(&mut self, name: &str) {
+        let found = self
+            .key_names
+            .binary_search_by(|known| known.name.as_str().cmp(name));
+        let Ok(index) = found else {
+            return;
+        };
+        let record = self.key_names.remove(index);
+        let order =
+            |known: &Arc<KeyRecord>| (known.hash, &known.name).cmp(&(record.hash, &record.name));
+        if let Ok(index) = self.keys.binary_search_by(order) {
+            self.keys.remove(index);
+        }
+    }
+
     fn remove(&mut self, kind: &str, name: &str) {
         match kind {
             "workspace" => self.workspaces.retain(|record| record.name != name),
-            "key" => self.keys.retain(|record| record.name != name),
+            "key" => self.remove_key(name),
             "service" => self.services.retain(|record| record.name != name),
             "batchjob" => self.jobs.retain(|record| record.name != name),
             _ => {}
--- a/boragerill/src/spare.rs
+++ b/boragerill/src/spare.rs
@@ -11,8 +11,7 @@
 
 use compact_str::CompactString;
 
-/// Age beyond which an entry process's load counts for nothing.
-const SHARE_LIFETIME: Duration = Duration::from_secs(3);
+use crate::online::OnlineShares;
 
 /// Age beyond which a server's own report counts for nothing.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
@@ -26,20 +25,12 @@
 /// Largest share of the slots that is kept in reserve.
 const RESERVE_SHARE: f64 = 0.25;
 
-/// Online requests of one entry process on one server.
-#[derive(Clone, Debug)]
-struct OnlineShare {
-    vm: CompactString,
-    in_flight: u32,
-    noted: Instant,
-}
-
 /// What a feeder knows of one server.
 #[derive(Clone, Debug)]
 struct SpareServer {
     address: CompactString,
     slots: u32,
-    shares: Vec<OnlineShare>, // Sorted by VM.
+    shares: OnlineShares,
     reported: Option<(u32, Instant)>,
     batch: u32,
     batch_peak: u32, // Since the report before the newest.
@@ -64,7 +55,7 @@
                 let server = SpareServer {
                     address: address.into(),
                     slots,
-                    shares: Vec::new(),
+                    shares: OnlineShares::default(),
                     reported: None,
                     batch: 0,
                     batch_peak: 0,
@@ -97,18 +88,7 @@
             return;
         };
         let server = &mut self.servers[index];
-        let share = OnlineShare {
-            vm: vm.into(),
-            in_flight,
-            noted: now,
-        };
-        match server
-            .shares
-            .binary_search_by(|known| known.vm.as_str().cmp(vm))
-        {
-            Ok(found) => server.shares[found] = share,
-            Err(found) => server.shares.insert(found, share),
-        }
+        server.shares.note(vm, in_flight, now);
         server.note_burst(now);
     }
 
@@ -186,11 +166,7 @@
     }
 
     fn online(&self, now: Instant) -> u32 {
-        let fresh = self
-            .shares
-            .iter()
-            .filter(|share| now < share.noted + SHARE_LIFETIME);
-        let shared: u32 = fresh.map(|share| share.in_flight).sum();
+        let shared = self.shares.total(now);
         let reported = self
             .reported
             .filter(|&(_, noted)| now < noted + REPORT_LIFETIME);
--- a/boragerill/src/submit.rs
+++ b/boragerill/src/submit.rs
@@ -26,7 +26,9 @@
         CHUNK_BYTES,
         CHUNK_ITEMS,
         INPUT_KIND,
-        RESULT_KIND, //
+        RESULT_KIND,
+        SMALL_CHUNKS,
+        SMALL_CHUNK_ITEMS, //
     },
     error::{
         ServeError,
@@ -126,7 +128,9 @@
             .map_err(|error| invalid(&format!("line {number}"), &error.to_string()))?;
         self.digest.update(line);
         self.digest.update(b"\n");
-        if self.chunk.len() >= CHUNK_ITEMS || self.chunk_bytes + line.len() > CHUNK_BYTES {
+        if self.chunk.len() >= chunk_limit(self.chunks)
+            || self.chunk_bytes + line.len() > CHUNK_BYTES
+        {
             self.store_chunk().await?;
         }
         self.items += 1;
@@ -283,6 +287,15 @@
     })
 }
 
+/// Returns the most items of a chunk: a job's first chunks are small, so that many VMs share a small job.
+fn chunk_limit(index: u32) -> usize {
+    if index < SMALL_CHUNKS {
+        SMALL_CHUNK_ITEMS
+    } else {
+        CHUNK_ITEMS
+    }
+}
+
 fn invalid(field: &str, cause: &str) -> ServeError {
     ServeError::Invalid(
         Step::Validate,
--- /dev/null
+++ b/boragerill/tests/retry.rs
@@ -0,0 +1,199 @@
+//! What may be repeated, and which server may be chosen.
+
+use std::time::Duration;
+
+use boragerill::{
+    answer::{
+        check_whole,
+        AnswerFault,
+        EventScanner,
+        StreamEvent, //
+    },
+    retry::{
+        AttemptProgress,
+        FailedAttempt,
+        RetryBudget,
+        RetryReason, //
+    },
+    route::{
+        choose,
+        RoutePolicy,
+        RouteQuery,
+        ServerHealth,
+        ServerView, //
+    },
+};
+use proptest::{
+    prelude::*,
+    test_runner::RngSeed, //
+};
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
+
+fn failed(progress: AttemptProgress, idempotent: bool) -> FailedAttempt {
+    FailedAttempt {
+        progress,
+        idempotent,
+        attempts: 1,
+        remaining: Duration::from_secs(5),
+    }
+}
+
+fn view(index: u64, load: u32) -> ServerView {
+    ServerView {
+        hash: index * 77,
+        local: index % 2 == 0,
+        leaving: false,
+        ejected: false,
+        load,
+        slots: 8,
+    }
+}
+
+#[test]
+fn repeats_only_what_is_safe() {
+    // Act.
+    let verdict =
+        |progress, idempotent| RetryBudget::default().decide(failed(progress, idempotent), 3);
+
+    // Assert.
+    for idempotent in [false, true] {
+        assert_eq!(
+            verdict(AttemptProgress::NothingSent, idempotent),
+            Some(RetryReason::ConnectFailed)
+        );
+        assert_eq!(verdict(AttemptProgress::AnswerStarted, idempotent), None);
+    }
+    assert_eq!(
+        verdict(AttemptProgress::Sent, true),
+        Some(RetryReason::ServerFailed)
+    );
+    assert_eq!(verdict(AttemptProgress::Sent, false), None);
+}
+
+#[test]
+fn retries_are_a_share_of_successes() {
+    // Arrange: an outage has used the budget up.
+    let mut budget = RetryBudget::default();
+    let retry = |budget: &mut RetryBudget| {
+        budget
+            .decide(failed(AttemptProgress::Sent, true), 3)
+            .is_some()
+    };
+    let spent = (0..100).take_while(|_| retry(&mut budget)).count();
+
+    // Act.
+    (0..50).for_each(|_| budget.earn());
+    let earned = (0..100).take_while(|_| retry(&mut budget)).count();
+
+    // Assert.
+    assert_eq!((spent, earned), (10, 5));
+}
+
+#[test]
+fn deadline_and_attempts_end_retries() {
+    // Arrange.
+    let late = FailedAttempt {
+        remaining: Duration::from_millis(5),
+        ..failed(AttemptProgress::Sent, true)
+    };
+    let last = FailedAttempt {
+        attempts: 3,
+        ..failed(AttemptProgress::Sent, true)
+    };
+
+    // Act and assert.
+    assert_eq!(RetryBudget::default().decide(late, 3), None);
+    assert_eq!(RetryBudget::default().decide(last, 3), None);
+}
+
+#[test]
+fn ejections_double_and_end_with_a_success() {
+    // Arrange.
+    let mut health = ServerHealth::default();
+
+    // Act.
+    (0..3).for_each(|_| health.note_failure(0));
+    let first = [0, 999, 1000].map(|ms| health.is_ejected(ms));
+    (0..3).for_each(|_| health.note_failure(1000));
+    let second = [1000, 2999, 3000].map(|ms| health.is_ejected(ms));
+    health.note_success();
+
+    // Assert.
+    assert_eq!(first, [true, true, false]);
+    assert_eq!(second, [true, true, false]);
+    assert!(!health.is_ejected(1000));
+}
+
+#[test]
+fn events_are_cut_and_checked() {
+    // Arrange: events that arrive in odd pieces, with a comment in between.
+    let mut scanner = EventScanner::new("r-1");
+    let text = b": hello\n\ndata: {\"id\":\"r-1\"}\n\ndata: [DONE]\n\n";
+
+    // Act.
+    let mut events = Vec::new();
+    for piece in text.chunks(5) {
+        scanner.push(piece);
+        while let Ok(Some(event)) = scanner.next_event() {
+            events.push(event);
+        }
+    }
+    scanner.push(b"data: {\"id\":\"r-2\"}\n\n");
+    let crossed = scanner.next_event();
+
+    // Assert.
+    assert!(matches!(
+        &events[..],
+        [StreamEvent::Part(_), StreamEvent::Done(_)]
+    ));
+    assert_eq!(crossed, Err(AnswerFault::Crossed));
+    assert_eq!(
+        check_whole(b"{\"id\":\"r-1\",\"choi", "r-1"),
+        Err(AnswerFault::Malformed)
+    );
+}
+
+proptest! {
+    #![proptest_config(config(6))]
+
+    /// A leaving or tried server is never chosen, an ejected one only below the floor, and some server
+    /// is chosen whenever one may be.
+    #[test]
+    fn choice_keeps_to_the_rules(
+        servers in prop::collection::vec((0_u32..20, any::<bool>(), any::<bool>()), 1..12),
+        tried in prop::collection::vec(0_usize..12, 0..4),
+        policy in prop_oneof![
+            Just(RoutePolicy::PrefixBounded),
+            Just(RoutePolicy::LeastInFlight),
+            Just(RoutePolicy::RoundRobin),
+            Just(RoutePolicy::PrefixOnly)
+        ],
+        prefix in prop::option::of(any::<u64>()),
+        draw in any::<u64>(),
+    ) {
+        let views: Vec<ServerView> = servers
+            .iter()
+            .enumerate()
+            .map(|(index, &(load, leaving, ejected))| ServerView { leaving, ejected, ..view(index as u64, load) })
+            .collect();
+        let query = RouteQuery { policy, prefix, draw, local_prefixes: false };
+        let chosen = choose(&views, &tried, query);
+        let staying: Vec<usize> = (0..views.len()).filter(|&index| !views[index].leaving).collect();
+        let healthy = staying.iter().filter(|&&index| !views[index].ejected).count();
+        let keeps_floor = 2 * healthy >= staying.len();
+        let mut eligible = staying.iter().filter(|&&index| !tried.contains(&index));
+        let eligible = eligible.any(|&index| !keeps_floor || !views[index].ejected);
+        prop_assert_eq!(chosen.is_some(), eligible);
+        if let Some(index) = chosen {
+            prop_assert!(!views[index].leaving && !tried.contains(&index));
+            prop_assert!(!keeps_floor || !views[index].ejected);
+        }
+    }
+}
--- a/control/src/hub.rs
+++ b/control/src/hub.rs
@@ -30,9 +30,12 @@
         FeederList,
         Hello,
         LoadShare,
+        LoadTotals,
+        ServerLoad,
         TokenAnswer,
         TokenAsk, //
     },
+    online::OnlineShares,
     platform::{
         PlatformClient,
         PlatformObject, //
@@ -73,7 +76,8 @@
     changes: broadcast::Sender<Arc<HubChange>>,
     publishing: Mutex<()>,
     load_takers: Mutex<Vec<FrameLink>>,
-    feeders: Mutex<Vec<(CompactString, Instant)>>, // VM and last heartbeat; sorted by VM.
+    online: Mutex<Vec<(CompactString, OnlineShares)>>, // Sorted by address.
+    feeders: Mutex<Vec<(CompactString, Instant)>>,     // VM and last heartbeat; sorted by VM.
 }
 
 impl ControlHub {
@@ -94,6 +98,7 @@
             changes: broadcast::channel(CHANGE_QUEUE).0,
             publishing: Mutex::default(),
             load_takers: Mutex::default(),
+            online: Mutex::default(),
             feeders: Mutex::default(),
             settings,
         }
@@ -185,6 +190,30 @@
         self.lock_takers().push(link);
     }
 
+    /// Notes shared loads and returns the totals of all VMs on the same servers.
+    pub(crate) fn total_loads(&self, load: &LoadShare) -> LoadTotals {
+        let now = Instant::now();
+        let mut online = self.online.lock().unwrap_or_else(PoisonError::into_inner);
+        let total = |server: &ServerLoad| {
+            let found = online.binary_search_by(|entry| entry.0.as_str().cmp(&server.address));
+            let index = found.unwrap_or_else(|index| {
+                online.insert(
+                    index,
+                    (server.address.as_str().into(), OnlineShares::default()),
+                );
+                index
+            });
+            online[index].1.note(&load.vm, server.in_flight, now);
+            ServerLoad {
+                address: server.address.clone(),
+                in_flight: online[index].1.total(now),
+            }
+        };
+        LoadTotals {
+            servers: load.servers.iter().map(total).collect(),
+        }
+    }
+
     /// Passes shared loads on.
     pub(crate) fn pass_load(&self, load: &LoadShare) {
         // A connection that has ended takes nothing more.
--- a/control/src/peers.rs
+++ b/control/src/peers.rs
@@ -18,7 +18,10 @@
         envelope::Body,
         ShareLend, //
     },
-    links::LinkTable,
+    links::{
+        LinkEvent,
+        LinkTable, //
+    },
     timer::TimerService, //
 };
 use compact_str::CompactString;
@@ -41,8 +44,10 @@
     while ticks.next().await.is_some() {
         if let Some(roster) = hub.store.load().roster() {
             let closing = hub.clone();
-            links.update(roster, &hub.settings.vm, move |vm| {
-                closing.lock_share().lose_peer(vm, Instant::now())
+            links.update(roster, &hub.settings.vm, move |vm, event| {
+                if matches!(event, LinkEvent::Closed) {
+                    closing.lock_share().lose_peer(vm, Instant::now());
+                }
             });
         }
         let now = Instant::now();
--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -142,7 +142,11 @@
                 }
                 vm = hello.vm.into();
             }
-            Some(Body::LoadShare(load)) => hub.pass_load(&load),
+            Some(Body::LoadShare(load)) => {
+                hub.pass_load(&load);
+                // A lost answer is made up for by the next.
+                let _ = link.push(0, Body::LoadTotals(hub.total_loads(&load)));
+            }
             Some(Body::Subscribe(subscribe)) => {
                 tokio::spawn(feed_subscriber(hub.clone(), link.clone(), subscribe.after));
             }
--- a/control/src/watcher.rs
+++ b/control/src/watcher.rs
@@ -82,9 +82,9 @@
     let mut objects = Vec::new();
     let mut begun: Option<Version> = None;
     for kind in WATCHED_KINDS {
-        let (listed, version) = hub.platform.list(kind).await?;
+        let (listed, version) = hub.platform.list(kind, config_object).await?;
         begun.get_or_insert(version);
-        objects.extend(listed.into_iter().map(config_object));
+        objects.extend(listed);
     }
     let through = begun.unwrap_or_default();
     hub.apply(ConfigDelta {
--- a/ctl/src/commands.rs
+++ b/ctl/src/commands.rs
@@ -209,7 +209,11 @@
         {
             Ok(batch) => batch,
             Err(ServeError::Compacted(..)) => {
-                after = platform.list(&kind).await.map_err(failed)?.1;
+                after = platform
+                    .list(&kind, |object| object)
+                    .await
+                    .map_err(failed)?
+                    .1;
                 continue;
             }
             Err(error) => return Err(failed(error)),
@@ -351,7 +355,13 @@
 ) -> CommandResult<Vec<ResourceView>> {
     let objects: Vec<PlatformObject> = match name {
         Some(name) => vec![platform.get(kind, name).await.map_err(failed)?],
-        None => platform.list(kind).await.map_err(failed)?.0,
+        None => {
+            platform
+                .list(kind, |object| object)
+                .await
+                .map_err(failed)?
+                .0
+        }
     };
     let mut views = Vec::with_capacity(objects.len());
     for object in objects {
--- a/entry/src/forward.rs
+++ b/entry/src/forward.rs
@@ -236,7 +236,7 @@
         request: &OutgoingRequest,
         address: &str,
     ) -> Result<CheckedAnswer, AttemptFailure> {
-        let flight = FlightGuard::new(self.servers.state(address));
+        let flight = self.servers.fly(address);
         let result = self.send(request, address, flight).await;
         let state = self.servers.state(address);
         self.servers.note_end(&state, result.is_ok());
--- a/entry/src/loads.rs
+++ b/entry/src/loads.rs
@@ -17,6 +17,7 @@
 
 use arc_swap::ArcSwap;
 use boragerill::{
+    generated::messages::LoadTotals,
     rank::hash_name,
     route::{
         ServerHealth,
@@ -28,6 +29,7 @@
     }, //
 };
 use compact_str::CompactString;
+use tokio::sync::Notify;
 
 /// Age beyond which a server's load report counts for nothing, in milliseconds.
 const REPORT_AGE_LIMIT_MS: u64 = 2000;
@@ -39,6 +41,8 @@
     shared: AtomicU32, // In flight as last told to the server's feeder.
     others: AtomicU32, // Requests of other VMs by the newest report.
     reported_ms: AtomicU64,
+    others_online: AtomicU32, // Online requests of other VMs as the server's feeder knows them.
+    totalled_ms: AtomicU64,
     health: Mutex<ServerHealth>,
 }
 
@@ -48,6 +52,7 @@
 #[derive(Debug)]
 pub(crate) struct ServerTable {
     entries: ArcSwap<ServerEntries>,
+    changed: Arc<Notify>,
     started: Instant,
 }
 
@@ -55,6 +60,7 @@
     fn default() -> ServerTable {
         ServerTable {
             entries: ArcSwap::default(),
+            changed: Arc::default(),
             started: Instant::now(),
         }
     }
@@ -88,6 +94,22 @@
             .collect()
     }
 
+    /// Counts a request on a server.
+    pub(crate) fn fly(&self, address: &str) -> FlightGuard {
+        let state = self.state(address);
+        state.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.changed.notify_one();
+        FlightGuard {
+            state,
+            changed: self.changed.clone(),
+        }
+    }
+
+    /// Waits until requests in flight have changed since the last wait.
+    pub(crate) async fn wait_for_change(&self) {
+        self.changed.notified().await;
+    }
+
     /// Returns the requests in flight on a server if its feeder has to be told.
     pub(crate) fn load_to_share(&self, address: &str, repeats: bool) -> Option<u32> {
         let entries = self.entries.load();
@@ -98,18 +120,30 @@
     }
 
     /// Returns how many requests of this process may run on a service: the slots of its servers less
-    /// what other VMs run there.
+    /// the online requests of other VMs there. Batch doesn't count, since it yields.
     pub(crate) fn capacity(&self, service: &ServiceRecord) -> u32 {
         let now_ms = self.now_ms();
         let staying = service.servers.iter().filter(|server| !server.leaving);
         let rooms = staying.map(|server| {
-            server
-                .slots
-                .saturating_sub(self.state(&server.address).others_at(now_ms))
+            let state = self.state(&server.address);
+            server.slots.saturating_sub(state.others_online_at(now_ms))
         });
         rooms.sum::<u32>().max(1)
     }
 
+    /// Takes over the online requests of all VMs on servers whose loads were shared.
+    pub(crate) fn note_totals(&self, totals: LoadTotals) {
+        let now_ms = self.now_ms();
+        for server in totals.servers {
+            let state = self.state(&server.address);
+            let own = state.shared.load(Ordering::Relaxed);
+            state
+                .others_online
+                .store(server.in_flight.saturating_sub(own), Ordering::Relaxed);
+            state.totalled_ms.store(now_ms, Ordering::Relaxed);
+        }
+    }
+
     /// Notes that an attempt ended well or badly.
     pub(crate) fn note_end(&self, state: &ServerState, succeeded: bool) {
         let now_ms = self.now_ms();
@@ -149,6 +183,15 @@
 }
 
 impl ServerState {
+    /// Returns the online requests of other VMs, or all their requests by the server's report while no
+    /// feeder totals them.
+    fn others_online_at(&self, now_ms: u64) -> u32 {
+        if now_ms < self.totalled_ms.load(Ordering::Relaxed) + REPORT_AGE_LIMIT_MS {
+            return self.others_online.load(Ordering::Relaxed);
+        }
+        self.others_at(now_ms)
+    }
+
     /// Returns the requests of other VMs by the server's report, if that is fresh.
     fn others_at(&self, now_ms: u64) -> u32 {
         let is_fresh = now_ms < self.reported_ms.load(Ordering::Relaxed) + REPORT_AGE_LIMIT_MS;
@@ -168,14 +211,10 @@
 #[derive(Debug)]
 pub(crate) struct FlightGuard {
     state: Arc<ServerState>,
+    changed: Arc<Notify>,
 }
 
 impl FlightGuard {
-    pub(crate) fn new(state: Arc<ServerState>) -> FlightGuard {
-        state.in_flight.fetch_add(1, Ordering::Relaxed);
-        FlightGuard { state }
-    }
-
     /// Returns the server's state.
     pub(crate) fn state(&self) -> &ServerState {
         &self.state
@@ -185,6 +224,7 @@
 impl Drop for FlightGuard {
     fn drop(&mut self) {
         self.state.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.changed.notify_one();
     }
 }
 
--- a/entry/src/rate.rs
+++ b/entry/src/rate.rs
@@ -19,10 +19,14 @@
         envelope::Body,
         token_answer::Outcome,
         Hello,
+        LoadTotals,
         TokenAnswer,
         TokenAsk, //
     },
-    links::LinkTable,
+    links::{
+        LinkEvent,
+        LinkTable, //
+    },
     rank::ranking,
     refusal::{
         RefusalAnswer,
@@ -71,12 +75,21 @@
         }
     }
 
-    /// Follows the roster for as long as the process runs.
-    pub(crate) async fn follow_roster(self, store: Arc<SnapshotStore>) {
+    /// Follows the roster for as long as the process runs; `on_totals` sees the online requests of all
+    /// VMs on the servers whose loads were shared.
+    pub(crate) async fn follow_roster<F>(self, store: Arc<SnapshotStore>, on_totals: F)
+    where
+        F: Fn(LoadTotals) + Clone + Send + 'static,
+    {
         let mut changes = store.subscribe();
         loop {
             if let Some(roster) = store.load().roster() {
-                self.links.update(roster, "", |_| {});
+                let on_totals = on_totals.clone();
+                self.links.update(roster, "", move |_, event| {
+                    if let LinkEvent::Message(Body::LoadTotals(totals)) = event {
+                        on_totals(totals);
+                    }
+                });
             }
             if changes.changed().await.is_err() {
                 return;
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -174,7 +174,14 @@
     tokio::spawn(follow_any(state.store.clone(), hello, controls, |_| {}));
     tokio::spawn(share_loads(state.clone()));
     tokio::spawn(update_gates(state.clone()));
-    tokio::spawn(state.rate.clone().follow_roster(state.store.clone()));
+    let forward = state.forward.clone();
+    let on_totals = move |totals| forward.servers().note_totals(totals);
+    tokio::spawn(
+        state
+            .rate
+            .clone()
+            .follow_roster(state.store.clone(), on_totals),
+    );
     tokio::spawn(report_readiness(state.store.clone(), health.clone()));
     let drain = Duration::from_millis(state.settings.drain_ms);
     let routes: Vec<Route> = METHODS
--- a/entry/src/share.rs
+++ b/entry/src/share.rs
@@ -14,11 +14,12 @@
     timer::TimerService, //
 };
 use compact_str::CompactString;
+use tokio::time::sleep;
 
 use crate::server::EntryState;
 
-/// Period of looking for changed loads; bounds how late batch yields.
-const SHARE_PERIOD: Duration = Duration::from_millis(5);
+/// Time for which changed loads are collected; bounds how late batch yields.
+const COLLECT_TIME: Duration = Duration::from_millis(5);
 
 /// Period of repeating loads that haven't changed.
 const REPEAT_PERIOD: Duration = Duration::from_secs(1);
@@ -29,19 +30,25 @@
 /// Shares loads for as long as the process runs.
 pub(crate) async fn share_loads(state: EntryState) {
     let mut timer = TimerService::default();
-    let mut ticks = timer.subscribe(SHARE_PERIOD);
-    let mut repeated = Instant::now();
-    while let Some(now) = ticks.next().await {
-        let repeats = now.saturating_duration_since(repeated) >= REPEAT_PERIOD;
-        if repeats {
-            repeated = now;
-        }
+    let mut ticks = timer.subscribe(REPEAT_PERIOD);
+    loop {
+        let repeats = tokio::select! {
+            () = state.forward.servers().wait_for_change() => {
+                // Changes that come together go out together.
+                sleep(COLLECT_TIME).await;
+                false
+            }
+            tick = ticks.next() => match tick {
+                Some(_) => true,
+                None => return,
+            },
+        };
         for (vm, servers) in collect_loads(&state, repeats) {
             let load = LoadShare {
                 vm: state.settings.vm.clone(),
                 servers,
             };
-            if let Some(link) = state.rate.links().find(&vm, now) {
+            if let Some(link) = state.rate.links().find(&vm, Instant::now()) {
                 // A lost message is made up for by the next repetition.
                 let _ = link.push(0, Body::LoadShare(load));
             }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -7,8 +7,8 @@
 mkdir -p "$copy"
 survived=0
 killed=0
-mutant() { # NAME FILE OLD NEW TEST-BINARY TEST
-    local name=$1 file=$2 old=$3 new=$4 binary=$5 test=$6
+mutant() { # NAME FILE OLD NEW TEST-BINARY TEST [PACKAGE]
+    local name=$1 file=$2 old=$3 new=$4 binary=$5 test=$6 package=${7:-boragerill}
     if [ -n "${only:-}" ] && [ "$only" != "$name" ]; then return; fi
     rm -rf "$copy"
     mkdir -p "$copy"
@@ -18,7 +18,7 @@
         survived=$((survived + 1))
         return
     fi
-    if (cd "$copy" && CARGO_TARGET_DIR=../build RUST_BACKTRACE=0 cargo test --quiet -p boragerill --test "$binary" "$test" >../log 2>&1); then
+    if (cd "$copy" && CARGO_TARGET_DIR=../build RUST_BACKTRACE=0 cargo test --quiet -p "$package" --test "$binary" "$test" >../log 2>&1); then
         echo "SURVIVED $name: $binary::$test passes"
         survived=$((survived + 1))
     elif grep -q '^test result: FAILED' target/mutants/log; then
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -241,6 +241,17 @@
         fleet
             .wait_for(&format!("http://127.0.0.1:{platform_port}/vms"))
             .await;
+        for engine in &fleet.engines {
+            fleet
+                .wait_for(&format!("http://127.0.0.1:{}/load", engine.1))
+                .await;
+        }
+        fleet
+            .wait_for(&format!(
+                "http://127.0.0.1:{}/standin/runs",
+                fleet.service.1
+            ))
+            .await;
         for index in 0..fleet.spec.vms.len() {
             let vm = fleet.start_vm(index);
             fleet.vms.push(vm);
--- a/standins/tests/batch.rs
+++ b/standins/tests/batch.rs
@@ -2,8 +2,12 @@
 
 mod system;
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
+use futures_util::StreamExt;
 use serde_json::{
     json,
     Value, //
@@ -321,3 +325,61 @@
     );
     assert_eq!(answered + count(&outcomes, "unknown") as u64, 200);
 }
+
+#[tokio::test]
+async fn burst_of_online_requests_takes_capacity_back_at_once() {
+    // Arrange: batch fills both engines with items of a second each.
+    let fleet = SystemFleet::start("batch-yield", 2).await;
+    assert_eq!(
+        submit(
+            &fleet,
+            0,
+            "night",
+            ("asesor-pivot", CHAT),
+            chat_items(300, 500)
+        )
+        .await
+        .0,
+        201
+    );
+    eventually(JOB_LIMIT, "engines full of batch", || async {
+        let mut running = 0;
+        for engine in &fleet.engines {
+            running += fleet.standin(engine.1, "counters").await["running"]
+                .as_u64()
+                .unwrap_or(0);
+        }
+        running >= 28
+    })
+    .await;
+
+    // Act: 24 online requests at once, for 32 slots.
+    let requests = (0..24).map(|index| fleet.chat(index % 2, KEY, 100, true));
+    let first_tokens = requests.map(|request| async {
+        let sent = Instant::now();
+        let response = request.send().await.expect("answer");
+        assert_eq!(response.status(), 200);
+        response
+            .bytes_stream()
+            .next()
+            .await
+            .expect("event")
+            .expect("bytes");
+        sent.elapsed()
+    });
+    let waits = futures_util::future::join_all(first_tokens).await;
+    eventually(JOB_LIMIT, "job complete", || async {
+        state(&fleet, 1, "night").await == "complete"
+    })
+    .await;
+
+    // Assert: the target for the first token holds for all of them, and no item was lost or doubled.
+    let longest = waits.into_iter().max().expect("requests");
+    assert!(
+        longest <= Duration::from_millis(340),
+        "first token after {longest:?}"
+    );
+    let outcomes = outcomes(&fleet, 0, "night").await;
+    assert_complete(&outcomes, 300);
+    assert_eq!(count(&outcomes, "answer"), 300);
+}
