--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -14,7 +14,8 @@
 
 Usage: bench run CASE.json [--json FILE]   open-loop load on real processes, each variant in turn
        bench ways                          ways to hold a rate over all VMs, on decision code alone
-       bench slopes                        cost of control against VMs and workspaces, and of a request
+       bench slopes [PART]                 cost of control against VMs and workspaces, and of a request;
+                                           PART is controls, workspaces, changes or requests
 
 Programs are taken from the folder of this one; build with `cargo build --release --bins` first.";
 
@@ -35,7 +36,10 @@
     let result = match arguments.subcommand().ok().flatten().as_deref() {
         Some("run") => runtime.block_on(run::run_case(arguments)),
         Some("ways") => ways::compare(),
-        Some("slopes") => runtime.block_on(slopes::measure()),
+        Some("slopes") => {
+            let only: Option<String> = arguments.opt_free_from_str().ok().flatten();
+            runtime.block_on(slopes::measure(only.as_deref()))
+        }
         _ => Err(HELP.to_owned()),
     };
     match result {
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -166,6 +166,25 @@
     }
 }
 
+/// Prints how each workspace fared.
+fn print_workspaces(case: &BenchCase, report: &VariantReport) {
+    for (index, workspace) in case.workspaces.iter().enumerate() {
+        let first = report.latencies(|end| end.workspace == index, |end| end.first);
+        let whole = report.latencies(|end| end.workspace == index, |end| end.whole);
+        let sent = report.count(|end| end.workspace == index);
+        let complete = report.count(|end| end.workspace == index && end.complete);
+        println!(
+            "| {} | {} | {complete} of {sent} | {:.1} / {:.1} | {:.1} / {:.1} |",
+            report.name,
+            workspace.name,
+            ms(&first, 0.5),
+            ms(&first, 0.99),
+            ms(&whole, 0.5),
+            ms(&whole, 0.99),
+        );
+    }
+}
+
 /// Returns the worst p99 of the first token among the workspaces within their rate, and the least
 /// share of their requests that were answered.
 fn worst_workspace(case: &BenchCase, report: &VariantReport) -> (f64, f64) {
--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -57,26 +57,35 @@
     resident_kib: u64,
 }
 
-/// Measures and prints the slopes.
-pub(crate) async fn measure() -> Result<(), String> {
-    println!("## Control against VMs of one region\n");
-    println!("| control processes | % of a core each | KB/s sent each | resident MB | s from start of all to shared out |");
-    println!("|---|---|---|---|---|");
-    for count in [3, 6, 12, 24, 48] {
-        measure_controls(count).await;
+/// Measures and prints the slopes, or only the one that is named.
+pub(crate) async fn measure(only: Option<&str>) -> Result<(), String> {
+    let wanted = |name: &str| only.is_none_or(|only| only == name);
+    if wanted("controls") {
+        println!("## Control against VMs of one region\n");
+        println!("| control processes | % of a core each | KB/s sent each | resident MB | s from start of all to shared out |");
+        println!("|---|---|---|---|---|");
+        for count in [3, 6, 12, 24, 48] {
+            measure_controls(count).await;
+        }
     }
-    println!("\n## Workspaces, each with one key\n");
-    println!("| workspaces | control MB | entry MB | batch MB | s from restart of a VM to ready | platform calls of it |");
-    println!("|---|---|---|---|---|---|");
-    for count in [1_000, 10_000, 50_000] {
-        measure_workspaces(count).await;
+    if wanted("workspaces") {
+        println!("\n## Workspaces, each with one key\n");
+        println!("| workspaces | control MB | entry MB | batch MB | s from restart of a VM to ready | its platform calls |");
+        println!("|---|---|---|---|---|---|");
+        for count in [1_000, 10_000, 50_000] {
+            measure_workspaces(count).await;
+        }
+    }
+    if wanted("changes") {
+        println!(
+            "\n## A change of configuration until the last of 6 entry processes has it in force\n"
+        );
+        measure_in_force().await;
+    }
+    if wanted("requests") {
+        println!("\n## A request\n");
+        measure_requests().await;
     }
-    println!(
-        "\n## A change of configuration until the last of 6 entry processes has it in force\n"
-    );
-    measure_in_force().await;
-    println!("\n## A request\n");
-    measure_requests().await;
     Ok(())
 }
 
@@ -200,6 +209,8 @@
     let mut fleet = small_fleet("workspaces", 2).await;
     declare_workspaces(&fleet, count).await;
     sleep(SETTLE_TIME).await;
+    // Statuses of the declarations are still being written by the other VM.
+    fleet.vms[0].control.kill();
     let before = platform_calls(&fleet).await;
     let vm = &mut fleet.vms[1];
     vm.entry.kill();
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod spare;
 pub mod submit;
 pub mod timer;
+mod units;
 
 /// Code generated from the schemas; see `codegen`.
 #[expect(missing_docs, clippy::all)]
--- a/boragerill/src/share.rs
+++ b/boragerill/src/share.rs
@@ -38,7 +38,8 @@
         RosterView,
         Units,
         TOTAL_UNITS, //
-    }, //
+    },
+    units::UnitAccount, //
 };
 
 /// Longest time between asking for tokens and letting the request go.
@@ -111,13 +112,6 @@
     updated: Instant,
 }
 
-/// Units that are about to become usable.
-#[derive(Clone, Copy, Debug)]
-struct UnitGain {
-    units: Units,
-    usable: Instant,
-}
-
 /// One member's decisions on lending, owning and granting.
 #[derive(Clone, Debug)]
 pub struct ShareState {
@@ -128,9 +122,7 @@
     peers: Vec<PeerState>,    // Sorted by VM.
     sequence: u64,
     sent: Vec<(u64, Instant)>, // Own sequences and when they were sent.
-    units: Units,
-    gains: Vec<UnitGain>,
-    gift: Units, // Withheld, and not yet given away.
+    units: UnitAccount,
     from: Placement,
     to: Placement,
     settled: Instant,                 // When the placement `from` may be dropped.
@@ -150,9 +142,7 @@
             peers: Vec::new(),
             sequence: 0,
             sent: Vec::new(),
-            units: 0,
-            gains: Vec::new(),
-            gift: 0,
+            units: UnitAccount::default(),
             from: Placement::default(),
             to: Placement::default(),
             settled: now,
@@ -175,7 +165,9 @@
         if self.rosters.len() > ROSTER_HISTORY {
             self.rosters.remove(0);
         }
-        self.adopt_units(declared, now);
+        self.units
+            .declare(declared, now + self.settings.lease + self.settings.margin);
+        self.hold_own(now);
         self.place(now);
     }
 
@@ -186,7 +178,7 @@
 
     /// Returns the units in use, own ones that are withheld for a gift excluded.
     pub fn units(&self) -> Units {
-        self.units
+        self.units.usable()
     }
 
     /// Notes that the connection to a peer was lost.
@@ -200,21 +192,16 @@
     /// Withholds units so that they can be given away, and returns those withheld. Whoever gets them
     /// waits until no lease on them can be in force.
     pub fn offer_gift(&mut self, units: Units, now: Instant) -> Option<Units> {
-        if self.gift > 0 {
-            return Some(self.gift);
-        }
-        if units == 0 || units > self.units || !self.gains.is_empty() {
-            return None;
-        }
-        self.units -= units;
-        self.gift = units;
+        let withheld = self.units.withhold(units);
         self.hold_own(now);
-        Some(units)
+        withheld
     }
 
     /// Advances timers and returns the heartbeat for each other member.
     pub fn tick(&mut self, now: Instant) -> Vec<(CompactString, ShareLend)> {
-        self.collect_gains(now);
+        if self.units.collect(now) {
+            self.hold_own(now);
+        }
         self.place(now);
         self.drop_expired(now);
         let Some(view) = self.newest() else {
@@ -305,48 +292,6 @@
         held.map(|segment| segment.units).sum()
     }
 
-    fn adopt_units(&mut self, declared: Units, now: Instant) {
-        let pending: Units = self.gains.iter().map(|gain| gain.units).sum();
-        let known = self.units + pending + self.gift;
-        if declared >= known {
-            let usable = now + self.settings.lease + self.settings.margin;
-            if declared > known {
-                self.gains.push(UnitGain {
-                    units: declared - known,
-                    usable,
-                });
-            }
-            return;
-        }
-        // A roster with fewer units than known carries this member's own gift.
-        let mut lost = known - declared;
-        let given = self.gift.min(lost);
-        self.gift -= given;
-        lost -= given;
-        for gain in self.gains.iter_mut().rev() {
-            let taken = gain.units.min(lost);
-            gain.units -= taken;
-            lost -= taken;
-        }
-        self.units = self.units.saturating_sub(lost);
-        self.hold_own(now);
-    }
-
-    fn collect_gains(&mut self, now: Instant) {
-        let ready = self
-            .gains
-            .iter()
-            .filter(|gain| gain.usable <= now)
-            .map(|gain| gain.units);
-        let units: Units = ready.sum();
-        if units == 0 {
-            return;
-        }
-        self.gains.retain(|gain| gain.usable > now);
-        self.units += units;
-        self.hold_own(now);
-    }
-
     /// Moves towards the placement that reachability asks for, one change at a time.
     fn place(&mut self, now: Instant) {
         if self.from != self.to && now >= self.settled {
@@ -396,7 +341,7 @@
         ShareLend {
             from: Some(self.from.clone()),
             to: Some(self.to.clone()),
-            units: self.units,
+            units: self.units.usable(),
             lease_ms: u32::try_from(self.settings.lease.as_millis()).unwrap_or(0),
             sequence: self.sequence,
             incarnation: self.incarnation,
@@ -411,7 +356,7 @@
         let terms = LeaseTerms {
             from: self.from.clone(),
             to: self.to.clone(),
-            units: self.units,
+            units: self.units.usable(),
             expires: None,
         };
         let own = self.vm.clone();
--- a/entry/src/loads.rs
+++ b/entry/src/loads.rs
@@ -31,6 +31,9 @@
 use compact_str::CompactString;
 use tokio::sync::Notify;
 
+/// Part of the slots by which online requests may exceed them.
+const ELASTIC_PART: u32 = 4;
+
 /// Age beyond which a server's load report counts for nothing, in milliseconds.
 const REPORT_AGE_LIMIT_MS: u64 = 2000;
 
@@ -111,12 +114,17 @@
     }
 
     /// Returns the requests in flight on a server if its feeder has to be told.
-    pub(crate) fn load_to_share(&self, address: &str, repeats: bool) -> Option<u32> {
+    pub(crate) fn load_to_share(&self, address: &str, scope: ShareScope) -> Option<u32> {
         let entries = self.entries.load();
         let state = &entries[search(&entries, address).ok()?].1;
         let in_flight = state.in_flight.load(Ordering::Relaxed);
         let shared = state.shared.swap(in_flight, Ordering::Relaxed);
-        (in_flight != shared || (repeats && in_flight > 0)).then_some(in_flight)
+        let repeats = match scope {
+            ShareScope::Changed => false,
+            ShareScope::Running => in_flight > 0,
+            ShareScope::All => true,
+        };
+        (repeats || in_flight != shared).then_some(in_flight)
     }
 
     /// Returns how many requests of this process may run on a service: the slots of its servers less
@@ -126,7 +134,7 @@
         let staying = service.servers.iter().filter(|server| !server.leaving);
         let rooms = staying.map(|server| {
             let state = self.state(&server.address);
-            server.slots.saturating_sub(state.others_online_at(now_ms))
+            elastic_slots(server.slots).saturating_sub(state.others_online_at(now_ms))
         });
         rooms.sum::<u32>().max(1)
     }
@@ -207,6 +215,17 @@
     }
 }
 
+/// Which loads are shared.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ShareScope {
+    /// Those that have changed.
+    Changed,
+    /// Also those of servers with requests in flight.
+    Running,
+    /// All, to learn the totals while requests wait.
+    All,
+}
+
 /// Counts an attempt as in flight until dropped.
 #[derive(Debug)]
 pub(crate) struct FlightGuard {
@@ -228,6 +247,12 @@
     }
 }
 
+/// Returns the requests of a server beyond which others wait. Engines batch continuously, so a few more
+/// than the slots slow each request a little, which costs less than waiting on totals that lag.
+fn elastic_slots(slots: u32) -> u32 {
+    slots + slots.div_ceil(ELASTIC_PART)
+}
+
 fn search(entries: &ServerEntries, address: &str) -> Result<usize, usize> {
     entries.binary_search_by(|entry| entry.0.as_str().cmp(address))
 }
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -21,6 +21,7 @@
 mod loads;
 mod rate;
 mod record;
+mod relay;
 mod reply;
 mod server;
 mod share;
--- a/entry/src/share.rs
+++ b/entry/src/share.rs
@@ -16,7 +16,10 @@
 use compact_str::CompactString;
 use tokio::time::sleep;
 
-use crate::server::EntryState;
+use crate::{
+    loads::ShareScope,
+    server::EntryState, //
+};
 
 /// Time for which changed loads are collected; bounds how late batch yields.
 const COLLECT_TIME: Duration = Duration::from_millis(5);
@@ -25,39 +28,44 @@
 const REPEAT_PERIOD: Duration = Duration::from_secs(1);
 
 /// Period of admitting waiting requests when capacity changes elsewhere.
-const GATE_PERIOD: Duration = Duration::from_millis(20);
+const GATE_PERIOD: Duration = Duration::from_millis(50);
 
 /// Shares loads for as long as the process runs.
 pub(crate) async fn share_loads(state: EntryState) {
     let mut timer = TimerService::default();
     let mut ticks = timer.subscribe(REPEAT_PERIOD);
     loop {
-        let repeats = tokio::select! {
+        let scope = tokio::select! {
             () = state.forward.servers().wait_for_change() => {
                 // Changes that come together go out together.
                 sleep(COLLECT_TIME).await;
-                false
+                ShareScope::Changed
             }
             tick = ticks.next() => match tick {
-                Some(_) => true,
+                Some(_) => ShareScope::Running,
                 None => return,
             },
         };
-        for (vm, servers) in collect_loads(&state, repeats) {
-            let load = LoadShare {
-                vm: state.settings.vm.clone(),
-                servers,
-            };
-            if let Some(link) = state.rate.links().find(&vm, Instant::now()) {
-                // A lost message is made up for by the next repetition.
-                let _ = link.push(0, Body::LoadShare(load));
-            }
+        send_loads(&state, scope);
+    }
+}
+
+fn send_loads(state: &EntryState, scope: ShareScope) {
+    let now = Instant::now();
+    for (vm, servers) in collect_loads(state, scope) {
+        let load = LoadShare {
+            vm: state.settings.vm.clone(),
+            servers,
+        };
+        if let Some(link) = state.rate.links().find(&vm, now) {
+            // A lost message is made up for by the next repetition.
+            let _ = link.push(0, Body::LoadShare(load));
         }
     }
 }
 
 /// Returns the loads to share, by the VM that feeds the server.
-fn collect_loads(state: &EntryState, repeats: bool) -> Vec<(CompactString, Vec<ServerLoad>)> {
+fn collect_loads(state: &EntryState, scope: ShareScope) -> Vec<(CompactString, Vec<ServerLoad>)> {
     let snapshot = state.store.load();
     let Some(roster) = snapshot.roster() else {
         return Vec::new();
@@ -72,7 +80,7 @@
         let Some(in_flight) = state
             .forward
             .servers()
-            .load_to_share(&server.address, repeats)
+            .load_to_share(&server.address, scope)
         else {
             continue;
         };
@@ -96,7 +104,11 @@
     let mut timer = TimerService::default();
     let mut ticks = timer.subscribe(GATE_PERIOD);
     while ticks.next().await.is_some() {
-        for (name, gate) in state.gates.crowded() {
+        let crowded = state.gates.crowded();
+        if !crowded.is_empty() {
+            send_loads(&state, ShareScope::All);
+        }
+        for (name, gate) in crowded {
             let snapshot = state.store.load();
             let capacity = snapshot
                 .find_service(&name)
