--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -157,6 +157,11 @@
             report.writes,
         );
     }
+    println!("\n| variant | workspace | complete | first token p50 / p99 ms | whole answer p50 / p99 ms |");
+    println!("|---|---|---|---|---|");
+    for report in reports {
+        print_workspaces(case, report);
+    }
     for report in reports {
         println!(
             "\n{}: reasons of incomplete requests: {}",
