--- a/boragerill/src/share.rs
+++ b/boragerill/src/share.rs
@@ -165,8 +165,8 @@
         if self.rosters.len() > ROSTER_HISTORY {
             self.rosters.remove(0);
         }
-        self.units
-            .declare(declared, now + self.settings.lease + self.settings.margin);
+        let usable = now + self.settings.lease + self.settings.margin;
+        self.units.declare(declared, usable);
         self.hold_own(now);
         self.place(now);
     }
