--- /dev/null
+++ b/boragerill/src/backend.rs
@@ -0,0 +1,238 @@
+//! The backend servers that registered themselves, and which of them get new work.
+//!
+//! Entries come with the store's revisions. An entry that vanishes while the store is away, or shortly
+//! after it is back, stays in use until the server had time to register again.
+
+use std::{
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use compact_str::CompactString;
+
+use crate::rank::hash_name;
+
+/// Revision of the platform's store.
+pub type Revision = u64;
+
+/// Name under which a backend server registers.
+pub type ServerId = CompactString;
+
+/// Time after the store's return in which servers register again.
+pub const RETURN_GRACE: Duration = Duration::from_millis(2200);
+
+/// Removed entries that are remembered for VMs that lag behind.
+const REMOVED_KEPT: usize = 512;
+
+/// One backend server as it registered itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackendServer {
+    /// Name of the entry; unlike the address it isn't used again by others.
+    pub id: ServerId,
+    /// IP number and port.
+    pub address: SocketAddr,
+    /// Service that it belongs to.
+    pub service: CompactString,
+    /// Failure domain.
+    pub domain: CompactString,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it gets no new work.
+    pub leaving: bool,
+    /// Identifies the start of the server's process.
+    pub start: u64,
+}
+
+impl BackendServer {
+    /// Returns the key by which VMs tell each other of the server.
+    pub fn key(&self) -> u32 {
+        server_key(&self.id)
+    }
+}
+
+/// Returns the short key of a server's id.
+pub fn server_key(id: &str) -> u32 {
+    (hash_name(id) >> 32) as u32
+}
+
+/// One entry of the store, or what is left of a removed one.
+#[derive(Clone, Debug)]
+struct BackendEntry {
+    id: ServerId,
+    revision: Revision,
+    server: Option<BackendServer>,
+    missing: Option<Instant>, // When the entry was found missing.
+}
+
+/// A change of one entry, as VMs hand it to each other.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackendChange {
+    /// Name of the entry.
+    pub id: ServerId,
+    /// Revision of the change.
+    pub revision: Revision,
+    /// The server, or `None` when the entry is gone or names no server.
+    pub server: Option<BackendServer>,
+}
+
+/// All entries up to one revision.
+#[derive(Clone, Debug, Default)]
+pub struct BackendTable {
+    through: Revision,
+    entries: Vec<BackendEntry>, // Sorted by id.
+    returned: Option<Instant>,  // When the store was last found back after it had been away.
+    away: bool,
+}
+
+impl BackendTable {
+    /// Returns the revision up to which the table is complete.
+    pub fn through(&self) -> Revision {
+        self.through
+    }
+
+    /// Notes that the store can't be reached.
+    pub fn note_away(&mut self) {
+        self.away = true;
+    }
+
+    /// Notes that the store answers.
+    pub fn note_back(&mut self, now: Instant) {
+        if std::mem::take(&mut self.away) {
+            self.returned = Some(now);
+        }
+    }
+
+    /// Takes over changes that complete the table to `through`.
+    pub fn apply(&mut self, changes: Vec<BackendChange>, through: Revision, now: Instant) {
+        for change in changes {
+            self.apply_one(change, now);
+        }
+        self.through = self.through.max(through);
+        self.forget_old();
+    }
+
+    /// Takes over a whole listing as of `through`; what it lacks is gone.
+    pub fn replace(&mut self, listed: Vec<BackendChange>, through: Revision, now: Instant) {
+        if through < self.through {
+            return;
+        }
+        let mut ids: Vec<&ServerId> = listed.iter().map(|change| &change.id).collect();
+        ids.sort();
+        let gone: Vec<ServerId> = self
+            .entries
+            .iter()
+            .filter(|entry| entry.server.is_some() && ids.binary_search(&&entry.id).is_err())
+            .map(|entry| entry.id.clone())
+            .collect();
+        let removals = gone.into_iter().map(|id| BackendChange {
+            id,
+            revision: through,
+            server: None,
+        });
+        let changes = removals.chain(listed).collect();
+        self.apply(changes, through, now);
+    }
+
+    /// Returns the changes after a revision, or everything when that is too long ago.
+    pub fn changes_since(&self, since: Revision) -> Vec<BackendChange> {
+        let newer = self.entries.iter().filter(|entry| entry.revision > since);
+        newer
+            .map(|entry| BackendChange {
+                id: entry.id.clone(),
+                revision: entry.revision,
+                server: entry.server.clone().filter(|_| entry.missing.is_none()),
+            })
+            .collect()
+    }
+
+    /// Returns whether [`BackendTable::expire`] would drop an entry.
+    pub fn has_lapsed(&self, now: Instant) -> bool {
+        let due = self.returned.map(|returned| returned + RETURN_GRACE);
+        let passed = !self.away && due.is_none_or(|due| now >= due);
+        let missing = |entry: &BackendEntry| entry.server.is_some() && entry.missing.is_some();
+        passed && self.entries.iter().any(missing)
+    }
+
+    /// Drops entries whose servers had time to register again; returns whether any was dropped.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        if !self.has_lapsed(now) {
+            return false;
+        }
+        let missing = self
+            .entries
+            .iter_mut()
+            .filter(|entry| entry.missing.is_some());
+        for entry in missing {
+            entry.server = None;
+            entry.missing = None;
+        }
+        true
+    }
+
+    /// Returns the servers in use, those that get no new work included.
+    pub fn servers(&self) -> impl Iterator<Item = &BackendServer> {
+        self.entries
+            .iter()
+            .filter_map(|entry| entry.server.as_ref())
+    }
+
+    fn apply_one(&mut self, change: BackendChange, now: Instant) {
+        let found = self
+            .entries
+            .binary_search_by(|entry| entry.id.cmp(&change.id));
+        let index = match found {
+            Ok(index) if self.entries[index].revision >= change.revision => return,
+            Ok(index) => index,
+            Err(index) => {
+                let entry = BackendEntry {
+                    id: change.id.clone(),
+                    revision: 0,
+                    server: None,
+                    missing: None,
+                };
+                self.entries.insert(index, entry);
+                index
+            }
+        };
+        let holds = self.holds_missing(now);
+        let entry = &mut self.entries[index];
+        entry.revision = change.revision;
+        match change.server {
+            Some(server) => {
+                entry.server = Some(server);
+                entry.missing = None;
+            }
+            // A server that was leaving has left; others may only have lapsed with the store.
+            None if holds && entry.server.as_ref().is_some_and(|server| !server.leaving) => {
+                entry.missing = Some(now);
+            }
+            None => {
+                entry.server = None;
+                entry.missing = None;
+            }
+        }
+    }
+
+    /// Returns whether entries that vanish now may come back by themselves.
+    fn holds_missing(&self, now: Instant) -> bool {
+        self.away
+            || self
+                .returned
+                .is_some_and(|returned| now < returned + RETURN_GRACE)
+    }
+
+    fn forget_old(&mut self) {
+        let removed = self.entries.iter().filter(|entry| entry.server.is_none());
+        let mut revisions: Vec<Revision> = removed.map(|entry| entry.revision).collect();
+        if revisions.len() <= REMOVED_KEPT {
+            return;
+        }
+        revisions.sort_unstable();
+        let oldest = revisions[revisions.len() - REMOVED_KEPT];
+        self.entries
+            .retain(|entry| entry.server.is_some() || entry.revision >= oldest);
+    }
+}
--- /dev/null
+++ b/boragerill/src/job.rs
@@ -0,0 +1,455 @@
+//! Progress of a small batch job: items run side by side, and results are listed once they are stored.
+//!
+//! Results are kept as a log of chunks. Each chunk is an object of the platform that is created under
+//! the next free number, so that all VMs agree on the position of every result: a runner that finds the
+//! number taken adopts what stands there. Running an item twice costs work, never a second result.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use bytes::Bytes;
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::stream::{
+    event_data,
+    event_id,
+    split_events,
+    EventId, //
+};
+
+/// Identifies a job among all jobs of its workspace; chosen by the client.
+pub type JobId = CompactString;
+
+/// Most bytes of text in one chunk of results.
+pub const CHUNK_TEXT_BYTES: usize = 256 * 1024;
+
+/// One item as the client submitted it.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct JobItem {
+    /// Identifies the item; also the id of its requests.
+    pub id: CompactString,
+    /// Path that the item is posted to.
+    pub path: CompactString,
+    /// Headers of the request.
+    pub headers: Vec<(CompactString, CompactString)>,
+    /// Body of the request.
+    #[serde(with = "base64_body")]
+    pub body: Bytes,
+    /// Tokens of the prompt and of the longest output.
+    pub tokens: u64,
+}
+
+/// What stands in the object by which a job is accepted.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct JobHead {
+    /// Workspace of the job.
+    pub workspace: CompactString,
+    /// Host that the submission named.
+    pub host: CompactString,
+    /// Path that the submission was posted to.
+    pub path: CompactString,
+    /// Prefix of the route that took the submission.
+    pub prefix: CompactString,
+    /// Number of items.
+    pub items: usize,
+    /// Tokens of all items.
+    pub tokens: u64,
+    /// Objects that hold the items.
+    pub parts: u32,
+    /// Name of the objects that hold the items; differs between submissions.
+    pub input: CompactString,
+    /// Time of day of the submission, in milliseconds since 1970.
+    pub submitted_ms: u64,
+    /// Digest of the items, by which a resend is told from another job of the same id.
+    pub digest: u64,
+}
+
+/// How an item ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JobOutcome {
+    /// Its whole output is there.
+    Completed,
+    /// It was given up.
+    Failed,
+}
+
+/// The one final result of an item.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct JobResult {
+    /// The item.
+    pub id: CompactString,
+    /// How it ended.
+    pub outcome: JobOutcome,
+    /// The data of all its events, separated by line feeds.
+    pub text: CompactString,
+}
+
+/// Results that are stored together.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct ResultChunk {
+    /// Results in the order of their positions.
+    pub results: Vec<JobResult>,
+}
+
+/// Items that are stored together.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct InputPart {
+    /// Items in the order of the submission.
+    pub items: Vec<JobItem>,
+}
+
+/// Returns the name of a chunk of results.
+pub fn chunk_object(job: &str, index: u32) -> CompactString {
+    format_compact!("{job}.{index:04}")
+}
+
+/// Returns the name of a part of the items.
+pub fn part_object(input: &str, index: u32) -> CompactString {
+    format_compact!("{input}.{index:04}")
+}
+
+/// Splits items into parts whose bodies stay under a limit.
+pub fn split_items(items: Vec<JobItem>, limit_bytes: usize) -> Vec<InputPart> {
+    let mut parts = vec![InputPart::default()];
+    let mut size = 0;
+    for item in items {
+        size += item.body.len();
+        let last = parts.last().map_or(0, |part| part.items.len());
+        if size > limit_bytes && last > 0 {
+            parts.push(InputPart::default());
+            size = item.body.len();
+        }
+        if let Some(part) = parts.last_mut() {
+            part.items.push(item);
+        }
+    }
+    parts
+}
+
+/// Where an item stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ItemPhase {
+    /// It can be started.
+    Waiting,
+    /// It runs.
+    Running,
+    /// It ended and isn't stored yet.
+    Ended(JobOutcome),
+    /// Its result is stored.
+    Listed,
+}
+
+/// Progress of one item.
+#[derive(Clone, Debug)]
+struct ItemProgress {
+    phase: ItemPhase,
+    text: Vec<u8>,
+    last: Option<EventId>,
+    failures: u32,
+    pause_until: Option<Instant>,
+}
+
+/// Progress of one job.
+#[derive(Clone, Debug)]
+pub struct JobProgress {
+    items: Vec<ItemProgress>,
+    ids: Vec<(CompactString, usize)>, // Sorted by id.
+    listed: Vec<JobResult>,           // In the order of their positions.
+    chunks: u32,                      // Chunks that are stored.
+    pending: Option<ResultChunk>,     // Being stored; its content must not change.
+    ended: bool,
+}
+
+impl JobProgress {
+    /// Starts a job none of whose items has run.
+    pub fn new<'a>(ids: impl Iterator<Item = &'a CompactString>) -> JobProgress {
+        let mut ids: Vec<(CompactString, usize)> =
+            ids.cloned().enumerate().map(|(i, id)| (id, i)).collect();
+        let fresh = ItemProgress {
+            phase: ItemPhase::Waiting,
+            text: Vec::new(),
+            last: None,
+            failures: 0,
+            pause_until: None,
+        };
+        let items = vec![fresh; ids.len()];
+        ids.sort();
+        JobProgress {
+            items,
+            ids,
+            listed: Vec::new(),
+            chunks: 0,
+            pending: None,
+            ended: false,
+        }
+    }
+
+    /// Returns the number of items.
+    pub fn total(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Returns the stored results in the order of their positions.
+    pub fn listed(&self) -> &[JobResult] {
+        &self.listed
+    }
+
+    /// Returns the number of stored chunks.
+    pub fn chunks(&self) -> u32 {
+        self.chunks
+    }
+
+    /// Returns whether every result is stored.
+    pub fn is_complete(&self) -> bool {
+        self.listed.len() == self.items.len()
+    }
+
+    /// Returns whether nothing more will run: all is stored, or the client ended the job.
+    pub fn is_closed(&self) -> bool {
+        self.ended || self.is_complete()
+    }
+
+    /// Returns whether the client ended the job.
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Ends the job for its client; what isn't stored yet stays so.
+    pub fn end(&mut self) {
+        self.ended = true;
+    }
+
+    /// Returns where an item stands.
+    pub fn phase(&self, index: usize) -> ItemPhase {
+        self.items[index].phase
+    }
+
+    /// Returns the position of an item in the submission.
+    pub fn find(&self, id: &str) -> Option<usize> {
+        let found = self.ids.binary_search_by(|entry| entry.0.as_str().cmp(id));
+        Some(self.ids[found.ok()?].1)
+    }
+
+    /// Returns the items that can be started now: first those that have come farthest.
+    pub fn startable(&self, now: Instant) -> Vec<usize> {
+        if self.ended {
+            return Vec::new();
+        }
+        let waiting = (0..self.items.len()).filter(|&index| {
+            let item = &self.items[index];
+            item.phase == ItemPhase::Waiting && item.pause_until.is_none_or(|until| until <= now)
+        });
+        let mut waiting: Vec<usize> = waiting.collect();
+        waiting.sort_by_key(|&index| std::cmp::Reverse(self.items[index].text.len()));
+        waiting
+    }
+
+    /// Returns the items that haven't ended.
+    pub fn unfinished(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.items.len()).filter(|&index| {
+            matches!(
+                self.items[index].phase,
+                ItemPhase::Waiting | ItemPhase::Running
+            )
+        })
+    }
+
+    /// Marks an item as running, and returns the number of the event after which it goes on.
+    pub fn begin(&mut self, index: usize) -> Option<EventId> {
+        self.items[index].phase = ItemPhase::Running;
+        self.items[index].last
+    }
+
+    /// Returns how much of an item's output is there, in bytes.
+    pub fn progress(&self, index: usize) -> usize {
+        self.items[index].text.len()
+    }
+
+    /// Returns an item's output so far and the number of its last event, to be handed to another VM.
+    pub fn partial(&self, index: usize) -> Option<(EventId, &[u8])> {
+        let item = &self.items[index];
+        Some((item.last?, &item.text))
+    }
+
+    /// Takes over output that another VM received.
+    pub fn adopt_partial(&mut self, index: usize, last: EventId, text: &[u8]) {
+        let item = &mut self.items[index];
+        if item.phase == ItemPhase::Waiting && item.last.is_none_or(|known| known < last) {
+            item.last = Some(last);
+            item.text = text.to_vec();
+        }
+    }
+
+    /// Adds complete events to an item's output.
+    pub fn extend(&mut self, index: usize, chunk: &[u8]) {
+        let item = &mut self.items[index];
+        if item.phase != ItemPhase::Running {
+            return;
+        }
+        for event in split_events(chunk) {
+            if item.last.is_some() {
+                item.text.push(b'\n');
+            }
+            item.text.extend_from_slice(&event_data(event));
+            item.last = event_id(event).or(item.last).or(Some(0));
+        }
+    }
+
+    /// Puts a running item back; it goes on where it stopped.
+    pub fn pause(&mut self, index: usize, until: Option<Instant>) {
+        let item = &mut self.items[index];
+        if item.phase == ItemPhase::Running {
+            item.phase = ItemPhase::Waiting;
+            item.pause_until = until;
+        }
+    }
+
+    /// Notes that a backend server failed an item; after `attempts` of these it is given up.
+    pub fn fail(&mut self, index: usize, attempts: u32, until: Instant) {
+        let item = &mut self.items[index];
+        if item.phase != ItemPhase::Running {
+            return;
+        }
+        item.failures += 1;
+        if item.failures >= attempts {
+            self.give_up(index);
+            return;
+        }
+        // A failed run may have spoiled what came of it.
+        item.phase = ItemPhase::Waiting;
+        item.pause_until = Some(until);
+        item.text.clear();
+        item.last = None;
+    }
+
+    /// Gives an item up.
+    pub fn give_up(&mut self, index: usize) {
+        let item = &mut self.items[index];
+        if matches!(item.phase, ItemPhase::Waiting | ItemPhase::Running) {
+            item.phase = ItemPhase::Ended(JobOutcome::Failed);
+            item.text.clear();
+        }
+    }
+
+    /// Notes that an item's whole output is there.
+    pub fn complete(&mut self, index: usize) {
+        let item = &mut self.items[index];
+        if item.phase == ItemPhase::Running {
+            item.phase = ItemPhase::Ended(JobOutcome::Completed);
+        }
+    }
+
+    /// Returns the number of items that ended and aren't stored.
+    pub fn unlisted(&self) -> usize {
+        let ended = self.items.iter();
+        ended
+            .filter(|item| matches!(item.phase, ItemPhase::Ended(_)))
+            .count()
+    }
+
+    /// Returns the number and content of the chunk to be stored next; the same until its fate is known.
+    pub fn next_chunk(&mut self) -> Option<(u32, ResultChunk)> {
+        if self.pending.is_none() {
+            let chunk = self.collect_chunk();
+            if chunk.results.is_empty() {
+                return None;
+            }
+            self.pending = Some(chunk);
+        }
+        Some((self.chunks, self.pending.clone()?))
+    }
+
+    /// Lists the results of a chunk that is stored under `number`.
+    pub fn adopt_chunk(&mut self, number: u32, chunk: &ResultChunk) {
+        if number != self.chunks {
+            return;
+        }
+        self.pending = None;
+        self.chunks += 1;
+        for result in &chunk.results {
+            let Some(index) = self.find(&result.id) else {
+                continue;
+            };
+            if self.items[index].phase == ItemPhase::Listed {
+                continue;
+            }
+            self.items[index].phase = ItemPhase::Listed;
+            self.items[index].text = Vec::new();
+            self.listed.push(result.clone());
+        }
+    }
+
+    fn collect_chunk(&self) -> ResultChunk {
+        let mut chunk = ResultChunk::default();
+        let mut size = 0;
+        for (id, index) in &self.ids {
+            let item = &self.items[*index];
+            let ItemPhase::Ended(outcome) = item.phase else {
+                continue;
+            };
+            size += item.text.len();
+            if size > CHUNK_TEXT_BYTES && !chunk.results.is_empty() {
+                break;
+            }
+            chunk.results.push(JobResult {
+                id: id.clone(),
+                outcome,
+                text: CompactString::from_utf8_lossy(&item.text),
+            });
+        }
+        chunk
+    }
+}
+
+/// A job as the order of work sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct JobPressure {
+    /// Time until the results are due; negative times are zero.
+    pub left: Duration,
+    /// Whether results are worth less by now.
+    pub late: bool,
+}
+
+impl JobPressure {
+    /// Returns the rank of a job, lowest first: those that can still be in time by their due time, then
+    /// the late ones.
+    pub fn rank(self) -> (bool, Duration) {
+        (self.late, self.left)
+    }
+}
+
+mod base64_body {
+    //! Bodies as base64 text.
+
+    use base64::{
+        engine::general_purpose::STANDARD,
+        Engine, //
+    };
+    use bytes::Bytes;
+    use serde::{
+        de::Error,
+        Deserialize,
+        Deserializer,
+        Serializer, //
+    };
+
+    pub(super) fn serialize<S: Serializer>(body: &Bytes, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&STANDARD.encode(body))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Bytes, D::Error> {
+        let text = <std::borrow::Cow<'de, str>>::deserialize(from)?;
+        let body = STANDARD.decode(text.as_bytes()).map_err(D::Error::custom)?;
+        Ok(body.into())
+    }
+}
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -11,18 +11,26 @@
 //! assert_eq!(chosen, Some(1));
 //! ```
 
+pub mod allowance;
 pub mod answer;
+pub mod api;
+pub mod backend;
 pub mod batch;
+pub mod catalog;
 pub mod chunk;
 pub mod config;
 pub mod error;
 pub mod feed;
 pub mod frame;
+pub mod job;
 pub mod keys;
 pub mod kinds;
 mod lease;
 pub mod links;
+pub mod logger;
+pub mod member;
 pub mod online;
+pub mod place;
 pub mod platform;
 pub mod process;
 pub mod queue;
@@ -36,12 +44,14 @@
 pub mod share;
 pub mod snapshot;
 pub mod spare;
+pub mod stream;
 pub mod submit;
+pub mod sync;
 pub mod timer;
 mod units;
 
 /// Code generated from the schemas; see `codegen`.
-#[expect(missing_docs, clippy::all)]
+#[expect(missing_docs, dead_code, clippy::all)]
 pub mod generated {
     #[rustfmt::skip]
     pub mod kinds;
--- /dev/null
+++ b/boragerill/src/member.rs
@@ -0,0 +1,234 @@
+//! The VMs of the fleet as one of them sees them, from heartbeats.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use compact_str::CompactString;
+
+use crate::rank::{
+    hash_name,
+    score, //
+};
+
+/// Silence after which a VM counts as unreachable.
+pub const SILENCE: Duration = Duration::from_millis(600);
+
+/// Silence after which a VM no longer counts as a part of the fleet.
+pub const FORGET: Duration = Duration::from_secs(60);
+
+/// Start of a VM's process; differs from one start to the next.
+pub type Incarnation = u64;
+
+/// What a VM says of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct MemberFacts {
+    /// Name of the VM.
+    pub vm: CompactString,
+    /// IP number and port for heartbeats and calls.
+    pub address: CompactString,
+    /// Failure domain.
+    pub domain: CompactString,
+    /// Start of its process.
+    pub incarnation: Incarnation,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// Whether it follows the store by itself and has heard from it lately.
+    pub follows: bool,
+}
+
+/// One other VM.
+#[derive(Clone, Debug)]
+pub struct FleetMember {
+    /// What it says of itself.
+    pub facts: MemberFacts,
+    /// Hash of its name.
+    pub hash: u64,
+    /// When it was last heard.
+    pub heard: Option<Instant>,
+    sequence: u64,
+    known: Instant,
+}
+
+/// What a heartbeat tells about its sender.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BeatVerdict {
+    /// An older heartbeat, to be passed over.
+    Stale,
+    /// A further heartbeat.
+    Current,
+    /// The first heartbeat of a VM, of a new process of it, or after a silence.
+    Returned,
+}
+
+/// The other VMs.
+#[derive(Clone, Debug, Default)]
+pub struct MemberTable {
+    own: MemberFacts,
+    members: Vec<FleetMember>, // Sorted by the hash of the name.
+}
+
+impl MemberTable {
+    /// Makes a table for the VM that `own` describes.
+    pub fn new(own: MemberFacts) -> MemberTable {
+        MemberTable {
+            own,
+            members: Vec::new(),
+        }
+    }
+
+    /// Returns what the own VM says of itself.
+    pub fn own(&self) -> &MemberFacts {
+        &self.own
+    }
+
+    /// Changes what the own VM says of itself.
+    pub fn own_mut(&mut self) -> &mut MemberFacts {
+        &mut self.own
+    }
+
+    /// Adds a VM that others know, before it is heard.
+    pub fn learn(&mut self, facts: MemberFacts, now: Instant) {
+        let hash = hash_name(&facts.vm);
+        if facts.vm == self.own.vm || self.find(hash).is_some() {
+            return;
+        }
+        let index = self.members.partition_point(|member| member.hash < hash);
+        let member = FleetMember {
+            facts,
+            hash,
+            heard: None,
+            sequence: 0,
+            known: now,
+        };
+        self.members.insert(index, member);
+    }
+
+    /// Notes a heartbeat with the sender's whole facts.
+    pub fn note_beat(&mut self, facts: MemberFacts, sequence: u64, now: Instant) -> BeatVerdict {
+        if facts.vm == self.own.vm {
+            return BeatVerdict::Stale;
+        }
+        let hash = hash_name(&facts.vm);
+        self.learn(facts.clone(), now);
+        let Ok(index) = self.search(hash) else {
+            return BeatVerdict::Stale;
+        };
+        let member = &mut self.members[index];
+        let restarted = member.facts.incarnation != facts.incarnation;
+        if !restarted && member.heard.is_some() && member.sequence >= sequence {
+            return BeatVerdict::Stale;
+        }
+        let silent = member.heard.is_none_or(|heard| now >= heard + SILENCE);
+        member.facts = facts;
+        member.sequence = sequence;
+        member.heard = Some(now);
+        if restarted || silent {
+            return BeatVerdict::Returned;
+        }
+        BeatVerdict::Current
+    }
+
+    /// Notes a short message of a VM's process, and returns whether it is to be used.
+    pub fn note_update(
+        &mut self,
+        hash: u64,
+        incarnation: Incarnation,
+        sequence: u64,
+        now: Instant,
+    ) -> bool {
+        let Ok(index) = self.search(hash) else {
+            return false;
+        };
+        let member = &mut self.members[index];
+        let current = member.facts.incarnation == incarnation
+            && member.heard.is_some()
+            && member.sequence < sequence;
+        if current {
+            member.sequence = sequence;
+            member.heard = Some(now);
+        }
+        current
+    }
+
+    /// Returns another VM by the hash of its name.
+    pub fn find(&self, hash: u64) -> Option<&FleetMember> {
+        Some(&self.members[self.search(hash).ok()?])
+    }
+
+    /// Returns all other VMs.
+    pub fn members(&self) -> &[FleetMember] {
+        &self.members
+    }
+
+    /// Returns the other VMs that were heard lately.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = &FleetMember> {
+        self.members
+            .iter()
+            .filter(move |member| member.is_heard(now))
+    }
+
+    /// Returns the number of VMs of the fleet, the own one included.
+    pub fn fleet_size(&self) -> usize {
+        let staying = self.members.iter().filter(|member| !member.facts.leaving);
+        1 + staying.count()
+    }
+
+    /// Returns the number of VMs that were heard lately, the own one included.
+    pub fn heard_size(&self, now: Instant) -> usize {
+        1 + self
+            .heard(now)
+            .filter(|member| !member.facts.leaving)
+            .count()
+    }
+
+    /// Drops VMs that have been silent for long, and those that left.
+    pub fn forget_silent(&mut self, now: Instant) -> Vec<u64> {
+        let is_gone = |member: &FleetMember| {
+            let since = member.heard.unwrap_or(member.known);
+            let limit = if member.facts.leaving {
+                SILENCE
+            } else {
+                FORGET
+            };
+            now >= since + limit
+        };
+        let gone = self.members.iter().filter(|member| is_gone(member));
+        let gone: Vec<u64> = gone.map(|member| member.hash).collect();
+        self.members.retain(|member| !is_gone(member));
+        gone
+    }
+
+    /// Returns the rank of the own VM for a duty among the reachable VMs that don't leave: zero goes
+    /// first.
+    pub fn own_rank(&self, duty: u64, now: Instant) -> usize {
+        let own = score(duty, hash_name(&self.own.vm));
+        self.heard(now)
+            .filter(|member| !member.facts.leaving && score(duty, member.hash) > own)
+            .count()
+    }
+
+    /// Returns how many reachable VMs that follow the store rank before the own one for a duty.
+    pub fn followers_before(&self, duty: u64, now: Instant) -> usize {
+        let own = score(duty, hash_name(&self.own.vm));
+        let following = self
+            .heard(now)
+            .filter(|member| member.facts.follows && !member.facts.leaving);
+        following
+            .filter(|member| score(duty, member.hash) > own)
+            .count()
+    }
+
+    fn search(&self, hash: u64) -> Result<usize, usize> {
+        self.members
+            .binary_search_by_key(&hash, |member| member.hash)
+    }
+}
+
+impl FleetMember {
+    /// Returns whether the VM was heard lately.
+    pub fn is_heard(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|heard| now < heard + SILENCE)
+    }
+}
--- /dev/null
+++ b/boragerill/src/place.rs
@@ -0,0 +1,195 @@
+//! Where requests go: the places of backend servers, as all VMs use them.
+//!
+//! A server runs as many requests at once as it has places and admits further ones in order of arrival,
+//! whatever their rank. VMs tell each other within milliseconds how many requests each has at each
+//! server, so that online requests find free places and batch items give theirs up in time.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use crate::rank::score;
+
+/// Age beyond which a VM's report of its requests counts for nothing.
+pub const REPORT_LIFETIME: Duration = Duration::from_millis(700);
+
+/// Requests that one VM has at one server.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PlaceUse {
+    /// Requests of callers.
+    pub online: u32,
+    /// Items of batch jobs.
+    pub batch: u32,
+}
+
+impl PlaceUse {
+    /// Returns all requests.
+    pub fn total(self) -> u32 {
+        self.online + self.batch
+    }
+}
+
+/// What one VM reported of one server.
+#[derive(Clone, Copy, Debug)]
+struct PeerUse {
+    vm: u64,
+    used: PlaceUse,
+    noted: Instant,
+}
+
+/// Reports of the other VMs by server.
+#[derive(Clone, Debug, Default)]
+pub struct PlaceTable {
+    servers: Vec<(u32, Vec<PeerUse>)>, // Sorted by the server's key; reports sorted by VM.
+}
+
+impl PlaceTable {
+    /// Notes what a VM uses of a server.
+    pub fn note(&mut self, vm: u64, server: u32, used: PlaceUse, now: Instant) {
+        let index = match self.servers.binary_search_by_key(&server, |entry| entry.0) {
+            Ok(index) => index,
+            Err(index) => {
+                self.servers.insert(index, (server, Vec::new()));
+                index
+            }
+        };
+        let reports = &mut self.servers[index].1;
+        let report = PeerUse {
+            vm,
+            used,
+            noted: now,
+        };
+        match reports.binary_search_by_key(&vm, |known| known.vm) {
+            Ok(index) => reports[index] = report,
+            Err(index) => reports.insert(index, report),
+        }
+    }
+
+    /// Takes over a VM's whole report: servers that it doesn't name, it doesn't use.
+    pub fn note_all(&mut self, vm: u64, uses: &[(u32, PlaceUse)], now: Instant) {
+        self.forget_vm(vm);
+        for &(server, used) in uses {
+            self.note(vm, server, used, now);
+        }
+    }
+
+    /// Drops the reports of a VM.
+    pub fn forget_vm(&mut self, vm: u64) {
+        for (_, reports) in &mut self.servers {
+            reports.retain(|report| report.vm != vm);
+        }
+        self.servers.retain(|entry| !entry.1.is_empty());
+    }
+
+    /// Returns what the other VMs use of a server.
+    pub fn others(&self, server: u32, now: Instant) -> PlaceUse {
+        let mut total = PlaceUse::default();
+        for report in self.fresh_reports(server, now) {
+            total.online += report.used.online;
+            total.batch += report.used.batch;
+        }
+        total
+    }
+
+    /// Returns how many of its own batch items a VM has to pause at a server, so that no online request
+    /// waits there: the VMs that run items give up places in an order that all of them agree on.
+    pub fn pauses(&self, server: u32, own: OwnUse, slots: u32, now: Instant) -> u32 {
+        let others = self.others(server, now);
+        let total = others.total() + own.used.total();
+        let mut excess = total.saturating_sub(slots);
+        let own_rank = score(u64::from(server), own.vm);
+        for report in self.fresh_reports(server, now) {
+            if score(u64::from(server), report.vm) > own_rank {
+                excess = excess.saturating_sub(report.used.batch);
+            }
+        }
+        excess.min(own.used.batch)
+    }
+
+    fn fresh_reports(&self, server: u32, now: Instant) -> impl Iterator<Item = &PeerUse> {
+        let found = self.servers.binary_search_by_key(&server, |entry| entry.0);
+        let reports = found.map_or(&[][..], |index| self.servers[index].1.as_slice());
+        reports
+            .iter()
+            .filter(move |report| now < report.noted + REPORT_LIFETIME)
+    }
+}
+
+/// What the deciding VM itself uses of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnUse {
+    /// Hash of the VM's name.
+    pub vm: u64,
+    /// Its requests.
+    pub used: PlaceUse,
+}
+
+/// One server as a choice sees it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlaceView {
+    /// Key of the server.
+    pub key: u32,
+    /// Requests of all VMs.
+    pub used: PlaceUse,
+    /// Requests that the server runs at once.
+    pub slots: u32,
+    /// Whether the server is in the own failure domain.
+    pub local: bool,
+    /// Whether the server gets no new work.
+    pub leaving: bool,
+    /// Whether the server failed lately.
+    pub suspect: bool,
+}
+
+/// What an online request asks for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlaceQuery {
+    /// Hash of the prompt's prefix, by which servers are preferred that may hold it.
+    pub prefix: Option<u64>,
+    /// Any number that differs from request to request.
+    pub draw: u64,
+    /// Requests that may wait at a server beyond its places.
+    pub waiting: u32,
+}
+
+/// Places by which a server in the own failure domain may be fuller than one elsewhere.
+const LOCAL_BIAS: u32 = 1;
+
+/// Chooses the server for an online request, or none when all servers are full: one with a free place
+/// first, else one whose batch items will give up theirs.
+pub fn choose_place(views: &[PlaceView], tried: &[u32], query: PlaceQuery) -> Option<usize> {
+    let usable = |view: &PlaceView| !view.leaving && !tried.contains(&view.key);
+    let fits = |view: &PlaceView| view.used.online < view.slots + query.waiting;
+    let rank = |view: &PlaceView| {
+        let waits = view.used.total() >= view.slots;
+        let load = view.used.total() + if view.local { 0 } else { LOCAL_BIAS };
+        let affinity = query
+            .prefix
+            .map_or(0, |prefix| u64::MAX - score(prefix, u64::from(view.key)));
+        let spread = score(query.draw, u64::from(view.key));
+        (view.suspect, waits, load, affinity, spread)
+    };
+    let candidates = views.iter().enumerate();
+    let candidates = candidates.filter(|(_, view)| usable(view) && fits(view));
+    let best = candidates.min_by_key(|(_, view)| rank(view));
+    best.map(|(index, _)| index)
+}
+
+/// Chooses the server for a batch item: the emptiest one that keeps `reserve` places free for online
+/// requests.
+pub fn choose_batch_place(views: &[PlaceView], tried: &[u32], reserve: u32) -> Option<usize> {
+    let fits = |view: &PlaceView| {
+        !view.leaving
+            && !view.suspect
+            && !tried.contains(&view.key)
+            && view.used.total() + reserve < view.slots
+    };
+    let rank = |view: &PlaceView| {
+        let load = view.used.total() + if view.local { 0 } else { LOCAL_BIAS };
+        (load, view.key)
+    };
+    let candidates = views.iter().enumerate().filter(|(_, view)| fits(view));
+    let best = candidates.min_by_key(|(_, view)| rank(view));
+    best.map(|(index, _)| index)
+}
--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -2,25 +2,25 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use compact_str::{
     CompactString,
     ToCompactString, //
 };
 use metrics::counter;
-use reqwest::{
-    Client,
-    Method,
-    RequestBuilder,
-    Response,
-    StatusCode, //
-};
-use serde::{
-    de::DeserializeOwned,
-    Deserialize, //
-};
+use reqwest::Client;
+use serde::Deserialize;
 use serde_json::Value;
 
 use crate::{
+    api::{
+        ApiCall,
+        ApiCodec,
+        ApiRelay,
+        ApiRequest,
+        ApiResponse,
+        Decoded, //
+    },
     config::Version,
     error::{
         ServeError,
@@ -28,55 +28,25 @@
     }, //
 };
 
+pub use crate::api::{
+    Expected,
+    ObjectPage,
+    PlatformObject,
+    WatchBatch,
+    WriteReceipt, //
+};
+
 /// Time that the platform may take beyond a watch's own wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Objects on one page of a listing.
-const PAGE_LIMIT: usize = 1000;
-
-/// An object as the platform returns it.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(default)]
-pub struct PlatformObject {
-    /// Kind of the object.
-    pub kind: CompactString,
-    /// Name, unique for the kind.
-    pub name: CompactString,
-    /// Version of the last write.
-    pub version: Version,
-    /// Version of the write that created the object.
-    pub created: Version,
-    /// Whether the event is a deletion.
-    pub deleted: bool,
-    /// Short text kept beside the value and returned by listings of names.
-    pub label: CompactString,
-    /// Declared value.
-    pub spec: Value,
-}
-
-/// One page of a listing.
-#[derive(Debug, Default, Deserialize)]
-struct ObjectPage {
-    items: Vec<PlatformObject>,
-    next: Option<CompactString>,
-    version: Version,
-}
+/// Longest time for opening a connection to the platform.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// What a watch returned.
-#[derive(Debug, Default, Deserialize)]
-pub struct WatchBatch {
-    /// Changed objects, oldest first.
-    pub events: Vec<PlatformObject>,
-    /// Version up to which the events are complete.
-    pub version: Version,
-}
+/// Silence of a connection after which it is probed, and the time between probes.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
 
-/// Versions that a write produced.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-pub struct WriteReceipt {
-    /// Version of the object after the write.
-    pub version: Version,
-}
+/// Unanswered probes after which a connection counts as lost.
+const PROBES: u32 = 2;
 
 /// One VM on the platform's list.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -94,30 +64,63 @@
     vms: Vec<ListedVm>,
 }
 
-/// What a write expects of the object it replaces.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Expected {
-    /// The object must not exist.
-    Absent,
-    /// The object must be at this version.
-    At(Version),
-    /// Any state will do.
-    Any,
+/// How a client reaches the platform.
+#[derive(Clone)]
+pub struct ClientOptions {
+    /// Wire format.
+    pub codec: ApiCodec,
+    /// Longest time for one call, beyond a watch's own wait.
+    pub timeout: Duration,
+    /// Other way to the platform, taken when the straight one fails.
+    pub relay: Option<ApiRelay>,
+}
+
+impl Default for ClientOptions {
+    fn default() -> ClientOptions {
+        ClientOptions {
+            codec: ApiCodec::own(),
+            timeout: CALL_TIMEOUT,
+            relay: None,
+        }
+    }
 }
 
 /// Calls the platform and counts each call.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct PlatformClient {
     base: CompactString,
     http: Client,
+    options: ClientOptions,
+}
+
+impl std::fmt::Debug for PlatformClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PlatformClient")
+            .field("base", &self.base)
+            .finish_non_exhaustive()
+    }
 }
 
 impl PlatformClient {
     /// Makes a client of the object API at `base`, such as `http://127.0.0.1:7000`.
     pub fn new(base: &str) -> PlatformClient {
+        PlatformClient::with_options(base, ClientOptions::default())
+    }
+
+    /// Makes a client with another wire format, time-out or way.
+    pub fn with_options(base: &str, options: ClientOptions) -> PlatformClient {
+        let builder = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .tcp_keepalive(PROBE_PERIOD)
+            .tcp_keepalive_interval(PROBE_PERIOD)
+            .tcp_keepalive_retries(PROBES)
+            .tcp_user_timeout(PROBE_PERIOD * (PROBES + 1))
+            .no_proxy();
         PlatformClient {
             base: base.trim_end_matches('/').into(),
-            http: Client::new(),
+            http: builder.build().unwrap_or_default(),
+            options,
         }
     }
 
@@ -132,8 +135,9 @@
     ///
     /// Returns `ServeError::Missing` when the object doesn't exist.
     pub async fn get(&self, kind: &str, name: &str) -> Result<PlatformObject, ServeError> {
-        let request = self.request(Method::GET, &format!("objects/{kind}/{name}"));
-        self.call(Step::PlatformRead, request).await
+        let call = ApiCall::Get { kind, name };
+        self.call(Step::PlatformRead, call, self.options.codec.decode_object)
+            .await
     }
 
     /// Writes one object.
@@ -150,11 +154,31 @@
         label: &str,
         spec: &Value,
     ) -> Result<WriteReceipt, ServeError> {
-        let request = self.request(Method::PUT, &format!("objects/{kind}/{name}"));
-        let request = expect(request, expected)
-            .header("x-label", label)
-            .json(spec);
-        self.call(Step::PlatformWrite, request).await
+        let call = ApiCall::Put {
+            kind,
+            name,
+            expected,
+            label,
+            spec,
+        };
+        self.call(Step::PlatformWrite, call, self.options.codec.decode_receipt)
+            .await
+    }
+
+    /// Writes the status of one object.
+    ///
+    /// # Errors
+    ///
+    /// As [`PlatformClient::put`], and `ServeError::Missing`.
+    pub async fn put_status(
+        &self,
+        kind: &str,
+        name: &str,
+        status: &Value,
+    ) -> Result<WriteReceipt, ServeError> {
+        let call = ApiCall::PutStatus { kind, name, status };
+        self.call(Step::PlatformWrite, call, self.options.codec.decode_receipt)
+            .await
     }
 
     /// Writes one object; when the answer is lost, reads back whether the write took effect. The value
@@ -211,8 +235,12 @@
         name: &str,
         expected: Expected,
     ) -> Result<WriteReceipt, ServeError> {
-        let request = self.request(Method::DELETE, &format!("objects/{kind}/{name}"));
-        self.call(Step::PlatformWrite, expect(request, expected))
+        let call = ApiCall::Delete {
+            kind,
+            name,
+            expected,
+        };
+        self.call(Step::PlatformWrite, call, self.options.codec.decode_receipt)
             .await
     }
 
@@ -226,25 +254,39 @@
         kind: &str,
         convert: impl Fn(PlatformObject) -> T,
     ) -> Result<(Vec<T>, Version), ServeError> {
-        self.list_pages(kind, "", "all", convert).await
+        self.list_pages(kind, "", false, convert).await
     }
 
-    /// Lists names, versions and labels of the objects whose name starts with `prefix`.
+    /// Lists the objects whose name starts with `prefix`.
     ///
     /// # Errors
     ///
     /// As [`PlatformClient::list`].
-    pub async fn list_names(
+    pub async fn list_prefix(
         &self,
         kind: &str,
         prefix: &str,
     ) -> Result<Vec<PlatformObject>, ServeError> {
         let (objects, _) = self
-            .list_pages(kind, prefix, "names", |object| object)
+            .list_pages(kind, prefix, false, |object| object)
             .await?;
         Ok(objects)
     }
 
+    /// Lists names, versions and labels of the objects whose name starts with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// As [`PlatformClient::list`].
+    pub async fn list_names(
+        &self,
+        kind: &str,
+        prefix: &str,
+    ) -> Result<Vec<PlatformObject>, ServeError> {
+        let (objects, _) = self.list_pages(kind, prefix, true, |object| object).await?;
+        Ok(objects)
+    }
+
     /// Waits for objects of the kinds that changed after a version.
     ///
     /// # Errors
@@ -256,15 +298,9 @@
         after: Version,
         wait: Duration,
     ) -> Result<WatchBatch, ServeError> {
-        let request = self
-            .request(Method::GET, "watch")
-            .timeout(wait + CALL_TIMEOUT);
-        let request = request.query(&[
-            ("after", after.to_string()),
-            ("kinds", kinds.join(",")),
-            ("wait_ms", wait.as_millis().to_string()),
-        ]);
-        self.call(Step::PlatformRead, request).await
+        let call = ApiCall::Watch { kinds, after, wait };
+        self.call(Step::PlatformRead, call, self.options.codec.decode_watch)
+            .await
     }
 
     /// Reads the list of live and leaving VMs.
@@ -273,70 +309,143 @@
     ///
     /// Fails when the platform can't be reached.
     pub async fn list_vms(&self) -> Result<Vec<ListedVm>, ServeError> {
-        let request = self.request(Method::GET, "vms");
-        let list: VmList = self.call(Step::PlatformRead, request).await?;
+        let decode = |body: &[u8]| serde_json::from_slice::<VmList>(body);
+        let list = self
+            .call(Step::PlatformRead, ApiCall::ListVms, decode)
+            .await?;
         Ok(list.vms)
     }
 
+    /// Carries out a request for another VM that can't reach the platform itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no answer came.
+    pub async fn forward(
+        &self,
+        request: ApiRequest,
+        timeout: Duration,
+    ) -> Result<ApiResponse, ServeError> {
+        self.send_straight(Step::PlatformRead, request, timeout)
+            .await
+    }
+
     async fn list_pages<T>(
         &self,
         kind: &str,
         prefix: &str,
-        fields: &str,
+        names_only: bool,
         convert: impl Fn(PlatformObject) -> T,
     ) -> Result<(Vec<T>, Version), ServeError> {
         let mut objects = Vec::new();
         let mut begun = None;
         let mut after = CompactString::default();
         loop {
-            let request = self
-                .request(Method::GET, &format!("objects/{kind}"))
-                .query(&[
-                    ("after", after.as_str()),
-                    ("prefix", prefix),
-                    ("fields", fields),
-                    ("limit", &PAGE_LIMIT.to_string()),
-                ]);
-            let page: ObjectPage = self.call(Step::PlatformRead, request).await?;
+            let call = ApiCall::List {
+                kind,
+                after: &after,
+                prefix,
+                names_only,
+            };
+            let decode = self.options.codec.decode_page;
+            let page = self.call(Step::PlatformRead, call, decode).await?;
             begun.get_or_insert(page.version);
-            objects.extend(page.items.into_iter().map(&convert));
+            let listed = page.items.len();
+            let fitting = page
+                .items
+                .into_iter()
+                .filter(|object| object.name.starts_with(prefix));
+            let before = objects.len();
+            objects.extend(fitting.map(&convert));
+            let passed = objects.len() - before < listed;
             match page.next {
-                Some(next) => after = next,
-                None => return Ok((objects, begun.unwrap_or_default())),
+                Some(next) if !passed => after = next,
+                _ => return Ok((objects, begun.unwrap_or_default())),
             }
         }
     }
 
-    fn request(&self, method: Method, path: &str) -> RequestBuilder {
-        self.http
-            .request(method, format!("{}/{path}", self.base))
-            .timeout(CALL_TIMEOUT)
+    async fn call<T>(
+        &self,
+        step: Step,
+        call: ApiCall<'_>,
+        decode: impl Fn(&[u8]) -> Decoded<T>,
+    ) -> Result<T, ServeError> {
+        let wait = match call {
+            ApiCall::Watch { wait, .. } => wait,
+            _ => Duration::ZERO,
+        };
+        let request = (self.options.codec.encode)(&call);
+        let response = self
+            .send(step, request, wait + self.options.timeout)
+            .await?;
+        let body = self.check_status(step, response)?;
+        decode(&body).map_err(|error| {
+            ServeError::Malformed(step, self.base.clone(), error.to_compact_string())
+        })
+    }
+
+    /// Sends a request straight, or on the other way when the platform can't be reached straight and
+    /// has certainly not carried it out.
+    async fn send(
+        &self,
+        step: Step,
+        request: ApiRequest,
+        timeout: Duration,
+    ) -> Result<ApiResponse, ServeError> {
+        let Some(relay) = &self.options.relay else {
+            return self.send_straight(step, request, timeout).await;
+        };
+        let straight = self.send_straight(step, request.clone(), timeout).await;
+        let refused = match &straight {
+            Ok(response) => response.status == 503 || response.status == 429,
+            Err(error) => step == Step::PlatformRead || !error.is_ambiguous(),
+        };
+        if !refused {
+            return straight;
+        }
+        match relay(request, timeout).await {
+            Ok(response) => Ok(response),
+            Err(error) if error.is_ambiguous() && step == Step::PlatformWrite => Err(error),
+            Err(_) => straight,
+        }
     }
 
-    async fn call<T: DeserializeOwned>(
+    async fn send_straight(
         &self,
         step: Step,
-        request: RequestBuilder,
-    ) -> Result<T, ServeError> {
+        request: ApiRequest,
+        timeout: Duration,
+    ) -> Result<ApiResponse, ServeError> {
         counter!("platform_calls_total", "step" => step_name(step)).increment(1);
-        let sent = request.send().await;
+        let url = format!("{}{}", self.base, request.target);
+        let mut outgoing = self.http.request(request.method, url).timeout(timeout);
+        for (name, value) in request.headers {
+            outgoing = outgoing.header(name, value);
+        }
+        if let Some(body) = request.body {
+            outgoing = outgoing
+                .header("content-type", "application/json")
+                .body(body);
+        }
+        let sent = outgoing.send().await;
         let response = sent.map_err(|error| self.transport_error(step, &error))?;
-        let response = self.check_status(step, response).await?;
-        let body = response.json().await;
-        body.map_err(|error| {
-            ServeError::Malformed(step, self.base.clone(), error.to_compact_string())
-        })
+        let status = response.status().as_u16();
+        let body = response.bytes().await;
+        let body: Bytes = body.map_err(|error| self.transport_error(step, &error))?;
+        Ok(ApiResponse { status, body })
     }
 
-    async fn check_status(&self, step: Step, response: Response) -> Result<Response, ServeError> {
+    fn check_status(&self, step: Step, response: ApiResponse) -> Result<Bytes, ServeError> {
         let peer = self.base.clone();
-        match response.status() {
-            status if status.is_success() => Ok(response),
-            StatusCode::NOT_FOUND => Err(ServeError::Missing(step, peer)),
-            StatusCode::GONE => Err(ServeError::Compacted(step, peer)),
-            StatusCode::CONFLICT => {
-                let receipt: WriteReceipt = response.json().await.unwrap_or_default();
-                Err(ServeError::Conflict(step, peer, receipt.version))
+        match response.status {
+            200..=299 => Ok(response.body),
+            404 => Err(ServeError::Missing(step, peer)),
+            410 => Err(ServeError::Compacted(step, peer)),
+            409 => {
+                let receipt = (self.options.codec.decode_receipt)(&response.body);
+                let version = receipt.unwrap_or_default().version;
+                Err(ServeError::Conflict(step, peer, version))
             }
             status => Err(ServeError::Rejected(step, peer, status.to_compact_string())),
         }
@@ -363,14 +472,6 @@
     cause.to_compact_string()
 }
 
-fn expect(request: RequestBuilder, expected: Expected) -> RequestBuilder {
-    match expected {
-        Expected::Absent => request.header("if-match", "0"),
-        Expected::At(version) => request.header("if-match", version.to_string()),
-        Expected::Any => request,
-    }
-}
-
 fn step_name(step: Step) -> &'static str {
     match step {
         Step::PlatformWrite => "write",
--- a/boragerill/src/process.rs
+++ b/boragerill/src/process.rs
@@ -34,6 +34,7 @@
 use serde::de::DeserializeOwned;
 use tokio::signal::unix::{
     signal,
+    Signal,
     SignalKind, //
 };
 
@@ -42,6 +43,7 @@
         ServeError,
         Step, //
     },
+    logger,
     settings, //
 };
 
@@ -70,6 +72,14 @@
 
 /// Parses the arguments of a daemon and loads its settings.
 pub fn start<T: DeserializeOwned>(info: ProcessInfo) -> StartMode<T> {
+    match start_from(info) {
+        StartMode::Run((settings, _)) => StartMode::Run(settings),
+        StartMode::Exit(code) => StartMode::Exit(code),
+    }
+}
+
+/// As [`start`], and returns the path of the settings as well, to read them anew.
+pub fn start_from<T: DeserializeOwned>(info: ProcessInfo) -> StartMode<(T, PathBuf)> {
     let mut arguments = pico_args::Arguments::from_env();
     if arguments.contains(["-h", "--help"]) {
         println!("{}", help_text(info));
@@ -97,13 +107,13 @@
             StartMode::Exit(ExitCode::SUCCESS)
         }
         Ok(settings) => {
-            start_logging();
-            StartMode::Run(settings)
+            logger::install();
+            StartMode::Run((settings, path))
         }
     }
 }
 
-/// Starts logging to standard error; `RUST_LOG` sets the level, `info` by default.
+/// Starts logging of command-line tools to standard error; `RUST_LOG` sets the level, `info` by default.
 pub fn start_logging() {
     let environment = env_logger::Env::default().default_filter_or("info,rocket=off,hyper=off");
     env_logger::Builder::from_env(environment)
@@ -282,3 +292,27 @@
         _ = interrupt.recv() => {}
     }
 }
+
+/// The signal to read the settings anew.
+#[derive(Debug)]
+pub struct ReloadSignal {
+    hangup: Signal,
+}
+
+impl ReloadSignal {
+    /// Takes SIGHUP over.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the handler can't be installed.
+    pub fn install() -> ReloadSignal {
+        ReloadSignal {
+            hangup: signal(SignalKind::hangup()).expect("SIGHUP handler"),
+        }
+    }
+
+    /// Waits for the next signal; returns false when there will be none.
+    pub async fn next(&mut self) -> bool {
+        self.hangup.recv().await.is_some()
+    }
+}
--- a/boragerill/src/refusal.rs
+++ b/boragerill/src/refusal.rs
@@ -26,6 +26,8 @@
     RouteUnknown,
     /// The body is too large.
     BodyTooLarge,
+    /// The head is too large.
+    HeaderTooLarge,
     /// The body or a header can't be read.
     RequestMalformed,
     /// The workspace's rate and burst are used up.
@@ -48,6 +50,12 @@
     PlatformUnavailable,
     /// A batch job of this name with other content exists.
     JobConflict,
+    /// No such batch job, or no such item of it, exists.
+    JobUnknown,
+    /// The workspace's unfinished batch items hold as many tokens as allowed.
+    BacklogFull,
+    /// The store may have taken the batch job over, but its answer is lost.
+    JobUnsettled,
     /// The backend server failed after the request went out.
     ServerFailed,
     /// The deadline passed after the request went out.
@@ -157,6 +165,7 @@
             RefusalReason::WorkspaceForbidden => ("workspace_forbidden", 403),
             RefusalReason::RouteUnknown => ("route_unknown", 404),
             RefusalReason::BodyTooLarge => ("body_too_large", 413),
+            RefusalReason::HeaderTooLarge => ("header_too_large", 431),
             RefusalReason::RequestMalformed => ("request_malformed", 400),
             RefusalReason::RateExceeded => ("rate_exceeded", 429),
             RefusalReason::RateUnavailable => ("rate_unavailable", 503),
@@ -168,6 +177,9 @@
             RefusalReason::RunUnknown => ("run_unknown", 409),
             RefusalReason::PlatformUnavailable => ("platform_unavailable", 503),
             RefusalReason::JobConflict => ("job_conflict", 409),
+            RefusalReason::JobUnknown => ("job_unknown", 404),
+            RefusalReason::BacklogFull => ("backlog_full", 429),
+            RefusalReason::JobUnsettled => ("job_unsettled", 502),
             RefusalReason::ServerFailed => ("server_failed", 502),
             RefusalReason::DeadlinePassed => ("deadline_passed", 504),
         }
--- a/boragerill/src/settings.rs
+++ b/boragerill/src/settings.rs
@@ -25,7 +25,8 @@
     ControlSettings,
     EntrySettings,
     EntrySettingsPolicy,
-    EntrySettingsQueue, //
+    EntrySettingsQueue,
+    VmSettings, //
 };
 
 const SCHEMA: &str = include_str!("../schema/settings.schema.json");
--- /dev/null
+++ b/fleet/src/backends.rs
@@ -0,0 +1,294 @@
+//! Backend servers as this VM uses them: own requests, connections and recent failures.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+        Arc,
+        Mutex, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use arc_swap::ArcSwap;
+use boragerill::{
+    backend::{
+        BackendServer,
+        BackendTable, //
+    },
+    place::{
+        PlaceTable,
+        PlaceUse,
+        PlaceView, //
+    },
+    route::ServerHealth,
+    sync::lock, //
+};
+use tokio::sync::Notify;
+
+use crate::pool::ConnectionPool;
+
+/// Time for which a server is passed over after it failed to answer at all.
+const SILENT_PENALTY: Duration = Duration::from_millis(1000);
+
+/// One backend server.
+#[derive(Debug)]
+pub(crate) struct BackendState {
+    /// As it registered itself.
+    pub(crate) server: BackendServer,
+    /// Key by which VMs name it.
+    pub(crate) key: u32,
+    shared: Arc<BackendShared>,
+}
+
+/// What stays the same while the entry of one process of a server changes.
+#[derive(Debug, Default)]
+struct BackendShared {
+    pool: ConnectionPool,
+    online: AtomicU32,
+    batch: AtomicU32,
+    health: Mutex<BackendHealth>,
+}
+
+#[derive(Debug, Default)]
+struct BackendHealth {
+    failures: ServerHealth,
+    silent_until: Option<Instant>,
+    crossed_until: Option<Instant>,
+}
+
+/// Which requests a counter counts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FlightKind {
+    /// Requests of callers.
+    Online,
+    /// Items of batch jobs.
+    Batch,
+}
+
+/// The servers in use.
+#[derive(Debug)]
+pub(crate) struct BackendBook {
+    table: Mutex<BackendTable>,
+    servers: ArcSwap<Vec<Arc<BackendState>>>, // Sorted by id.
+    places: Mutex<PlaceTable>,
+    /// Signals that requests at servers have changed and others have to be told.
+    pub(crate) changed: Notify,
+    /// Signals that a place may have become free.
+    pub(crate) freed: Notify,
+    started: Instant,
+}
+
+impl Default for BackendBook {
+    fn default() -> BackendBook {
+        BackendBook {
+            table: Mutex::default(),
+            servers: ArcSwap::default(),
+            places: Mutex::default(),
+            changed: Notify::new(),
+            freed: Notify::new(),
+            started: Instant::now(),
+        }
+    }
+}
+
+impl BackendBook {
+    /// Changes the table of entries and puts the outcome in use.
+    pub(crate) fn update<T>(&self, change: impl FnOnce(&mut BackendTable) -> T) -> T {
+        let mut table = lock(&self.table);
+        let result = change(&mut table);
+        let known = self.servers.load();
+        let servers: Vec<Arc<BackendState>> = table
+            .servers()
+            .map(|server| keep_state(&known, server))
+            .collect();
+        self.servers.store(Arc::new(servers));
+        self.freed.notify_waiters();
+        result
+    }
+
+    /// Reads the table of entries.
+    pub(crate) fn read<T>(&self, read: impl FnOnce(&BackendTable) -> T) -> T {
+        read(&lock(&self.table))
+    }
+
+    /// Returns all servers in use.
+    pub(crate) fn all(&self) -> Arc<Vec<Arc<BackendState>>> {
+        self.servers.load_full()
+    }
+
+    /// Returns the servers of a service with their requests.
+    pub(crate) fn views(
+        &self,
+        service: &str,
+        domain: &str,
+        now: Instant,
+    ) -> (Vec<Arc<BackendState>>, Vec<PlaceView>) {
+        let servers = self.servers.load();
+        let members = servers
+            .iter()
+            .filter(|state| state.server.service == service);
+        let members: Vec<Arc<BackendState>> = members.cloned().collect();
+        let places = lock(&self.places);
+        let views = members
+            .iter()
+            .map(|state| self.view(state, domain, &places, now));
+        let views = views.collect();
+        (members, views)
+    }
+
+    /// Changes the reports of other VMs.
+    pub(crate) fn update_places(&self, change: impl FnOnce(&mut PlaceTable)) {
+        change(&mut lock(&self.places));
+        self.freed.notify_waiters();
+    }
+
+    /// Reads the reports of other VMs.
+    pub(crate) fn read_places<T>(&self, read: impl FnOnce(&PlaceTable) -> T) -> T {
+        read(&lock(&self.places))
+    }
+
+    /// Counts a request at a server until the guard is dropped.
+    pub(crate) fn fly(
+        self: &Arc<Self>,
+        state: &Arc<BackendState>,
+        kind: FlightKind,
+    ) -> FlightGuard {
+        state.shared.counter(kind).fetch_add(1, Ordering::Relaxed);
+        self.changed.notify_one();
+        FlightGuard {
+            book: self.clone(),
+            shared: state.shared.clone(),
+            kind,
+        }
+    }
+
+    /// Notes that a server answered.
+    pub(crate) fn note_success(&self, state: &BackendState) {
+        let mut health = lock(&state.shared.health);
+        health.failures.note_success();
+        health.silent_until = None;
+    }
+
+    /// Notes that a server failed a request or could not be reached.
+    pub(crate) fn note_failure(&self, state: &BackendState, now: Instant) {
+        lock(&state.shared.health)
+            .failures
+            .note_failure(self.millis(now));
+    }
+
+    /// Notes that a server stayed silent, or refused connections.
+    pub(crate) fn note_silence(&self, state: &BackendState, now: Instant) {
+        let mut health = lock(&state.shared.health);
+        health.silent_until = Some(now + SILENT_PENALTY);
+        drop(health);
+        state.pool().clear();
+    }
+
+    fn view(
+        &self,
+        state: &BackendState,
+        domain: &str,
+        places: &PlaceTable,
+        now: Instant,
+    ) -> PlaceView {
+        let others = places.others(state.key, now);
+        let own = state.used();
+        let health = lock(&state.shared.health);
+        let silent = health.silent_until.is_some_and(|until| now < until);
+        PlaceView {
+            key: state.key,
+            used: PlaceUse {
+                online: own.online + others.online,
+                batch: own.batch + others.batch,
+            },
+            slots: state.server.slots,
+            local: state.server.domain == domain,
+            leaving: state.server.leaving,
+            suspect: silent || health.failures.is_ejected(self.millis(now)),
+        }
+    }
+
+    fn millis(&self, now: Instant) -> u64 {
+        let age = now.saturating_duration_since(self.started).as_millis();
+        u64::try_from(age).unwrap_or(u64::MAX)
+    }
+}
+
+impl BackendState {
+    /// Returns this VM's requests at the server.
+    pub(crate) fn used(&self) -> PlaceUse {
+        PlaceUse {
+            online: self.shared.online.load(Ordering::Relaxed),
+            batch: self.shared.batch.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Returns the idle connections.
+    pub(crate) fn pool(&self) -> &ConnectionPool {
+        &self.shared.pool
+    }
+
+    /// Notes that an answer on a kept connection belonged to another request.
+    pub(crate) fn note_crossed(&self, until: Instant) {
+        lock(&self.shared.health).crossed_until = Some(until);
+        self.pool().clear();
+    }
+
+    /// Returns whether kept connections may hold answers to earlier requests.
+    pub(crate) fn is_crossed(&self, now: Instant) -> bool {
+        let health = lock(&self.shared.health);
+        health.crossed_until.is_some_and(|until| now < until)
+    }
+}
+
+impl BackendShared {
+    fn counter(&self, kind: FlightKind) -> &AtomicU32 {
+        match kind {
+            FlightKind::Online => &self.online,
+            FlightKind::Batch => &self.batch,
+        }
+    }
+}
+
+/// Returns the known state of a server, or a new one when it registered anew.
+fn keep_state(known: &[Arc<BackendState>], server: &BackendServer) -> Arc<BackendState> {
+    let found = known.binary_search_by(|state| state.server.id.cmp(&server.id));
+    let shared = match found {
+        Ok(index) if known[index].server == *server => return known[index].clone(),
+        Ok(index) if is_same_process(&known[index].server, server) => known[index].shared.clone(),
+        _ => Arc::default(),
+    };
+    Arc::new(BackendState {
+        server: server.clone(),
+        key: server.key(),
+        shared,
+    })
+}
+
+fn is_same_process(known: &BackendServer, server: &BackendServer) -> bool {
+    known.address == server.address && known.start == server.start
+}
+
+/// Counts a request at a server until dropped.
+#[derive(Debug)]
+pub(crate) struct FlightGuard {
+    book: Arc<BackendBook>,
+    shared: Arc<BackendShared>,
+    kind: FlightKind,
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.shared
+            .counter(self.kind)
+            .fetch_sub(1, Ordering::Relaxed);
+        self.book.changed.notify_one();
+        self.book.freed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/fleet/src/job_reads.rs
@@ -0,0 +1,344 @@
+//! Reads of batch jobs: from this VM if it keeps the job, else from the VM that does, else from the store.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    error::ServeError,
+    generated::messages::{
+        envelope::Body,
+        JobBody,
+        JobBodyAsk,
+        JobPage,
+        JobRead,
+        ResultNote, //
+    },
+    job::{
+        part_object,
+        InputPart,
+        JobHead,
+        JobOutcome,
+        JobResult,
+        ResultChunk, //
+    },
+    refusal::{
+        RefusalAnswer,
+        RefusalReason, //
+    },
+    sync::lock, //
+};
+use bytes::Bytes;
+use compact_str::format_compact;
+use metrics::counter;
+use tokio::time::timeout_at;
+
+use crate::{
+    answer::plain,
+    caller::CallerRequest,
+    jobs::{
+        JobEntry,
+        INPUT_KIND,
+        JOB_KIND,
+        RESULT_KIND, //
+    },
+    relay::CallerResult,
+    state::FleetState,
+    wire::{
+        ResultPage,
+        READ_WAIT, //
+    }, //
+};
+
+/// When a caller may come back after a read that could not be answered for sure.
+const READ_RETRY: Duration = Duration::from_millis(300);
+
+/// Longest time that another VM may take beyond the read's own wait.
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Share of an answer's limit that results fill; their JSON text is longer.
+const PAGE_SHARE: u64 = 2;
+
+/// Answers a read of results.
+pub(crate) async fn read_results(
+    state: &Arc<FleetState>,
+    caller: &CallerRequest,
+    id: &str,
+    after: u64,
+    workspace: &str,
+) -> CallerResult {
+    let wait = caller.wait.min(READ_WAIT);
+    let until = Instant::now() + wait;
+    let page = match state.jobs.find(id) {
+        Some(entry) if entry.head.workspace == workspace => {
+            wait_for_results(&entry, after, until).await;
+            page_of(state, &entry, after)
+        }
+        Some(_) => return Err(unknown_job(id)),
+        None => match ask_keeper(state, id, after, workspace, wait).await {
+            Some(page) => page,
+            None => load_page(state, id, after, workspace).await?,
+        },
+    };
+    let body = (state.format.encode_page)(&page);
+    Ok(plain(200, "application/json", body))
+}
+
+/// Waits until a job has results from a position, or none will come.
+pub(crate) async fn wait_for_results(entry: &JobEntry, after: u64, until: Instant) {
+    loop {
+        let changed = entry.changed.notified();
+        {
+            let progress = lock(&entry.progress);
+            let listed = progress.listed().len() as u64;
+            if listed > after || progress.is_closed() {
+                return;
+            }
+        }
+        if timeout_at(until.into(), changed).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns the results that this VM knows to be stored.
+pub(crate) fn page_of(state: &FleetState, entry: &JobEntry, after: u64) -> ResultPage {
+    let progress = lock(&entry.progress);
+    cut_page(state, progress.total() as u64, after, progress.listed())
+}
+
+fn cut_page(state: &FleetState, total: u64, after: u64, listed: &[JobResult]) -> ResultPage {
+    let limit = state.settings.result_bytes / PAGE_SHARE;
+    let start = usize::try_from(after)
+        .unwrap_or(usize::MAX)
+        .min(listed.len());
+    let mut size = 0;
+    let fitting = listed[start..]
+        .iter()
+        .enumerate()
+        .take_while(|(index, result)| {
+            size += result.text.len() as u64;
+            *index == 0 || size <= limit
+        });
+    ResultPage {
+        total,
+        after,
+        results: fitting.map(|(_, result)| result.clone()).collect(),
+    }
+}
+
+async fn ask_keeper(
+    state: &Arc<FleetState>,
+    id: &str,
+    after: u64,
+    workspace: &str,
+    wait: Duration,
+) -> Option<ResultPage> {
+    let notice = state.jobs.notice(id)?;
+    let ask = Body::JobRead(JobRead {
+        id: id.to_owned(),
+        workspace: workspace.to_owned(),
+        after,
+        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(0),
+    });
+    let answer = crate::peers::ask(state, notice.vm, ask, wait + PEER_TIMEOUT).await;
+    match answer {
+        Ok(Body::JobPage(page)) if page.known => Some(decode_page(page, after)),
+        _ => {
+            counter!("job_reads_unanswered_total").increment(1);
+            None
+        }
+    }
+}
+
+fn decode_page(page: JobPage, after: u64) -> ResultPage {
+    let results = page.results.into_iter().map(|note| JobResult {
+        id: note.id.into(),
+        outcome: if note.completed {
+            JobOutcome::Completed
+        } else {
+            JobOutcome::Failed
+        },
+        text: note.text.into(),
+    });
+    ResultPage {
+        total: page.total,
+        after,
+        results: results.collect(),
+    }
+}
+
+/// Writes a page for another VM.
+pub(crate) fn encode_page(page: ResultPage) -> JobPage {
+    let results = page.results.into_iter().map(|result| ResultNote {
+        id: result.id.to_string(),
+        completed: result.outcome == JobOutcome::Completed,
+        text: result.text.to_string(),
+    });
+    JobPage {
+        known: true,
+        total: page.total,
+        results: results.collect(),
+    }
+}
+
+async fn load_page(
+    state: &FleetState,
+    id: &str,
+    after: u64,
+    workspace: &str,
+) -> Result<ResultPage, RefusalAnswer> {
+    let head = load_head(state, id, workspace).await?;
+    let listed = load_results(state, id).await.map_err(unsure)?;
+    let listed: Vec<JobResult> = listed.into_iter().flat_map(|chunk| chunk.results).collect();
+    Ok(cut_page(state, head.items as u64, after, &listed))
+}
+
+/// Reads the chunks of results of a job, in their order and without a gap.
+pub(crate) async fn load_results(
+    state: &FleetState,
+    id: &str,
+) -> Result<Vec<ResultChunk>, ServeError> {
+    let prefix = format_compact!("{id}.");
+    let objects = state.platform.list_prefix(RESULT_KIND, &prefix).await?;
+    let mut chunks = Vec::new();
+    for (index, object) in (0..).zip(objects) {
+        if object.name != boragerill::job::chunk_object(id, index) {
+            break;
+        }
+        let chunk = serde_json::from_value(object.spec).map_err(|error| {
+            ServeError::Malformed(
+                boragerill::error::Step::PlatformRead,
+                object.name,
+                error.to_string().into(),
+            )
+        })?;
+        chunks.push(chunk);
+    }
+    Ok(chunks)
+}
+
+/// Reads the head of a job of a workspace from the store.
+async fn load_head(
+    state: &FleetState,
+    id: &str,
+    workspace: &str,
+) -> Result<JobHead, RefusalAnswer> {
+    let object = match state.platform.get(JOB_KIND, id).await {
+        Ok(object) => object,
+        Err(ServeError::Missing(..)) => return Err(unknown_job(id)),
+        Err(error) => return Err(unsure(error)),
+    };
+    let head: JobHead = serde_json::from_value(object.spec).unwrap_or_default();
+    if head.workspace != workspace {
+        return Err(unknown_job(id));
+    }
+    Ok(head)
+}
+
+/// Reads all items of a job from the store.
+pub(crate) async fn load_items(
+    state: &FleetState,
+    head: &JobHead,
+) -> Result<Vec<boragerill::job::JobItem>, ServeError> {
+    let mut items = Vec::new();
+    for index in 0..head.parts {
+        let name = part_object(&head.input, index);
+        let object = state.platform.get(INPUT_KIND, &name).await?;
+        let part: InputPart = serde_json::from_value(object.spec).map_err(|error| {
+            ServeError::Malformed(
+                boragerill::error::Step::PlatformRead,
+                name,
+                error.to_string().into(),
+            )
+        })?;
+        items.extend(part.items);
+    }
+    Ok(items)
+}
+
+/// Checks that a job exists and belongs to a workspace.
+pub(crate) async fn check_owner(
+    state: &FleetState,
+    id: &str,
+    workspace: &str,
+) -> Result<(), RefusalAnswer> {
+    match state.jobs.find(id) {
+        Some(entry) if entry.head.workspace == workspace => Ok(()),
+        Some(_) => Err(unknown_job(id)),
+        None => load_head(state, id, workspace).await.map(|_| ()),
+    }
+}
+
+/// Answers a read of an item's body.
+pub(crate) async fn read_body(
+    state: &Arc<FleetState>,
+    _caller: &CallerRequest,
+    id: &str,
+    item: &str,
+    workspace: &str,
+) -> CallerResult {
+    let found = match state.jobs.find(id) {
+        Some(entry) if entry.head.workspace == workspace => body_of(&entry, item),
+        Some(_) => return Err(unknown_job(id)),
+        None => match ask_body(state, id, item, workspace).await {
+            Some(found) => found,
+            None => load_body(state, id, item, workspace).await?,
+        },
+    };
+    let body = found.ok_or_else(|| RefusalAnswer::not_run(RefusalReason::JobUnknown, item))?;
+    Ok(plain(200, "application/octet-stream", body))
+}
+
+/// Returns the body of an item of a job that is kept here.
+pub(crate) fn body_of(entry: &JobEntry, item: &str) -> Option<Bytes> {
+    let index = lock(&entry.progress).find(item)?;
+    Some(entry.items[index].body.clone())
+}
+
+async fn ask_body(
+    state: &Arc<FleetState>,
+    id: &str,
+    item: &str,
+    workspace: &str,
+) -> Option<Option<Bytes>> {
+    let notice = state.jobs.notice(id)?;
+    let ask = Body::JobBodyAsk(JobBodyAsk {
+        id: id.to_owned(),
+        workspace: workspace.to_owned(),
+        item: item.to_owned(),
+    });
+    match crate::peers::ask(state, notice.vm, ask, PEER_TIMEOUT).await {
+        Ok(Body::JobBody(JobBody {
+            known: true,
+            found,
+            body,
+        })) => Some(found.then(|| body.into())),
+        _ => None,
+    }
+}
+
+async fn load_body(
+    state: &FleetState,
+    id: &str,
+    item: &str,
+    workspace: &str,
+) -> Result<Option<Bytes>, RefusalAnswer> {
+    let head = load_head(state, id, workspace).await?;
+    let items = load_items(state, &head).await.map_err(unsure)?;
+    let found = items.into_iter().find(|known| known.id == item);
+    Ok(found.map(|item| item.body))
+}
+
+fn unknown_job(id: &str) -> RefusalAnswer {
+    RefusalAnswer::not_run(RefusalReason::JobUnknown, id)
+}
+
+fn unsure(error: ServeError) -> RefusalAnswer {
+    RefusalAnswer::not_run(RefusalReason::PlatformUnavailable, error.to_string())
+        .retry_after(READ_RETRY)
+}
--- /dev/null
+++ b/fleet/src/jobs.rs
@@ -0,0 +1,487 @@
+//! Batch jobs of callers: submission, results, bodies and ends.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    api::Expected,
+    catalog::{
+        BatchTerms,
+        CatalogRoute, //
+    },
+    error::ServeError,
+    job::{
+        part_object,
+        split_items,
+        JobHead,
+        JobId,
+        JobItem,
+        JobProgress, //
+    },
+    rank::{
+        hash_name,
+        score, //
+    },
+    refusal::{
+        RefusalAnswer,
+        RefusalReason, //
+    },
+    sync::lock, //
+};
+use bytes::Bytes;
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use log::{
+    info,
+    warn, //
+};
+use metrics::counter;
+use serde_json::{
+    json,
+    Value, //
+};
+use tokio::{
+    sync::Notify,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+use crate::{
+    answer::plain,
+    caller::CallerRequest,
+    job_reads,
+    relay::CallerResult,
+    state::{
+        wall_ms,
+        FleetState, //
+    },
+    takeover,
+    wire::{
+        CallerCall,
+        SUBMISSION_ITEMS, //
+    }, //
+};
+
+/// Kind of the objects that accept jobs.
+pub(crate) const JOB_KIND: &str = "batch-jobs";
+
+/// Kind of the objects that hold items.
+pub(crate) const INPUT_KIND: &str = "batch-inputs";
+
+/// Kind of the objects that hold results.
+pub(crate) const RESULT_KIND: &str = "batch-results";
+
+/// Kind of the objects that end jobs.
+pub(crate) const END_KIND: &str = "batch-ends";
+
+/// Share of the platform's limit on values that items fill; their base64 text is a third longer.
+const PART_SHARE: u64 = 2;
+
+/// When a caller may come back while the store can't be reached.
+const STORE_RETRY: Duration = Duration::from_millis(500);
+
+/// When a caller may come back while its unfinished items hold as many tokens as allowed.
+const BACKLOG_RETRY: Duration = Duration::from_millis(1500);
+
+/// Longest time for which a submission is tried again at the store.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(3000);
+
+/// Pause before a call to the store is tried again.
+const STORE_PAUSE: Duration = Duration::from_millis(60);
+
+/// Time for which a finished job is kept in memory beyond its last use.
+const NOTE_LIFETIME: Duration = Duration::from_secs(300);
+
+/// One job that this VM runs or keeps.
+#[derive(Debug)]
+pub(crate) struct JobEntry {
+    /// Identifies the job.
+    pub(crate) id: JobId,
+    /// As it was accepted.
+    pub(crate) head: JobHead,
+    /// Items in the order of the submission.
+    pub(crate) items: Vec<JobItem>,
+    /// Time of the first submission on this process's clock.
+    pub(crate) submitted: Instant,
+    /// How far the items are.
+    pub(crate) progress: Mutex<JobProgress>,
+    /// Signals that results were stored or the job ended.
+    pub(crate) changed: Notify,
+    /// Signals that items have ended and can be stored.
+    pub(crate) ended: Notify,
+    /// Whether this VM has given the job away.
+    pub(crate) released: std::sync::atomic::AtomicBool,
+}
+
+/// What another VM said of a job that it keeps.
+#[derive(Clone, Debug)]
+pub(crate) struct JobNotice {
+    /// The job.
+    pub(crate) id: JobId,
+    /// Hash of the VM that keeps it.
+    pub(crate) vm: u64,
+    /// First submission on this process's clock.
+    pub(crate) submitted: Instant,
+    /// Tokens of the items that haven't ended.
+    pub(crate) waiting_tokens: u64,
+    /// Hash of workspace and route.
+    pub(crate) account: u64,
+    /// Whether nothing more will run.
+    pub(crate) closed: bool,
+    /// Stored results.
+    pub(crate) listed: u32,
+    /// When it was last said.
+    pub(crate) noted: Instant,
+}
+
+/// The jobs that this VM knows.
+#[derive(Debug, Default)]
+pub(crate) struct JobBook {
+    entries: Mutex<Vec<Arc<JobEntry>>>, // Sorted by id.
+    notices: Mutex<Vec<JobNotice>>,     // Sorted by id.
+    /// Signals that there may be something to run.
+    pub(crate) work: Notify,
+}
+
+impl JobBook {
+    /// Returns a job that this VM keeps.
+    pub(crate) fn find(&self, id: &str) -> Option<Arc<JobEntry>> {
+        let entries = lock(&self.entries);
+        let found = entries.binary_search_by(|entry| entry.id.as_str().cmp(id));
+        Some(entries[found.ok()?].clone())
+    }
+
+    /// Returns all jobs that this VM keeps.
+    pub(crate) fn all(&self) -> Vec<Arc<JobEntry>> {
+        lock(&self.entries).clone()
+    }
+
+    /// Keeps a job; returns the one that was there already.
+    pub(crate) fn insert(&self, entry: Arc<JobEntry>) -> Option<Arc<JobEntry>> {
+        let mut entries = lock(&self.entries);
+        match entries.binary_search_by(|known| known.id.cmp(&entry.id)) {
+            Ok(index) => Some(entries[index].clone()),
+            Err(index) => {
+                entries.insert(index, entry);
+                None
+            }
+        }
+    }
+
+    /// Forgets a job.
+    pub(crate) fn remove(&self, id: &str) {
+        lock(&self.entries).retain(|entry| entry.id != id);
+    }
+
+    /// Takes over what another VM said of its jobs.
+    pub(crate) fn note(&self, notice: JobNotice) {
+        let mut notices = lock(&self.notices);
+        match notices.binary_search_by(|known| known.id.cmp(&notice.id)) {
+            Ok(index) => notices[index] = notice,
+            Err(index) => notices.insert(index, notice),
+        }
+    }
+
+    /// Returns what another VM said of a job.
+    pub(crate) fn notice(&self, id: &str) -> Option<JobNotice> {
+        let notices = lock(&self.notices);
+        let found = notices.binary_search_by(|notice| notice.id.as_str().cmp(id));
+        Some(notices[found.ok()?].clone())
+    }
+
+    /// Returns what other VMs said of their jobs.
+    pub(crate) fn notices(&self) -> Vec<JobNotice> {
+        lock(&self.notices).clone()
+    }
+
+    /// Drops jobs and notices that nobody needs any more.
+    pub(crate) fn forget_old(&self, kept: Duration, now: Instant) {
+        lock(&self.notices).retain(|notice| now < notice.noted + NOTE_LIFETIME);
+        let is_old =
+            |entry: &JobEntry| now > entry.submitted + kept && lock(&entry.progress).is_closed();
+        lock(&self.entries).retain(|entry| !is_old(entry));
+    }
+
+    /// Returns the tokens of unfinished items under an account, as far as this VM knows.
+    fn waiting_tokens(&self, account: u64) -> u64 {
+        let entries = lock(&self.entries);
+        let own = entries.iter().filter(|entry| entry.account() == account);
+        let own: u64 = own.map(|entry| entry.waiting_tokens()).sum();
+        let notices = lock(&self.notices);
+        let others = notices.iter().filter(|notice| {
+            notice.account == account
+                && !notice.closed
+                && entries
+                    .binary_search_by(|entry| entry.id.cmp(&notice.id))
+                    .is_err()
+        });
+        own + others.map(|notice| notice.waiting_tokens).sum::<u64>()
+    }
+}
+
+impl JobEntry {
+    /// Makes the entry of a job none of whose items has run.
+    pub(crate) fn new(
+        id: &str,
+        head: JobHead,
+        items: Vec<JobItem>,
+        submitted: Instant,
+    ) -> JobEntry {
+        JobEntry {
+            progress: Mutex::new(JobProgress::new(items.iter().map(|item| &item.id))),
+            id: id.into(),
+            head,
+            items,
+            submitted,
+            changed: Notify::new(),
+            ended: Notify::new(),
+            released: Default::default(),
+        }
+    }
+
+    /// Returns the hash of workspace and route, whose waiting tokens are bounded together.
+    pub(crate) fn account(&self) -> u64 {
+        account(&self.head.workspace, &self.head.host, &self.head.prefix)
+    }
+
+    /// Returns the tokens of the items that haven't ended.
+    pub(crate) fn waiting_tokens(&self) -> u64 {
+        let progress = lock(&self.progress);
+        if progress.is_ended() {
+            return 0;
+        }
+        progress
+            .unfinished()
+            .map(|index| self.items[index].tokens)
+            .sum()
+    }
+}
+
+/// Returns the hash of a workspace and a route.
+fn account(workspace: &str, host: &str, prefix: &str) -> u64 {
+    let route = score(hash_name(host), hash_name(prefix));
+    score(hash_name(workspace), route)
+}
+
+/// Answers a call about a job.
+pub(crate) async fn serve_call(
+    state: &Arc<FleetState>,
+    caller: &CallerRequest,
+    call: CallerCall,
+    workspace: &str,
+) -> CallerResult {
+    match call {
+        CallerCall::JobResults { id, after } => {
+            job_reads::read_results(state, caller, &id, after, workspace).await
+        }
+        CallerCall::JobBody { id, item } => {
+            job_reads::read_body(state, caller, &id, &item, workspace).await
+        }
+        CallerCall::JobEnd { id } => end_job(state, caller, &id, workspace).await,
+        CallerCall::Request => Err(RefusalAnswer::not_run(
+            RefusalReason::RouteUnknown,
+            caller.path(),
+        )),
+    }
+}
+
+/// Accepts a job once, however often it is submitted.
+pub(crate) async fn submit(
+    state: &Arc<FleetState>,
+    caller: &CallerRequest,
+    (route, terms): (&CatalogRoute, &BatchTerms),
+    workspace: &str,
+    body: Bytes,
+) -> CallerResult {
+    let malformed =
+        |cause: CompactString| RefusalAnswer::not_run(RefusalReason::RequestMalformed, cause);
+    if state.jobs.find(&caller.id).is_some() || state.jobs.notice(&caller.id).is_some() {
+        counter!("jobs_resent_total").increment(1);
+        return Ok(accepted(&caller.id));
+    }
+    let items = (state.format.decode_items)(&body).map_err(malformed)?;
+    if items.len() > SUBMISSION_ITEMS || items.is_empty() {
+        return Err(malformed(format_compact!("items: {} of them", items.len())));
+    }
+    let tokens: u64 = items.iter().map(|item| item.tokens).sum();
+    let account = account(workspace, &route.host, &route.prefix);
+    let waiting = state.jobs.waiting_tokens(account);
+    if terms.waiting_tokens > 0 && waiting + tokens > terms.waiting_tokens {
+        let detail = format_compact!("{waiting} tokens wait, {tokens} come, in {workspace}");
+        return Err(
+            RefusalAnswer::not_run(RefusalReason::BacklogFull, detail).retry_after(BACKLOG_RETRY)
+        );
+    }
+    let head = JobHead {
+        workspace: workspace.into(),
+        host: caller.host.clone(),
+        path: caller.path().into(),
+        prefix: route.prefix.clone(),
+        items: items.len(),
+        tokens,
+        parts: 0,
+        input: format_compact!("{}.{:08x}", caller.id, rand::random::<u32>()),
+        submitted_ms: wall_ms(),
+        digest: hash_name(&String::from_utf8_lossy(&body)),
+    };
+    store_job(state, caller, head, items).await
+}
+
+async fn store_job(
+    state: &Arc<FleetState>,
+    caller: &CallerRequest,
+    head: JobHead,
+    items: Vec<JobItem>,
+) -> CallerResult {
+    let until = (caller.arrived + SUBMIT_LIMIT).min(caller.deadline);
+    let limit = usize::try_from(state.settings.value_bytes / PART_SHARE).unwrap_or(usize::MAX);
+    let parts = split_items(items.clone(), limit);
+    let head = JobHead {
+        parts: u32::try_from(parts.len()).unwrap_or(u32::MAX),
+        ..head
+    };
+    for (index, part) in (0..).zip(&parts) {
+        let name = part_object(&head.input, index);
+        let value = serde_json::to_value(part).unwrap_or_default();
+        // Without its head, a part accepts nothing.
+        let stored = create(state, INPUT_KIND, &name, &value, until).await;
+        stored.map_err(|error| not_stored(&error))?;
+    }
+    let value = serde_json::to_value(&head).unwrap_or_default();
+    match create(state, JOB_KIND, &caller.id, &value, until).await {
+        Ok(()) => {}
+        Err(ServeError::Conflict(..)) => return adopt(state, caller, &head).await,
+        Err(error) if error.is_ambiguous() => {
+            return Err(RefusalAnswer::unknown(
+                RefusalReason::JobUnsettled,
+                error.to_string(),
+            ));
+        }
+        Err(error) => return Err(not_stored(&error)),
+    }
+    info!(
+        job = caller.id.as_str(),
+        workspace = head.workspace.as_str(),
+        items = head.items,
+        tokens = head.tokens;
+        "job accepted"
+    );
+    counter!("jobs_accepted_total").increment(1);
+    let entry = Arc::new(JobEntry::new(&caller.id, head, items, caller.arrived));
+    if state.jobs.insert(entry.clone()).is_none() {
+        takeover::start_job(state, entry);
+    }
+    Ok(accepted(&caller.id))
+}
+
+/// Answers a submission of a job that another VM has accepted.
+async fn adopt(state: &Arc<FleetState>, caller: &CallerRequest, head: &JobHead) -> CallerResult {
+    let known = state.platform.get(JOB_KIND, &caller.id).await;
+    let known = known
+        .map_err(|error| RefusalAnswer::unknown(RefusalReason::JobUnsettled, error.to_string()))?;
+    let known: JobHead = serde_json::from_value(known.spec).unwrap_or_default();
+    if known.workspace != head.workspace || known.digest != head.digest {
+        let detail = "a job of this id with other content exists";
+        return Err(RefusalAnswer::not_run(RefusalReason::JobConflict, detail));
+    }
+    takeover::watch_orphan(state, &caller.id);
+    Ok(accepted(&caller.id))
+}
+
+/// Creates an object that nobody else creates with other content, however often its answer is lost.
+async fn create(
+    state: &FleetState,
+    kind: &str,
+    name: &str,
+    value: &Value,
+    until: Instant,
+) -> Result<(), ServeError> {
+    let mut ambiguous = None;
+    loop {
+        let remaining = until.saturating_duration_since(Instant::now());
+        let writing = state
+            .platform
+            .put_settled(kind, name, Expected::Absent, "", value);
+        let error = match timeout(remaining, writing).await {
+            Ok(Ok(_)) => return Ok(()),
+            Ok(Err(error @ ServeError::Conflict(..))) => return Err(error),
+            Ok(Err(error)) => error,
+            Err(_) => ServeError::Timeout(
+                boragerill::error::Step::PlatformWrite,
+                state.platform.base().into(),
+            ),
+        };
+        warn!(kind, name, error = error.to_string().as_str(); "write to the platform failed");
+        if error.is_ambiguous() {
+            ambiguous = Some(error.clone());
+        }
+        if Instant::now() + STORE_PAUSE >= until {
+            // An earlier try may still take effect.
+            return Err(ambiguous.unwrap_or(error));
+        }
+        sleep(STORE_PAUSE).await;
+    }
+}
+
+fn not_stored(error: &ServeError) -> RefusalAnswer {
+    RefusalAnswer::not_run(RefusalReason::PlatformUnavailable, error.to_string())
+        .retry_after(STORE_RETRY)
+}
+
+fn accepted(id: &str) -> crate::answer::CallerAnswer {
+    plain(
+        202,
+        "application/json",
+        json!({ "id": id }).to_string().into(),
+    )
+}
+
+/// Ends a job for its client: nothing more of it runs, and what is stored stays readable.
+async fn end_job(
+    state: &Arc<FleetState>,
+    caller: &CallerRequest,
+    id: &str,
+    workspace: &str,
+) -> CallerResult {
+    job_reads::check_owner(state, id, workspace).await?;
+    if !state.ends.contains(id) {
+        stop_job(state, id);
+        crate::peers::tell_end(state, id);
+        let until = (caller.arrived + SUBMIT_LIMIT).min(caller.deadline);
+        let value = json!({ "workspace": workspace });
+        match create(state, END_KIND, id, &value, until).await {
+            Ok(()) | Err(ServeError::Conflict(..)) => {}
+            Err(error) => {
+                return Err(RefusalAnswer::unknown(
+                    RefusalReason::JobUnsettled,
+                    error.to_string(),
+                ));
+            }
+        }
+        info!(job = id, workspace; "job ended by its client");
+        state.ends.apply(vec![(0, id.into())], 0);
+    }
+    Ok(plain(200, "application/json", Bytes::from_static(b"{}")))
+}
+
+/// Stops a job that this VM runs.
+pub(crate) fn stop_job(state: &FleetState, id: &str) {
+    if let Some(entry) = state.jobs.find(id) {
+        lock(&entry.progress).end();
+        entry.changed.notify_waiters();
+        entry.ended.notify_waiters();
+        state.jobs.work.notify_one();
+    }
+}
--- /dev/null
+++ b/fleet/src/listener.rs
@@ -0,0 +1,198 @@
+//! Takes connections of callers, of the readiness check and of readers of metrics.
+
+use std::{
+    convert::Infallible,
+    sync::{
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+        Arc, //
+    },
+    time::Duration,
+};
+
+use boragerill::error::{
+    ServeError,
+    Step, //
+};
+use bytes::Bytes;
+use compact_str::ToCompactString;
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn,
+    Request, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use log::warn;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::Notify,
+    time::sleep, //
+};
+
+use crate::{
+    answer::plain,
+    pool::watch_stream,
+    relay,
+    state::FleetState, //
+};
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time before the end of the grace period at which idle connections are closed.
+const CLOSE_MARGIN: Duration = Duration::from_millis(1500);
+
+/// Time for the head of a request until a configuration says otherwise.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Connections of callers.
+#[derive(Debug, Default)]
+pub(crate) struct CallerConnections {
+    open: AtomicUsize,
+    closed: Notify,
+}
+
+/// Binds a listener.
+pub(crate) async fn bind(address: &str) -> Result<TcpListener, ServeError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| {
+        ServeError::Unreachable(Step::Listen, address.into(), error.to_compact_string())
+    })
+}
+
+impl CallerConnections {
+    /// Takes callers' connections for as long as the process runs.
+    pub(crate) async fn accept(self: Arc<Self>, state: Arc<FleetState>, listener: TcpListener) {
+        loop {
+            let Some(stream) = accept_one(&listener).await else {
+                continue;
+            };
+            self.open.fetch_add(1, Ordering::Relaxed);
+            let (connections, state) = (self.clone(), state.clone());
+            tokio::spawn(async move {
+                serve_connection(state, stream).await;
+                connections.open.fetch_sub(1, Ordering::Relaxed);
+                connections.closed.notify_waiters();
+            });
+        }
+    }
+
+    /// Waits until every connection has ended.
+    pub(crate) async fn wait_until_closed(&self) {
+        loop {
+            let closed = self.closed.notified();
+            if self.open.load(Ordering::Relaxed) == 0 {
+                return;
+            }
+            closed.await;
+        }
+    }
+}
+
+async fn accept_one(listener: &TcpListener) -> Option<TcpStream> {
+    match listener.accept().await {
+        Ok((stream, _)) => {
+            if let Err(error) = watch_stream(&stream) {
+                warn!(error = error.to_string().as_str(); "socket options not set");
+            }
+            Some(stream)
+        }
+        Err(error) => {
+            warn!(error = error.to_string().as_str(); "connection not accepted");
+            sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+async fn serve_connection(state: Arc<FleetState>, stream: TcpStream) {
+    let header_timeout = state
+        .catalog
+        .load()
+        .map_or(HEADER_TIMEOUT, |catalog| catalog.limits().header_timeout);
+    let service = service_fn(|request: Request<Incoming>| {
+        let state = state.clone();
+        async move {
+            let mut answer = relay::serve(&state, request).await;
+            if state.is_leaving() {
+                let value = hyper::header::HeaderValue::from_static("close");
+                answer
+                    .headers_mut()
+                    .insert(hyper::header::CONNECTION, value);
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_timeout.max(Duration::from_secs(60)))
+        .keep_alive(true);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let closing = async {
+        state.wait_leaving().await;
+        let grace = Duration::from_secs_f64(state.settings.grace_s);
+        sleep(grace.saturating_sub(CLOSE_MARGIN)).await;
+    };
+    // Errors here are connections that callers broke off.
+    tokio::select! {
+        ended = connection.as_mut() => drop(ended),
+        () = closing => {
+            connection.as_mut().graceful_shutdown();
+            drop(connection.await);
+        }
+    }
+}
+
+/// Answers readiness checks.
+pub(crate) async fn serve_ready(state: Arc<FleetState>, listener: TcpListener) {
+    serve_plain(listener, move || {
+        if state.is_ready() {
+            (200, Bytes::from_static(b"ready\n"))
+        } else {
+            (503, Bytes::from_static(b"not ready\n"))
+        }
+    })
+    .await;
+}
+
+/// Answers readers of metrics.
+pub(crate) async fn serve_metrics(metrics: PrometheusHandle, listener: TcpListener) {
+    serve_plain(listener, move || {
+        metrics.run_upkeep();
+        (200, metrics.render().into())
+    })
+    .await;
+}
+
+async fn serve_plain(
+    listener: TcpListener,
+    answer: impl Fn() -> (u16, Bytes) + Clone + Send + Sync + 'static,
+) {
+    loop {
+        let Some(stream) = accept_one(&listener).await else {
+            continue;
+        };
+        let answer = answer.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|_: Request<Incoming>| {
+                let (status, body) = answer();
+                async move { Ok::<_, Infallible>(plain(status, "text/plain", body)) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // Errors here are connections that the other side broke off.
+            drop(connection.await);
+        });
+    }
+}
--- /dev/null
+++ b/fleet/src/peers.rs
@@ -0,0 +1,339 @@
+//! Calls between VMs: configuration, backend servers, jobs, and the platform on another's behalf.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    api::{
+        ApiRequest,
+        ApiResponse, //
+    },
+    backend::{
+        BackendChange,
+        BackendServer, //
+    },
+    error::{
+        ServeError,
+        Step, //
+    },
+    frame::FrameLink,
+    generated::messages::{
+        envelope::Body,
+        BackendAnswer,
+        BackendAsk,
+        BackendNote,
+        CatalogAnswer,
+        CatalogAsk,
+        EndNote,
+        JobBody,
+        JobBodyAsk,
+        JobDone,
+        JobEnd,
+        JobPage,
+        JobRead,
+        StoreAnswer,
+        StoreCall, //
+    },
+    sync::lock, //
+};
+use compact_str::CompactString;
+use log::{
+    info,
+    warn, //
+};
+use metrics::counter;
+use tokio::net::TcpListener;
+
+use crate::{
+    job_reads,
+    jobs,
+    pool::watch_stream,
+    state::FleetState,
+    takeover, //
+};
+
+/// Longest time for telling a VM that a job ended.
+const TELL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest time for fetching configuration and backend servers from another VM.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Asks another VM.
+pub(crate) async fn ask(
+    state: &FleetState,
+    vm: u64,
+    body: Body,
+    limit: Duration,
+) -> Result<Body, ServeError> {
+    let address = lock(&state.members)
+        .find(vm)
+        .filter(|member| member.is_heard(Instant::now()))
+        .map(|member| member.facts.address.clone());
+    let silent = || ServeError::Unreachable(Step::Connect, "vm".into(), "not heard".into());
+    let address = address.ok_or_else(silent)?;
+    state.links.ask(&address, body, limit).await
+}
+
+/// Answers the calls of other VMs for as long as the process runs.
+pub(crate) async fn serve_peers(state: Arc<FleetState>, listener: TcpListener) {
+    loop {
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                warn!(error = error.to_string().as_str(); "connection of a VM not accepted");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        if let Err(error) = watch_stream(&stream) {
+            warn!(error = error.to_string().as_str(); "socket options not set");
+        }
+        let (link, mut inbox) = FrameLink::open(stream, &peer.to_string());
+        let state = state.clone();
+        tokio::spawn(async move {
+            while let Some(envelope) = inbox.recv().await {
+                let Some(body) = envelope.body else {
+                    continue;
+                };
+                let (state, link, id) = (state.clone(), link.clone(), envelope.id);
+                tokio::spawn(async move { answer(&state, &link, id, body).await });
+            }
+        });
+    }
+}
+
+async fn answer(state: &Arc<FleetState>, link: &FrameLink, id: u64, body: Body) {
+    let answer = match body {
+        Body::CatalogAsk(ask) => Body::CatalogAnswer(answer_catalog(state, &ask)),
+        Body::BackendAsk(ask) => Body::BackendAnswer(answer_backends(state, &ask)),
+        Body::JobRead(ask) => Body::JobPage(answer_read(state, ask).await),
+        Body::JobBodyAsk(ask) => Body::JobBody(answer_body(state, &ask)),
+        Body::JobEnd(ask) => Body::JobDone(answer_end(state, &ask)),
+        Body::JobHandover(ask) => Body::JobDone(JobDone {
+            done: takeover::take_handover(state, ask).await,
+        }),
+        Body::StoreCall(call) => Body::StoreAnswer(answer_store(state, call).await),
+        _ => return,
+    };
+    if let Err(error) = link.push(id, answer) {
+        counter!("peer_answers_lost_total").increment(1);
+        info!(error = error.to_string().as_str(); "answer to a VM not sent");
+    }
+}
+
+fn answer_catalog(state: &FleetState, ask: &CatalogAsk) -> CatalogAnswer {
+    let raw = state.catalog.raw().filter(|raw| raw.version > ask.after);
+    raw.map_or_else(CatalogAnswer::default, |raw| CatalogAnswer {
+        version: raw.version,
+        spec: raw.spec.to_vec(),
+    })
+}
+
+fn answer_backends(state: &FleetState, ask: &BackendAsk) -> BackendAnswer {
+    let (through, changes) = state
+        .backends
+        .read(|table| (table.through(), table.changes_since(ask.backends_after)));
+    let ends = state.ends.since(ask.ends_after);
+    BackendAnswer {
+        backends_through: through,
+        backends: changes.iter().map(backend_note).collect(),
+        ends_through: state.ends.through(),
+        ends: ends
+            .into_iter()
+            .map(|(revision, id)| EndNote {
+                id: id.to_string(),
+                revision,
+            })
+            .collect(),
+    }
+}
+
+async fn answer_read(state: &Arc<FleetState>, ask: JobRead) -> JobPage {
+    let kept = state.jobs.find(&ask.id);
+    let Some(entry) = kept.filter(|entry| entry.head.workspace == ask.workspace) else {
+        return JobPage::default();
+    };
+    let until = Instant::now() + Duration::from_millis(ask.wait_ms.into());
+    job_reads::wait_for_results(&entry, ask.after, until).await;
+    job_reads::encode_page(job_reads::page_of(state, &entry, ask.after))
+}
+
+fn answer_body(state: &FleetState, ask: &JobBodyAsk) -> JobBody {
+    let kept = state.jobs.find(&ask.id);
+    let Some(entry) = kept.filter(|entry| entry.head.workspace == ask.workspace) else {
+        return JobBody::default();
+    };
+    let body = job_reads::body_of(&entry, &ask.item);
+    JobBody {
+        known: true,
+        found: body.is_some(),
+        body: body.unwrap_or_default().to_vec(),
+    }
+}
+
+fn answer_end(state: &FleetState, ask: &JobEnd) -> JobDone {
+    jobs::stop_job(state, &ask.id);
+    JobDone { done: true }
+}
+
+async fn answer_store(state: &FleetState, call: StoreCall) -> StoreAnswer {
+    let Ok(method) = call.method.parse() else {
+        return StoreAnswer::default();
+    };
+    let mut request = ApiRequest::new(method, call.target);
+    request.body = (!call.body.is_empty()).then(|| call.body.into());
+    let limit = Duration::from_millis(call.timeout_ms.into());
+    match state.platform.forward(request, limit).await {
+        Ok(response) => StoreAnswer {
+            status: response.status.into(),
+            body: response.body.to_vec(),
+            ambiguous: false,
+        },
+        Err(error) => StoreAnswer {
+            ambiguous: error.is_ambiguous(),
+            ..Default::default()
+        },
+    }
+}
+
+/// Has another VM carry out a call to the platform.
+pub(crate) async fn relay_store(
+    state: &FleetState,
+    request: ApiRequest,
+    limit: Duration,
+) -> Result<ApiResponse, ServeError> {
+    let now = Instant::now();
+    let address = {
+        let members = lock(&state.members);
+        let mut following = members.heard(now).filter(|member| member.facts.follows);
+        let first = following.next();
+        first.map(|member| member.facts.address.clone())
+    };
+    let none = || ServeError::Unreachable(Step::Connect, "vm".into(), "none follows".into());
+    let address = address.ok_or_else(none)?;
+    counter!("platform_calls_relayed_total").increment(1);
+    let call = Body::StoreCall(StoreCall {
+        method: request.method.to_string(),
+        target: request.target,
+        body: request.body.unwrap_or_default().to_vec(),
+        timeout_ms: u32::try_from(limit.as_millis()).unwrap_or(u32::MAX),
+    });
+    let answer = state
+        .links
+        .ask(&address, call, limit + TELL_TIMEOUT)
+        .await?;
+    let Body::StoreAnswer(answer) = answer else {
+        return Err(ServeError::Malformed(
+            Step::Receive,
+            address,
+            "another answer".into(),
+        ));
+    };
+    match u16::try_from(answer.status) {
+        Ok(status) if status > 0 => Ok(ApiResponse {
+            status,
+            body: answer.body.into(),
+        }),
+        _ if answer.ambiguous => Err(ServeError::Timeout(Step::Receive, address)),
+        _ => Err(ServeError::Rejected(
+            Step::Send,
+            address,
+            "platform not reached".into(),
+        )),
+    }
+}
+
+/// Tells the VM that runs a job that its client ended it; the store tells the others.
+pub(crate) fn tell_end(state: &Arc<FleetState>, id: &str) {
+    let Some(notice) = state.jobs.notice(id) else {
+        return;
+    };
+    let (state, id) = (state.clone(), CompactString::from(id));
+    tokio::spawn(async move {
+        let body = Body::JobEnd(JobEnd { id: id.to_string() });
+        if let Err(error) = ask(&state, notice.vm, body, TELL_TIMEOUT).await {
+            info!(job = id.as_str(), error = error.to_string().as_str(); "end not told");
+        }
+    });
+}
+
+/// Fetches the configuration from a VM that has a newer one.
+pub(crate) async fn fetch_catalog(state: &FleetState, address: &str) -> Result<(), ServeError> {
+    let ask = Body::CatalogAsk(CatalogAsk {
+        after: state.catalog.version(),
+    });
+    let answer = state.links.ask(address, ask, FETCH_TIMEOUT).await?;
+    let Body::CatalogAnswer(answer) = answer else {
+        return Ok(());
+    };
+    if answer.version > state.catalog.version() {
+        crate::follow::apply_catalog(state, answer.spec.into(), "vm");
+    }
+    Ok(())
+}
+
+/// Fetches backend servers and ended jobs from a VM that knows newer ones.
+pub(crate) async fn fetch_backends(state: &FleetState, address: &str) -> Result<(), ServeError> {
+    let ask = Body::BackendAsk(BackendAsk {
+        backends_after: state.backends.read(|table| table.through()),
+        ends_after: state.ends.through(),
+    });
+    let answer = state.links.ask(address, ask, FETCH_TIMEOUT).await?;
+    let Body::BackendAnswer(answer) = answer else {
+        return Ok(());
+    };
+    let changes: Vec<BackendChange> = answer.backends.into_iter().map(backend_change).collect();
+    let now = Instant::now();
+    state
+        .backends
+        .update(|table| table.apply(changes, answer.backends_through, now));
+    let ends = answer.ends.into_iter();
+    let ends = ends.map(|note| (note.revision, note.id.into())).collect();
+    for id in state.ends.apply(ends, answer.ends_through) {
+        jobs::stop_job(state, &id);
+    }
+    Ok(())
+}
+
+fn backend_note(change: &BackendChange) -> BackendNote {
+    let note = BackendNote {
+        id: change.id.to_string(),
+        revision: change.revision,
+        ..Default::default()
+    };
+    let Some(server) = &change.server else {
+        return note;
+    };
+    BackendNote {
+        address: server.address.to_string(),
+        service: server.service.to_string(),
+        domain: server.domain.to_string(),
+        slots: server.slots,
+        leaving: server.leaving,
+        start: server.start,
+        ..note
+    }
+}
+
+fn backend_change(note: BackendNote) -> BackendChange {
+    let id = CompactString::from(note.id);
+    let server = note.address.parse().ok().map(|address| BackendServer {
+        id: id.clone(),
+        address,
+        service: note.service.into(),
+        domain: note.domain.into(),
+        slots: note.slots,
+        leaving: note.leaving,
+        start: note.start,
+    });
+    BackendChange {
+        id,
+        revision: note.revision,
+        server,
+    }
+}
--- /dev/null
+++ b/fleet/src/relay.rs
@@ -0,0 +1,477 @@
+//! Serves online requests: checks them, finds a place, and passes the answer on.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    catalog::{
+        Catalog,
+        CatalogRoute,
+        CatalogWorkspace,
+        RouteKind, //
+    },
+    keys::hash_key,
+    place::{
+        choose_place,
+        PlaceQuery, //
+    },
+    refusal::{
+        RefusalAnswer,
+        RefusalReason, //
+    },
+    sync::lock, //
+};
+use bytes::Bytes;
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
+use hyper::{
+    body::{
+        Body,
+        Incoming, //
+    },
+    http::request::Parts,
+    Request, //
+};
+use log::info;
+use metrics::{
+    counter,
+    histogram, //
+};
+use tokio::time::timeout;
+
+use crate::{
+    answer::{
+        pass_on,
+        refusal,
+        whole,
+        CallerAnswer, //
+    },
+    attempt::{
+        attempt,
+        AttemptFailure,
+        NotRunCause,
+        OutgoingRequest,
+        ServerAnswer, //
+    },
+    backends::{
+        BackendState,
+        FlightKind, //
+    },
+    caller::{
+        set_workspace,
+        CallerRequest, //
+    },
+    jobs,
+    relay_stream::{
+        open_stream,
+        StreamRelay, //
+    },
+    state::{
+        allowance_limit,
+        FleetState, //
+    },
+    wire::CallerCall, //
+};
+
+/// When a caller may come back while this VM knows no configuration yet.
+const CONFIG_RETRY: Duration = Duration::from_millis(300);
+
+/// When a caller may come back while no server can take its request.
+const CAPACITY_RETRY: Duration = Duration::from_millis(400);
+
+/// Share of the time in which an answer is in time for which a request may wait here for a place.
+const WAIT_SHARE: f64 = 0.25;
+
+/// Requests that may wait at a server beyond its places.
+const SERVER_QUEUE: u32 = 3;
+
+/// Servers that may refuse a request before it is refused to its caller.
+const REFUSALS: usize = 6;
+
+/// Longest time for receiving a request's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Largest whole answer that is kept here until it is complete, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Longest wait for a freed place before servers are looked at again.
+const PLACE_POLL: Duration = Duration::from_millis(10);
+
+/// A request that may run.
+pub(crate) struct AdmittedRequest {
+    /// Route that it takes.
+    pub(crate) route: Arc<CatalogRoute>,
+    /// Service of the route.
+    pub(crate) service: CompactString,
+    /// What goes to a server.
+    pub(crate) outgoing: OutgoingRequest,
+    /// When the request had arrived.
+    pub(crate) arrived: Instant,
+    prefix: Option<u64>,
+}
+
+/// How a request is answered: by a server or by the system.
+pub(crate) type CallerResult = Result<CallerAnswer, RefusalAnswer>;
+
+/// Answers one call of a caller.
+pub(crate) async fn serve(state: &Arc<FleetState>, request: Request<Incoming>) -> CallerAnswer {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let names = &state.format.names;
+    let caller = match CallerRequest::read(names, &parts, arrived) {
+        Ok(caller) => caller,
+        Err(refused) => return refusal(names, &refused, ""),
+    };
+    let id = caller.id.clone();
+    let result = dispatch(state, caller, &parts, body).await;
+    histogram!("answer_head_seconds").record(arrived.elapsed().as_secs_f64());
+    result.unwrap_or_else(|refused| {
+        info!(
+            request = id.as_str(),
+            reason = refused.reason.name(),
+            outcome = refused.state.name(),
+            detail = refused.detail.as_str(),
+            catalog = state.catalog.version(),
+            age_ms = millis(arrived.elapsed());
+            "request refused"
+        );
+        refusal(names, &refused, &id)
+    })
+}
+
+async fn dispatch(
+    state: &Arc<FleetState>,
+    caller: CallerRequest,
+    parts: &Parts,
+    body: Incoming,
+) -> CallerResult {
+    let catalog = state.catalog.load().ok_or_else(|| {
+        let detail = "no configuration has arrived yet";
+        RefusalAnswer::not_run(RefusalReason::ConfigMissing, detail).retry_after(CONFIG_RETRY)
+    })?;
+    let call = (state.format.classify)(parts);
+    if call != CallerCall::Request && catalog.has_host(&caller.host) {
+        let workspace = identify(&catalog, &caller)?;
+        return jobs::serve_call(state, &caller, call, &workspace.name).await;
+    }
+    if caller.id.is_empty() {
+        let field = state.format.names.request_id.as_str();
+        return Err(RefusalAnswer::not_run(
+            RefusalReason::RequestMalformed,
+            field,
+        ));
+    }
+    let found = catalog.find_route(&caller.host, caller.path());
+    let route =
+        found.ok_or_else(|| RefusalAnswer::not_run(RefusalReason::RouteUnknown, caller.path()))?;
+    let workspace = match route.open || !catalog.needs_keys() {
+        true => None,
+        false => Some(identify(&catalog, &caller)?),
+    };
+    let body = read_body(&catalog, parts, body).await?;
+    if let RouteKind::Batch(terms) = &route.kind {
+        let name = workspace.map_or("", |workspace| workspace.name.as_str());
+        return jobs::submit(state, &caller, (route.as_ref(), terms), name, body).await;
+    }
+    let request = admit(state, caller, route, workspace, body)?;
+    let workspace = workspace.filter(|workspace| workspace.rate > 0.0);
+    if let Some(workspace) = workspace {
+        take_allowance(state, workspace)?;
+    }
+    let result = run(state, request).await;
+    if let (Some(workspace), Err(refused)) = (workspace, &result) {
+        if refused.state == boragerill::refusal::RunState::NotRun {
+            lock(&state.allowances).give_back(workspace.hash);
+        }
+    }
+    result
+}
+
+/// Returns the workspace of the caller's key.
+fn identify<'a>(
+    catalog: &'a Catalog,
+    caller: &CallerRequest,
+) -> Result<&'a CatalogWorkspace, RefusalAnswer> {
+    let key = caller
+        .key
+        .as_deref()
+        .ok_or_else(|| RefusalAnswer::not_run(RefusalReason::KeyMissing, "authorization"))?;
+    catalog
+        .find_key(&hash_key(key))
+        .ok_or_else(|| RefusalAnswer::not_run(RefusalReason::KeyUnknown, "authorization"))
+}
+
+fn take_allowance(state: &FleetState, workspace: &CatalogWorkspace) -> Result<(), RefusalAnswer> {
+    let now = Instant::now();
+    let share = state.fleet_share(now);
+    let taken = lock(&state.allowances).take(allowance_limit(workspace), share, now);
+    taken.map_err(|wait| {
+        let detail = format_compact!(
+            "workspace {}, {} of {} VMs heard",
+            workspace.name,
+            share.heard,
+            share.size
+        );
+        RefusalAnswer::not_run(RefusalReason::RateExceeded, detail).retry_after(wait)
+    })?;
+    state.backends.changed.notify_one();
+    Ok(())
+}
+
+async fn read_body(
+    catalog: &Catalog,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<Bytes, RefusalAnswer> {
+    let limits = catalog.limits();
+    let too_large =
+        |detail: CompactString| RefusalAnswer::not_run(RefusalReason::BodyTooLarge, detail);
+    let head: usize = parts
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    if head > limits.header_bytes {
+        let detail = format_compact!("head of {head} bytes");
+        return Err(RefusalAnswer::not_run(
+            RefusalReason::HeaderTooLarge,
+            detail,
+        ));
+    }
+    let announced = body.size_hint().lower();
+    if announced > limits.body_bytes as u64 {
+        return Err(too_large(format_compact!("body of {announced} bytes")));
+    }
+    let reading = Limited::new(body, limits.body_bytes).collect();
+    let malformed =
+        |detail: CompactString| RefusalAnswer::not_run(RefusalReason::RequestMalformed, detail);
+    match timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(read)) => Ok(read.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(too_large(format_compact!("{error}")))
+        }
+        Ok(Err(error)) => Err(malformed(format_compact!("body: {error}"))),
+        Err(_) => Err(malformed(format_compact!("body not received in time"))),
+    }
+}
+
+fn admit(
+    state: &FleetState,
+    caller: CallerRequest,
+    route: &Arc<CatalogRoute>,
+    workspace: Option<&CatalogWorkspace>,
+    body: Bytes,
+) -> Result<AdmittedRequest, RefusalAnswer> {
+    let service = route.choose_service(&caller.id).ok_or_else(|| {
+        RefusalAnswer::not_run(RefusalReason::RouteUnknown, "route without a service")
+    })?;
+    let mut headers = caller.headers;
+    if let Some(workspace) = workspace {
+        set_workspace(&state.format.names, &mut headers, &workspace.name);
+    }
+    let limit = route.timeout.map(|limit| caller.arrived + limit);
+    let deadline = limit.map_or(caller.deadline, |limit| limit.min(caller.deadline));
+    Ok(AdmittedRequest {
+        service: service.clone(),
+        arrived: caller.arrived,
+        prefix: caller.prefix,
+        outgoing: OutgoingRequest {
+            id: caller.id,
+            method: caller.method,
+            target: caller.target,
+            headers,
+            body,
+            deadline,
+            repeatable: route.is_repeatable(),
+            kind: FlightKind::Online,
+        },
+        route: route.clone(),
+    })
+}
+
+/// What has happened to a request so far.
+#[derive(Debug, Default)]
+struct RunHistory {
+    tried: Vec<u32>,
+    refusals: usize,
+    runs: u32,
+    cause: CompactString,
+}
+
+/// Runs a request at one server after another, as far as its route allows.
+async fn run(state: &Arc<FleetState>, request: AdmittedRequest) -> CallerResult {
+    let mut history = RunHistory::default();
+    loop {
+        let server = find_place(state, &request, &history).await?;
+        let failure = match attempt(state, &server, &request.outgoing).await {
+            Ok(answer) => match accept(state, &request, answer, &mut history).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        note_failure(&request, &server, &failure, &mut history);
+        history.tried.push(server.key);
+        let out_of_time = Instant::now() >= request.outgoing.deadline;
+        match &failure {
+            AttemptFailure::NotRun(..) if history.refusals < REFUSALS && !out_of_time => {}
+            AttemptFailure::Unknown(_) if may_repeat(&request, &history) && !out_of_time => {}
+            _ => return Err(final_refusal(&history, out_of_time)),
+        }
+    }
+}
+
+fn may_repeat(request: &AdmittedRequest, history: &RunHistory) -> bool {
+    request.outgoing.repeatable && history.runs < request.route.attempts
+}
+
+fn note_failure(
+    request: &AdmittedRequest,
+    server: &BackendState,
+    failure: &AttemptFailure,
+    history: &mut RunHistory,
+) {
+    let (reason, cause) = match failure {
+        AttemptFailure::NotRun(reason, cause) => {
+            history.refusals += 1;
+            (reason.name(), cause)
+        }
+        AttemptFailure::Unknown(cause) => {
+            history.runs += 1;
+            ("server_failed", cause)
+        }
+    };
+    counter!("attempts_failed_total", "reason" => reason).increment(1);
+    info!(
+        request = request.outgoing.id.as_str(),
+        server = server.server.id.as_str(),
+        online = server.used().online,
+        reason,
+        cause = cause.as_str(),
+        age_ms = millis(request.arrived.elapsed());
+        "attempt failed"
+    );
+    history.cause = format_compact!("{}: {cause}", server.server.address);
+}
+
+fn final_refusal(history: &RunHistory, out_of_time: bool) -> RefusalAnswer {
+    let cause = history.cause.clone();
+    if history.runs == 0 {
+        return RefusalAnswer::not_run(RefusalReason::ServerUnavailable, cause)
+            .retry_after(CAPACITY_RETRY);
+    }
+    let reason = if out_of_time {
+        RefusalReason::DeadlinePassed
+    } else {
+        RefusalReason::ServerFailed
+    };
+    RefusalAnswer::unknown(reason, cause)
+}
+
+/// Finds a server that has a place, or will have one soon enough.
+async fn find_place(
+    state: &FleetState,
+    request: &AdmittedRequest,
+    history: &RunHistory,
+) -> Result<Arc<BackendState>, RefusalAnswer> {
+    let patience = request.route.target.mul_f64(WAIT_SHARE);
+    let until = (request.arrived + patience).min(request.outgoing.deadline);
+    loop {
+        let freed = state.backends.freed.notified();
+        let now = Instant::now();
+        let (servers, views) = state
+            .backends
+            .views(&request.service, &state.settings.domain, now);
+        let query = PlaceQuery {
+            prefix: request.prefix,
+            draw: rand::random(),
+            waiting: SERVER_QUEUE,
+        };
+        if let Some(index) = choose_place(&views, &history.tried, query) {
+            return Ok(servers[index].clone());
+        }
+        let exhausted = !history.tried.is_empty();
+        if now >= until || exhausted {
+            if history.runs > 0 {
+                return Err(final_refusal(history, false));
+            }
+            let detail = format_compact!("{} servers, none with a place", servers.len());
+            return Err(RefusalAnswer::not_run(RefusalReason::CapacityShort, detail)
+                .retry_after(CAPACITY_RETRY));
+        }
+        // Running out of time here only means to look again.
+        let _ = timeout(PLACE_POLL.min(until - now), freed).await;
+    }
+}
+
+/// Turns a server's answer into the caller's, or finds that it has to be tried elsewhere.
+async fn accept(
+    state: &Arc<FleetState>,
+    request: &AdmittedRequest,
+    answer: ServerAnswer,
+    history: &mut RunHistory,
+) -> Result<CallerAnswer, AttemptFailure> {
+    let status = answer.head.status;
+    let is_stream = matches!(request.route.kind, RouteKind::Stream(_));
+    if is_stream && status.is_success() {
+        let opened = open_stream(state, request, answer).await?;
+        return Ok(StreamRelay::start(
+            state.clone(),
+            request,
+            opened,
+            history.runs + 1,
+        ));
+    }
+    if status.is_server_error() {
+        state.backends.note_failure(&answer.server, Instant::now());
+        let again = request.outgoing.repeatable && history.runs + 1 < request.route.attempts;
+        if again && Instant::now() < request.outgoing.deadline {
+            let cause = format_compact!("status {}", status.as_u16());
+            return Err(AttemptFailure::Unknown(cause));
+        }
+    }
+    pass_whole(state, request, answer).await
+}
+
+/// Reads an answer to its end before any of it is passed on.
+async fn pass_whole(
+    state: &FleetState,
+    request: &AdmittedRequest,
+    mut answer: ServerAnswer,
+) -> Result<CallerAnswer, AttemptFailure> {
+    let remaining = request
+        .outgoing
+        .deadline
+        .saturating_duration_since(Instant::now());
+    let reading = Limited::new(&mut answer.body, ANSWER_LIMIT_BYTES).collect();
+    let unknown = |cause: CompactString| AttemptFailure::Unknown(cause);
+    let body = match timeout(remaining, reading).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => return Err(unknown(format_compact!("answer broke off: {error}"))),
+        Err(_) => return Err(unknown("deadline passed within the answer".into())),
+    };
+    let passed = pass_on(&state.format.names, &answer.head, whole(body));
+    answer.finish();
+    Ok(passed)
+}
+
+/// Returns a time in whole milliseconds.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns whether a failure leaves the request free to go elsewhere.
+pub(crate) fn is_unreachable(failure: &AttemptFailure) -> bool {
+    matches!(failure, AttemptFailure::NotRun(NotRunCause::Unreachable, _))
+}
--- /dev/null
+++ b/fleet/src/retire.rs
@@ -0,0 +1,85 @@
+//! Empties this VM when the platform asks for it.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use boragerill::error::ServeError;
+use log::{
+    info,
+    warn, //
+};
+use tokio::time::sleep;
+
+use crate::{
+    state::FleetState,
+    takeover, //
+};
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Pause after a failed call.
+const FAILED_PAUSE: Duration = Duration::from_millis(300);
+
+/// Watches for the order to empty this VM, and carries it out.
+pub(crate) async fn watch_retirement(state: Arc<FleetState>) {
+    let mut through = None;
+    loop {
+        match find_order(&state, through).await {
+            Ok((false, version)) => through = Some(version),
+            Ok((true, version)) => {
+                through = Some(version);
+                empty(&state).await;
+            }
+            Err(ServeError::Compacted(..)) => through = None,
+            Err(error) => {
+                warn!(error = error.to_string().as_str(); "retirements not followed");
+                sleep(FAILED_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Waits for an order, and returns whether this VM is meant and how far orders are known.
+async fn find_order(state: &FleetState, through: Option<u64>) -> Result<(bool, u64), ServeError> {
+    let kind = state.format.kinds.retirements;
+    let (objects, version) = match through {
+        None => state.platform.list(kind, |object| object).await?,
+        Some(after) => {
+            let batch = state.platform.watch(&[kind], after, WATCH_WAIT).await?;
+            (batch.events, batch.version.max(after))
+        }
+    };
+    let mut orders = objects.iter().filter(|object| !object.deleted);
+    let meant = orders.any(|object| object.name == state.settings.vm);
+    Ok((meant, version))
+}
+
+/// Hands over what this VM runs; it keeps nothing else that the store doesn't have.
+async fn empty(state: &Arc<FleetState>) {
+    info!("told to become empty");
+    write_status(state, false).await;
+    takeover::hand_over_all(state).await;
+    write_status(state, true).await;
+    info!("empty");
+}
+
+async fn write_status(state: &FleetState, done: bool) {
+    let status = (state.format.encode_retirement)(done);
+    let kind = state.format.kinds.retirements;
+    loop {
+        let written = state
+            .platform
+            .put_status(kind, &state.settings.vm, &status)
+            .await;
+        match written {
+            Ok(_) | Err(ServeError::Missing(..)) => return,
+            Err(error) => {
+                warn!(error = error.to_string().as_str(); "status of the retirement not written");
+                sleep(FAILED_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/runner.rs
@@ -0,0 +1,432 @@
+//! Runs the items of batch jobs in the places that online requests leave.
+
+use std::{
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    catalog::{
+        BatchTerms,
+        CatalogRoute,
+        RouteKind, //
+    },
+    job::JobPressure,
+    place::{
+        choose_batch_place,
+        OwnUse,
+        PlaceView, //
+    },
+    stream::EventCutter,
+    sync::lock, //
+};
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
+use hyper::{
+    header::{
+        HeaderMap,
+        HeaderName,
+        HeaderValue,
+        HOST, //
+    },
+    Method, //
+};
+use log::info;
+use metrics::counter;
+use tokio::{
+    sync::oneshot,
+    time::timeout, //
+};
+
+use crate::{
+    attempt::{
+        attempt,
+        AttemptFailure,
+        OutgoingRequest,
+        ServerAnswer, //
+    },
+    backends::{
+        BackendState,
+        FlightKind, //
+    },
+    caller::set_workspace,
+    jobs::JobEntry,
+    relay::is_unreachable,
+    state::FleetState, //
+};
+
+/// Places of each server that batch leaves free for online requests.
+const RESERVE: u32 = 0;
+
+/// Longest pause between looks at what can be started.
+const LOOK_PERIOD: Duration = Duration::from_millis(25);
+
+/// Pause before an item that a server refused is started again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(40);
+
+/// Pause before an item that failed is started again.
+const FAILED_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest wait for an item's next event.
+const ITEM_STALL: Duration = Duration::from_millis(1500);
+
+/// Status of a server that will never be able to run an item.
+const NEVER_STATUS: u16 = 422;
+
+/// Time for which a route may be missing before its jobs' items are given up.
+const ROUTE_GRACE: Duration = Duration::from_secs(3);
+
+/// An item in flight that can be told to pause.
+struct RunningItem {
+    number: u64,
+    server: u32,
+    job_due: Duration,
+    progress: usize,
+    pause: Option<oneshot::Sender<()>>,
+}
+
+/// Items in flight.
+#[derive(Default)]
+pub(crate) struct ItemRunner {
+    running: std::sync::Mutex<Vec<RunningItem>>,
+    next: std::sync::atomic::AtomicU64,
+}
+
+impl ItemRunner {
+    /// Starts and pauses items for as long as the process runs.
+    pub(crate) async fn run(self: Arc<Self>, state: Arc<FleetState>) {
+        loop {
+            // Running out of time here only means to look again.
+            let _ = timeout(LOOK_PERIOD, state.jobs.work.notified()).await;
+            self.pause_items(&state);
+            if !state.is_leaving() {
+                self.start_items(&state);
+            }
+        }
+    }
+
+    /// Pauses items on servers where online requests would wait behind them.
+    fn pause_items(&self, state: &FleetState) {
+        let now = Instant::now();
+        let servers = state.backends.all();
+        for server in servers.iter() {
+            let used = server.used();
+            if used.batch == 0 {
+                continue;
+            }
+            let own = OwnUse {
+                vm: state.vm_hash,
+                used,
+            };
+            let slots = server.server.slots;
+            let count = state
+                .backends
+                .read_places(|places| places.pauses(server.key, own, slots, now));
+            let all = if server.server.leaving { used.batch } else { 0 };
+            if count.max(all) > 0 {
+                self.pause_at(server.key, count.max(all));
+            }
+        }
+    }
+
+    /// Tells the items on a server that have come least far to pause.
+    fn pause_at(&self, server: u32, count: u32) {
+        let mut running = lock(&self.running);
+        let mut here: Vec<&mut RunningItem> = running
+            .iter_mut()
+            .filter(|item| item.server == server && item.pause.is_some())
+            .collect();
+        here.sort_by_key(|item| (std::cmp::Reverse(item.job_due), item.progress));
+        for item in here.into_iter().take(usize::try_from(count).unwrap_or(0)) {
+            counter!("items_paused_total").increment(1);
+            if let Some(pause) = item.pause.take() {
+                // An error means that the item has just ended.
+                let _ = pause.send(());
+            }
+        }
+    }
+
+    fn start_items(self: &Arc<Self>, state: &Arc<FleetState>) {
+        let now = Instant::now();
+        let Some(catalog) = state.catalog.load() else {
+            return;
+        };
+        let mut jobs: Vec<(JobPressure, Arc<JobEntry>)> = Vec::new();
+        for entry in state.jobs.all() {
+            if lock(&entry.progress).is_closed() || entry.released.load(Ordering::Relaxed) {
+                continue;
+            }
+            let route = catalog.find_route(&entry.head.host, &entry.head.path);
+            match route.map(|route| &route.kind) {
+                Some(RouteKind::Batch(terms)) => {
+                    give_up_old(state, &entry, terms, now);
+                    jobs.push((pressure(&entry, terms, now), entry));
+                }
+                _ if now > entry.submitted + ROUTE_GRACE => give_up_all(&entry),
+                _ => {}
+            }
+        }
+        jobs.sort_by_key(|job| job.0.rank());
+        for (pressure, entry) in jobs {
+            let Some(route) = catalog.find_route(&entry.head.host, &entry.head.path) else {
+                continue;
+            };
+            let startable = lock(&entry.progress).startable(now);
+            for index in startable {
+                let Some(service) = route.choose_service(&entry.items[index].id) else {
+                    break;
+                };
+                let Some(server) = choose_server(state, service, now) else {
+                    return;
+                };
+                self.start(state, &entry, route, index, server, pressure.left);
+            }
+        }
+    }
+
+    fn start(
+        self: &Arc<Self>,
+        state: &Arc<FleetState>,
+        entry: &Arc<JobEntry>,
+        route: &Arc<CatalogRoute>,
+        index: usize,
+        server: Arc<BackendState>,
+        job_due: Duration,
+    ) {
+        let (pause, paused) = oneshot::channel();
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let last = lock(&entry.progress).begin(index);
+        let progress = lock(&entry.progress).progress(index);
+        lock(&self.running).push(RunningItem {
+            number,
+            server: server.key,
+            job_due,
+            progress,
+            pause: Some(pause),
+        });
+        let outgoing = item_request(state, entry, route, index, last);
+        // The server's load counts from now on, so that the next choice sees it.
+        let flight = state.backends.fly(&server, FlightKind::Batch);
+        let (runner, state, entry) = (self.clone(), state.clone(), entry.clone());
+        let attempts = route.attempts;
+        tokio::spawn(async move {
+            drop(flight);
+            let run = ItemRun {
+                state: &state,
+                entry: &entry,
+                index,
+                server: &server,
+                attempts,
+            };
+            tokio::select! {
+                () = run.run(&outgoing) => {}
+                Ok(()) = paused => {
+                    lock(&entry.progress).pause(index, None);
+                }
+            }
+            lock(&runner.running).retain(|item| item.number != number);
+            entry.ended.notify_one();
+            state.jobs.work.notify_one();
+        });
+    }
+}
+
+/// One run of one item.
+struct ItemRun<'a> {
+    state: &'a FleetState,
+    entry: &'a JobEntry,
+    index: usize,
+    server: &'a Arc<BackendState>,
+    attempts: u32,
+}
+
+impl ItemRun<'_> {
+    async fn run(&self, outgoing: &OutgoingRequest) {
+        let now = Instant::now();
+        match attempt(self.state, self.server, outgoing).await {
+            Ok(answer) => self.read(answer).await,
+            Err(failure) => {
+                let pause = if is_unreachable(&failure) {
+                    Duration::ZERO
+                } else {
+                    REFUSED_PAUSE
+                };
+                self.note(&failure);
+                lock(&self.entry.progress).pause(self.index, Some(now + pause));
+            }
+        }
+    }
+
+    async fn read(&self, mut answer: ServerAnswer) {
+        let status = answer.head.status;
+        if !status.is_success() {
+            self.fail(status.as_u16());
+            let rest = Limited::new(&mut answer.body, 65_536).collect();
+            if let Ok(Ok(_)) = timeout(ITEM_STALL, rest).await {
+                answer.finish();
+            }
+            return;
+        }
+        match self.read_events(&mut answer).await {
+            Ok(()) => {
+                lock(&self.entry.progress).complete(self.index);
+                counter!("items_completed_total").increment(1);
+                answer.finish();
+            }
+            Err(cause) => {
+                self.state
+                    .backends
+                    .note_failure(self.server, Instant::now());
+                self.note(&AttemptFailure::Unknown(cause));
+                let until = Instant::now() + REFUSED_PAUSE;
+                lock(&self.entry.progress).pause(self.index, Some(until));
+            }
+        }
+    }
+
+    /// Reads events into the item's output until the stream's end.
+    async fn read_events(&self, answer: &mut ServerAnswer) -> Result<(), CompactString> {
+        let mut cutter = EventCutter::default();
+        loop {
+            let frame = timeout(ITEM_STALL, answer.body.frame()).await;
+            let Some(frame) = frame.map_err(|_| "no event in time")? else {
+                return cutter
+                    .finish()
+                    .map_err(|fault| format_compact!("{fault:?}"));
+            };
+            let frame = frame.map_err(|error| format_compact!("stream broke off: {error}"))?;
+            if let Some(bytes) = frame.data_ref() {
+                cutter.push(bytes);
+            }
+            let chunk = cutter
+                .take()
+                .map_err(|fault| format_compact!("{fault:?}"))?;
+            if let Some(chunk) = chunk {
+                lock(&self.entry.progress).extend(self.index, &chunk.bytes);
+            }
+        }
+    }
+
+    fn fail(&self, status: u16) {
+        let mut progress = lock(&self.entry.progress);
+        if status == NEVER_STATUS {
+            progress.give_up(self.index);
+        } else {
+            let until = Instant::now() + FAILED_PAUSE;
+            progress.fail(self.index, self.attempts, until);
+        }
+        drop(progress);
+        counter!("item_failures_total", "status" => status.to_string()).increment(1);
+        info!(
+            job = self.entry.id.as_str(),
+            item = self.entry.items[self.index].id.as_str(),
+            server = self.server.server.id.as_str(),
+            status;
+            "item failed"
+        );
+    }
+
+    fn note(&self, failure: &AttemptFailure) {
+        let (AttemptFailure::NotRun(_, cause) | AttemptFailure::Unknown(cause)) = failure;
+        counter!("item_attempts_failed_total").increment(1);
+        info!(
+            job = self.entry.id.as_str(),
+            item = self.entry.items[self.index].id.as_str(),
+            server = self.server.server.id.as_str(),
+            cause = cause.as_str();
+            "item interrupted"
+        );
+    }
+}
+
+fn choose_server(state: &FleetState, service: &str, now: Instant) -> Option<Arc<BackendState>> {
+    let domain = &state.settings.domain;
+    let (servers, views): (_, Vec<PlaceView>) = state.backends.views(service, domain, now);
+    let index = choose_batch_place(&views, &[], RESERVE)?;
+    Some(servers[index].clone())
+}
+
+fn pressure(entry: &JobEntry, terms: &BatchTerms, now: Instant) -> JobPressure {
+    let due = entry.submitted + terms.due;
+    JobPressure {
+        left: due.saturating_duration_since(now),
+        late: now >= due,
+    }
+}
+
+/// Gives up the items of a job that has waited for longer than its route allows.
+fn give_up_old(state: &FleetState, entry: &JobEntry, terms: &BatchTerms, now: Instant) {
+    if terms.abandon.is_zero() || now < entry.submitted + terms.abandon {
+        return;
+    }
+    give_up_all(entry);
+    state.jobs.work.notify_one();
+}
+
+fn give_up_all(entry: &JobEntry) {
+    let mut progress = lock(&entry.progress);
+    let unfinished: Vec<usize> = progress.unfinished().collect();
+    for index in unfinished {
+        progress.give_up(index);
+    }
+    drop(progress);
+    entry.ended.notify_one();
+}
+
+fn item_request(
+    state: &FleetState,
+    entry: &JobEntry,
+    route: &CatalogRoute,
+    index: usize,
+    last: Option<u64>,
+) -> OutgoingRequest {
+    let names = &state.format.names;
+    let item = &entry.items[index];
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        let parsed = (
+            HeaderName::try_from(name.as_str()),
+            HeaderValue::from_str(value),
+        );
+        if let (Ok(name), Ok(value)) = parsed {
+            headers.insert(name, value);
+        }
+    }
+    let mut set = |name: &HeaderName, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name.clone(), value);
+        }
+    };
+    set(&names.request_id, &item.id);
+    set(&HOST, &entry.head.host);
+    if let Some(last) = last {
+        set(&names.last_event, &last.to_string());
+    }
+    set_workspace(names, &mut headers, &entry.head.workspace);
+    let abandon = match &route.kind {
+        RouteKind::Batch(terms) => terms.abandon,
+        _ => Duration::ZERO,
+    };
+    OutgoingRequest {
+        id: item.id.clone(),
+        method: Method::POST,
+        target: item.path.parse().unwrap_or_default(),
+        headers,
+        body: item.body.clone(),
+        deadline: (entry.submitted + abandon).max(Instant::now() + ITEM_STALL),
+        repeatable: true,
+        kind: FlightKind::Batch,
+    }
+}
--- /dev/null
+++ b/fleet/src/state.rs
@@ -0,0 +1,249 @@
+//! What all parts of the process share.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+        Mutex, //
+    },
+    time::{
+        Instant,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use boragerill::{
+    allowance::{
+        AllowanceLimit,
+        AllowanceTable,
+        FleetShare, //
+    },
+    catalog::{
+        Catalog,
+        CatalogVersion,
+        CatalogWorkspace, //
+    },
+    member::{
+        Incarnation,
+        MemberFacts,
+        MemberTable, //
+    },
+    platform::PlatformClient,
+    rank::hash_name,
+    settings::VmSettings,
+    sync::lock, //
+};
+use bytes::Bytes;
+use log::info;
+use metrics::gauge;
+use tokio::sync::watch;
+
+use crate::{
+    backends::BackendBook,
+    ends::EndBook,
+    jobs::JobBook,
+    links::PeerLinks,
+    wire::WireFormat, //
+};
+
+/// The configuration in force.
+#[derive(Debug)]
+pub(crate) struct CatalogStore {
+    current: ArcSwapOption<Catalog>,
+    raw: ArcSwapOption<RawCatalog>,
+    version: watch::Sender<CatalogVersion>,
+    applying: Mutex<()>,
+}
+
+/// A configuration as the platform keeps it.
+#[derive(Debug)]
+pub(crate) struct RawCatalog {
+    /// Version of the configuration.
+    pub(crate) version: CatalogVersion,
+    /// JSON text.
+    pub(crate) spec: Bytes,
+}
+
+impl Default for CatalogStore {
+    fn default() -> CatalogStore {
+        CatalogStore {
+            current: ArcSwapOption::empty(),
+            raw: ArcSwapOption::empty(),
+            version: watch::channel(0).0,
+            applying: Mutex::new(()),
+        }
+    }
+}
+
+impl CatalogStore {
+    /// Returns the configuration in force.
+    pub(crate) fn load(&self) -> Option<Arc<Catalog>> {
+        self.current.load_full()
+    }
+
+    /// Returns the configuration as the platform keeps it.
+    pub(crate) fn raw(&self) -> Option<Arc<RawCatalog>> {
+        self.raw.load_full()
+    }
+
+    /// Returns the version in force; zero when there is none.
+    pub(crate) fn version(&self) -> CatalogVersion {
+        *self.version.borrow()
+    }
+
+    /// Puts a configuration in force unless a newer one is, and returns whether it did.
+    pub(crate) fn apply(&self, catalog: Catalog, spec: Bytes) -> bool {
+        let _applying = lock(&self.applying);
+        let version = catalog.version();
+        if version <= self.version() {
+            return false;
+        }
+        info!(version, routes = catalog.routes().len(); "configuration in force");
+        gauge!("catalog_version").set(version as f64);
+        self.raw.store(Some(Arc::new(RawCatalog { version, spec })));
+        self.current.store(Some(Arc::new(catalog)));
+        self.version.send_replace(version);
+        true
+    }
+}
+
+/// Shared state of the process.
+pub(crate) struct FleetState {
+    /// Settings of the process.
+    pub(crate) settings: VmSettings,
+    /// Names and formats on the wire.
+    pub(crate) format: WireFormat,
+    /// Client of the platform.
+    pub(crate) platform: PlatformClient,
+    /// Configuration in force.
+    pub(crate) catalog: CatalogStore,
+    /// Backend servers.
+    pub(crate) backends: Arc<BackendBook>,
+    /// Other VMs.
+    pub(crate) members: Mutex<MemberTable>,
+    /// Rates of workspaces.
+    pub(crate) allowances: Mutex<AllowanceTable>,
+    /// Connections to other VMs.
+    pub(crate) links: PeerLinks,
+    /// Batch jobs.
+    pub(crate) jobs: JobBook,
+    /// Jobs that their clients ended.
+    pub(crate) ends: EndBook,
+    /// Start of this process.
+    pub(crate) incarnation: Incarnation,
+    /// Hash of this VM's name.
+    pub(crate) vm_hash: u64,
+    seeds: Mutex<Vec<String>>,
+    leaving: watch::Sender<bool>,
+    ready: AtomicBool,
+}
+
+impl FleetState {
+    /// Makes the state of a process that starts now.
+    pub(crate) fn new(
+        settings: VmSettings,
+        format: WireFormat,
+        platform: PlatformClient,
+    ) -> FleetState {
+        let now = Instant::now();
+        let incarnation = wall_ms();
+        let facts = MemberFacts {
+            vm: settings.vm.as_str().into(),
+            address: format!("{}:{}", settings.address, settings.peer_port).into(),
+            domain: settings.domain.as_str().into(),
+            incarnation,
+            leaving: false,
+            follows: false,
+        };
+        let first = (!settings.first_start).then_some(0.0);
+        FleetState {
+            vm_hash: hash_name(&settings.vm),
+            format,
+            platform,
+            catalog: CatalogStore::default(),
+            backends: Arc::default(),
+            members: Mutex::new(MemberTable::new(facts)),
+            allowances: Mutex::new(AllowanceTable::new(first, now)),
+            links: PeerLinks::default(),
+            jobs: JobBook::default(),
+            ends: EndBook::default(),
+            incarnation,
+            seeds: Mutex::new(settings.seeds.clone()),
+            leaving: watch::channel(false).0,
+            ready: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    /// Returns the part of the fleet that can be heard.
+    pub(crate) fn fleet_share(&self, now: Instant) -> FleetShare {
+        let members = lock(&self.members);
+        FleetShare {
+            heard: members.heard_size(now),
+            size: members.fleet_size(),
+        }
+    }
+
+    /// Returns the addresses of VMs to ask for the others.
+    pub(crate) fn seeds(&self) -> Vec<String> {
+        lock(&self.seeds).clone()
+    }
+
+    /// Replaces the addresses of VMs to ask for the others.
+    pub(crate) fn set_seeds(&self, seeds: Vec<String>) {
+        *lock(&self.seeds) = seeds;
+    }
+
+    /// Returns whether the process was told to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    /// Notes that the process was told to stop.
+    pub(crate) fn leave(&self) {
+        lock(&self.members).own_mut().leaving = true;
+        self.leaving.send_replace(true);
+    }
+
+    /// Waits until the process is told to stop.
+    pub(crate) async fn wait_leaving(&self) {
+        let mut leaving = self.leaving.subscribe();
+        // The sender lives as long as the state.
+        let _ = leaving.wait_for(|leaving| *leaving).await;
+    }
+
+    /// Sets whether new connections are welcome.
+    pub(crate) fn set_ready(&self, ready: bool) {
+        if self.ready.swap(ready, Ordering::Relaxed) != ready {
+            info!(ready; "readiness changed");
+        }
+    }
+
+    /// Returns whether new connections are welcome.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed) && !self.is_leaving()
+    }
+}
+
+/// Returns what the allowance of a workspace needs.
+pub(crate) fn allowance_limit(workspace: &CatalogWorkspace) -> AllowanceLimit {
+    AllowanceLimit {
+        workspace: workspace.hash,
+        rate: workspace.rate,
+        burst: workspace.burst,
+    }
+}
+
+/// Returns the time of day in milliseconds since 1970; only to tell starts apart and to age jobs whose
+/// runner is gone.
+pub(crate) fn wall_ms() -> u64 {
+    let age = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/fleet/src/takeover.rs
@@ -0,0 +1,319 @@
+//! Who runs a job whose runner is gone, and how a leaving VM hands its jobs over.
+
+use std::{
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    error::ServeError,
+    generated::messages::{
+        envelope::Body,
+        JobHandover,
+        PartialNote, //
+    },
+    job::{
+        JobHead,
+        JobProgress,
+        ResultChunk, //
+    },
+    rank::hash_name,
+    sync::lock,
+    timer::TimerService, //
+};
+use log::{
+    info,
+    warn, //
+};
+use metrics::counter;
+use tokio::time::sleep;
+
+use crate::{
+    commit::commit_results,
+    job_reads::{
+        load_items,
+        load_results, //
+    },
+    jobs::{
+        JobEntry,
+        JobNotice,
+        JOB_KIND, //
+    },
+    peers,
+    relay::millis,
+    state::{
+        wall_ms,
+        FleetState, //
+    },
+};
+
+/// Silence of a job's runner after which another VM takes the job over.
+const RUNNER_SILENCE: Duration = Duration::from_millis(1000);
+
+/// Period of looking for jobs whose runner is gone.
+const LOOK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time for which a VM waits after its start, so that others can tell which jobs they run.
+const START_WAIT: Duration = Duration::from_millis(500);
+
+/// Time that each further VM waits in which those that rank before it can take a job over.
+const RANK_WAIT: Duration = Duration::from_millis(400);
+
+/// Longest time for handing one job over.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Age beyond which a job found in the store is left alone.
+const ORPHAN_AGE: Duration = Duration::from_secs(600);
+
+/// Takes over jobs whose runner is gone, for as long as the process runs.
+pub(crate) async fn watch_runners(state: Arc<FleetState>) {
+    let mut timer = TimerService::default();
+    let mut ticks = timer.subscribe(LOOK_PERIOD);
+    while ticks.next().await.is_some() {
+        if state.is_leaving() {
+            return;
+        }
+        let now = Instant::now();
+        for notice in state.jobs.notices() {
+            if !is_orphaned(&state, &notice, now) {
+                continue;
+            }
+            let state = state.clone();
+            // One after the other, so that a lost VM's jobs don't all hit the store at once.
+            take_over(&state, &notice.id, notice.submitted).await;
+        }
+    }
+}
+
+/// Returns whether this VM is the one that takes a job over now.
+fn is_orphaned(state: &FleetState, notice: &JobNotice, now: Instant) -> bool {
+    if notice.closed || state.jobs.find(&notice.id).is_some() || state.ends.contains(&notice.id) {
+        return false;
+    }
+    let silent = now.saturating_duration_since(notice.noted);
+    if silent < RUNNER_SILENCE {
+        return false;
+    }
+    let rank = lock(&state.members).own_rank(hash_name(&notice.id), now);
+    silent >= RUNNER_SILENCE + RANK_WAIT * u32::try_from(rank).unwrap_or(u32::MAX)
+}
+
+/// Takes a job over when nobody says that it runs it.
+pub(crate) fn watch_orphan(state: &Arc<FleetState>, id: &str) {
+    let (state, id) = (state.clone(), compact_str::CompactString::from(id));
+    tokio::spawn(async move {
+        let rank = lock(&state.members).own_rank(hash_name(&id), Instant::now());
+        sleep(RUNNER_SILENCE + RANK_WAIT * u32::try_from(rank).unwrap_or(0)).await;
+        if state.jobs.notice(&id).is_none() && state.jobs.find(&id).is_none() {
+            take_over(&state, &id, Instant::now()).await;
+        }
+    });
+}
+
+/// Takes over the jobs in the store that nobody runs; called once after the start.
+pub(crate) async fn find_orphans(state: Arc<FleetState>) {
+    sleep(START_WAIT).await;
+    let heads = loop {
+        let convert = |object: boragerill::api::PlatformObject| (object.name, object.spec);
+        match state.platform.list(JOB_KIND, convert).await {
+            Ok((heads, _)) => break heads,
+            Err(error) => {
+                warn!(error = error.to_string().as_str(); "jobs not listed");
+                sleep(START_WAIT).await;
+            }
+        }
+    };
+    for (id, spec) in heads {
+        let head: JobHead = serde_json::from_value(spec).unwrap_or_default();
+        let age = Duration::from_millis(wall_ms().saturating_sub(head.submitted_ms));
+        if age > ORPHAN_AGE || state.jobs.notice(&id).is_some() || state.jobs.find(&id).is_some() {
+            continue;
+        }
+        watch_orphan(&state, &id);
+    }
+}
+
+/// Runs a job from what the store knows of it.
+pub(crate) async fn take_over(state: &Arc<FleetState>, id: &str, submitted: Instant) {
+    match load_job(state, id, submitted).await {
+        Ok(entry) => {
+            if state.jobs.insert(entry.clone()).is_some() {
+                return;
+            }
+            counter!("jobs_taken_over_total").increment(1);
+            let (listed, total) = {
+                let progress = lock(&entry.progress);
+                (progress.listed().len(), progress.total())
+            };
+            info!(
+                job = id,
+                listed,
+                total,
+                age_ms = millis(entry.submitted.elapsed());
+                "job taken over"
+            );
+            start_job(state, entry);
+        }
+        Err(error) => {
+            warn!(job = id, error = error.to_string().as_str(); "job not taken over");
+        }
+    }
+}
+
+/// Starts what a job needs while this VM runs it.
+pub(crate) fn start_job(state: &Arc<FleetState>, entry: Arc<JobEntry>) {
+    tokio::spawn(commit_results(state.clone(), entry));
+    state.jobs.work.notify_one();
+    state.backends.changed.notify_one();
+}
+
+async fn load_job(
+    state: &FleetState,
+    id: &str,
+    submitted: Instant,
+) -> Result<Arc<JobEntry>, ServeError> {
+    let object = state.platform.get(JOB_KIND, id).await?;
+    let head: JobHead = serde_json::from_value(object.spec).map_err(|error| {
+        ServeError::Malformed(
+            boragerill::error::Step::PlatformRead,
+            id.into(),
+            error.to_string().into(),
+        )
+    })?;
+    // The time of day is close enough for a job whose first runner can't be asked.
+    let age = Duration::from_millis(wall_ms().saturating_sub(head.submitted_ms)).min(ORPHAN_AGE);
+    let by_clock = Instant::now().checked_sub(age).unwrap_or(submitted);
+    let items = load_items(state, &head).await?;
+    let chunks = load_results(state, id).await?;
+    let entry = JobEntry::new(id, head, items, submitted.min(by_clock));
+    restore(&mut lock(&entry.progress), &chunks);
+    if state.ends.contains(id) {
+        lock(&entry.progress).end();
+    }
+    Ok(Arc::new(entry))
+}
+
+fn restore(progress: &mut JobProgress, chunks: &[ResultChunk]) {
+    for (number, chunk) in (0..).zip(chunks) {
+        progress.adopt_chunk(number, chunk);
+    }
+}
+
+/// Compares a job that this VM runs with what another VM says: one of the two goes on.
+pub(crate) fn compare(state: &Arc<FleetState>, notice: &JobNotice) {
+    let Some(entry) = state.jobs.find(&notice.id) else {
+        return;
+    };
+    let (closed, listed) = {
+        let progress = lock(&entry.progress);
+        (progress.is_closed(), progress.listed().len())
+    };
+    if closed || entry.released.load(Ordering::Relaxed) {
+        return;
+    }
+    let theirs = usize::try_from(notice.listed).unwrap_or(usize::MAX);
+    let other_first = notice.vm > state.vm_hash;
+    if notice.closed || theirs > listed || (theirs == listed && other_first) {
+        info!(job = notice.id.as_str(), listed, theirs; "job left to another runner");
+        release(state, &entry);
+    }
+}
+
+/// Stops running a job that another VM runs.
+fn release(state: &FleetState, entry: &JobEntry) {
+    entry.released.store(true, Ordering::Relaxed);
+    lock(&entry.progress).end();
+    entry.changed.notify_waiters();
+    entry.ended.notify_one();
+    state.jobs.remove(&entry.id);
+    state.jobs.work.notify_one();
+}
+
+/// Hands all running jobs over to other VMs, before this one ends.
+pub(crate) async fn hand_over_all(state: &Arc<FleetState>) {
+    for entry in state.jobs.all() {
+        if lock(&entry.progress).is_closed() {
+            continue;
+        }
+        hand_over(state, &entry).await;
+    }
+}
+
+async fn hand_over(state: &Arc<FleetState>, entry: &Arc<JobEntry>) {
+    let now = Instant::now();
+    let target = {
+        let members = lock(&state.members);
+        let staying = members.heard(now).filter(|member| !member.facts.leaving);
+        let duty = hash_name(&entry.id);
+        let best = staying.max_by_key(|member| boragerill::rank::score(duty, member.hash));
+        best.map(|member| member.hash)
+    };
+    let Some(target) = target else {
+        return;
+    };
+    let body = Body::JobHandover(JobHandover {
+        id: entry.id.to_string(),
+        age_ms: u32::try_from(millis(entry.submitted.elapsed())).unwrap_or(u32::MAX),
+        partials: partials(entry),
+    });
+    match peers::ask(state, target, body, HANDOVER_TIMEOUT).await {
+        Ok(Body::JobDone(done)) if done.done => {
+            info!(job = entry.id.as_str(); "job handed over");
+            release(state, entry);
+        }
+        Ok(_) => warn!(job = entry.id.as_str(); "job not taken by another VM"),
+        Err(error) => {
+            warn!(job = entry.id.as_str(), error = error.to_string().as_str(); "job not handed over");
+        }
+    }
+}
+
+fn partials(entry: &JobEntry) -> Vec<PartialNote> {
+    let progress = lock(&entry.progress);
+    let unfinished = progress.unfinished();
+    let notes = unfinished.filter_map(|index| {
+        let (last_event, text) = progress.partial(index)?;
+        Some(PartialNote {
+            item: u32::try_from(index).ok()?,
+            last_event,
+            text: text.to_vec(),
+        })
+    });
+    notes.collect()
+}
+
+/// Takes a job over from a leaving VM; returns whether this VM runs it now.
+pub(crate) async fn take_handover(state: &Arc<FleetState>, handover: JobHandover) -> bool {
+    if state.is_leaving() {
+        return false;
+    }
+    if state.jobs.find(&handover.id).is_some() {
+        return true;
+    }
+    let age = Duration::from_millis(handover.age_ms.into());
+    let submitted = Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
+    let entry = match load_job(state, &handover.id, submitted).await {
+        Ok(entry) => entry,
+        Err(error) => {
+            warn!(job = handover.id.as_str(), error = error.to_string().as_str(); "job not taken over");
+            return false;
+        }
+    };
+    for note in handover.partials {
+        let index = usize::try_from(note.item).unwrap_or(usize::MAX);
+        if index < entry.items.len() {
+            lock(&entry.progress).adopt_partial(index, note.last_event, &note.text);
+        }
+    }
+    if state.jobs.insert(entry.clone()).is_none() {
+        info!(job = entry.id.as_str(); "job taken from a leaving VM");
+        start_job(state, entry);
+    }
+    true
+}
