--- a/bench/src/case.rs
+++ b/bench/src/case.rs
@@ -5,7 +5,8 @@
 use serde_json::Value;
 
 /// One workspace and its load.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct WorkspaceLoad {
     /// Name.
@@ -26,7 +27,8 @@
 }
 
 /// A batch job that runs beside the load.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct BatchLoad {
     /// Number of items; none when zero.
@@ -36,7 +38,8 @@
 }
 
 /// A fault at a time of each variant's run.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct CaseFault {
     /// Seconds after the start of the load.
@@ -50,7 +53,8 @@
 }
 
 /// What differs between runs.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct CaseVariant {
     /// Name in the report.
@@ -67,7 +71,8 @@
 }
 
 /// One case.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct BenchCase {
     /// Name in the report.
--- a/boragerill/src/api.rs
+++ b/boragerill/src/api.rs
@@ -25,7 +25,8 @@
 const PAGE_LIMIT: usize = 1000;
 
 /// An object as the platform returns it.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub struct PlatformObject {
     /// Kind of the object.
@@ -45,7 +46,8 @@
 }
 
 /// One page of a listing.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub struct ObjectPage {
     /// Objects in the order of their names.
     pub items: Vec<PlatformObject>,
@@ -56,7 +58,8 @@
 }
 
 /// What a watch returned.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub struct WatchBatch {
     /// Changed objects, oldest first.
     pub events: Vec<PlatformObject>,
@@ -65,7 +68,8 @@
 }
 
 /// Versions that a write produced.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
 pub struct WriteReceipt {
     /// Version of the object after the write.
     pub version: Version,
--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -76,6 +76,8 @@
     pub revision: Revision,
     /// The server, or `None` when the entry is gone or names no server.
     pub server: Option<BackendServer>,
+    /// Whether the entry is missing, but the server may still register again.
+    pub missing: bool,
 }
 
 /// All entries up to one revision.
@@ -93,6 +95,11 @@
         self.through
     }
 
+    /// Returns whether the store was last found not to answer.
+    pub fn is_away(&self) -> bool {
+        self.away
+    }
+
     /// Notes that the store can't be reached.
     pub fn note_away(&mut self) {
         self.away = true;
@@ -131,6 +138,7 @@
             id,
             revision: through,
             server: None,
+            missing: false,
         });
         let changes = removals.chain(listed).collect();
         self.apply(changes, through, now);
@@ -143,17 +151,24 @@
             .map(|entry| BackendChange {
                 id: entry.id.clone(),
                 revision: entry.revision,
-                server: entry.server.clone().filter(|_| entry.missing.is_none()),
+                server: entry.server.clone(),
+                missing: entry.missing.is_some(),
             })
             .collect()
     }
 
     /// Returns whether [`BackendTable::expire`] would drop an entry.
     pub fn has_lapsed(&self, now: Instant) -> bool {
-        let due = self.returned.map(|returned| returned + RETURN_GRACE);
-        let passed = !self.away && due.is_none_or(|due| now >= due);
-        let missing = |entry: &BackendEntry| entry.server.is_some() && entry.missing.is_some();
-        passed && self.entries.iter().any(missing)
+        !self.away && self.entries.iter().any(|entry| self.is_lapsed(entry, now))
+    }
+
+    /// Returns whether the server of a missing entry had time to register again.
+    fn is_lapsed(&self, entry: &BackendEntry, now: Instant) -> bool {
+        let Some(missing) = entry.missing else {
+            return false;
+        };
+        let since = self.returned.map_or(missing, |back| back.max(missing));
+        entry.server.is_some() && now >= since + RETURN_GRACE
     }
 
     /// Drops entries whose servers had time to register again; returns whether any was dropped.
@@ -161,13 +176,12 @@
         if !self.has_lapsed(now) {
             return false;
         }
-        let missing = self
-            .entries
-            .iter_mut()
-            .filter(|entry| entry.missing.is_some());
-        for entry in missing {
-            entry.server = None;
-            entry.missing = None;
+        let lapsed: Vec<usize> = (0..self.entries.len())
+            .filter(|&index| self.is_lapsed(&self.entries[index], now))
+            .collect();
+        for index in lapsed {
+            self.entries[index].server = None;
+            self.entries[index].missing = None;
         }
         true
     }
@@ -203,7 +217,7 @@
         match change.server {
             Some(server) => {
                 entry.server = Some(server);
-                entry.missing = None;
+                entry.missing = change.missing.then_some(now);
             }
             // A server that was leaving has left; others may only have lapsed with the store.
             None if holds && entry.server.as_ref().is_some_and(|server| !server.leaving) => {
--- a/boragerill/src/batch.rs
+++ b/boragerill/src/batch.rs
@@ -46,7 +46,8 @@
 pub const ANSWER_LIMIT_BYTES: usize = 64 * 1024;
 
 /// One item of a job.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct BatchItem {
     /// Chosen by the client; repeated in the result.
@@ -56,7 +57,8 @@
 }
 
 /// How an item ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ItemOutcome {
     /// The service answered.
@@ -70,7 +72,8 @@
 }
 
 /// The one final result of an item.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ItemResult {
     /// The item's id.
     pub id: CompactString,
@@ -81,7 +84,8 @@
 }
 
 /// Contents of a claim object.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ChunkClaim {
     /// VM and start of the process that holds the chunk.
     pub holder: CompactString,
@@ -92,7 +96,8 @@
 }
 
 /// Counts of results by outcome.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct OutcomeCounts {
     /// Items that were answered.
     pub answered: u64,
--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -33,7 +33,8 @@
 pub const CHUNK_TEXT_BYTES: usize = 256 * 1024;
 
 /// One item as the client submitted it.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct JobItem {
     /// Identifies the item; also the id of its requests.
     pub id: CompactString,
@@ -49,7 +50,8 @@
 }
 
 /// What stands in the object by which a job is accepted.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct JobHead {
     /// Workspace of the job.
     pub workspace: CompactString,
@@ -74,7 +76,8 @@
 }
 
 /// How an item ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum JobOutcome {
     /// Its whole output is there.
@@ -84,7 +87,8 @@
 }
 
 /// The one final result of an item.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct JobResult {
     /// The item.
     pub id: CompactString,
@@ -94,15 +98,20 @@
     pub text: CompactString,
 }
 
-/// Results that are stored together.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+/// Results that are stored together. A runner that takes a job over stores an empty chunk first: the
+/// runner before it then meets that chunk instead of storing further results.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ResultChunk {
+    /// VM and start of the process that stored the chunk.
+    pub runner: CompactString,
     /// Results in the order of their positions.
     pub results: Vec<JobResult>,
 }
 
 /// Items that are stored together.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct InputPart {
     /// Items in the order of the submission.
     pub items: Vec<JobItem>,
@@ -357,10 +366,11 @@
             .count()
     }
 
-    /// Returns the number and content of the chunk to be stored next; the same until its fate is known.
-    pub fn next_chunk(&mut self) -> Option<(u32, ResultChunk)> {
+    /// Returns the number and content of the chunk that `runner` has to store next; the same until its
+    /// fate is known.
+    pub fn next_chunk(&mut self, runner: &str) -> Option<(u32, ResultChunk)> {
         if self.pending.is_none() {
-            let chunk = self.collect_chunk();
+            let chunk = self.collect_chunk(runner);
             if chunk.results.is_empty() {
                 return None;
             }
@@ -389,8 +399,11 @@
         }
     }
 
-    fn collect_chunk(&self) -> ResultChunk {
-        let mut chunk = ResultChunk::default();
+    fn collect_chunk(&self, runner: &str) -> ResultChunk {
+        let mut chunk = ResultChunk {
+            runner: runner.into(),
+            ..Default::default()
+        };
         let mut size = 0;
         for (id, index) in &self.ids {
             let item = &self.items[*index];
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -220,6 +220,21 @@
             .count()
     }
 
+    /// Returns whether a VM and all others of its failure domain are silent, and there are others.
+    pub fn is_domain_silent(&self, vm: u64, now: Instant) -> bool {
+        let Some(member) = self.find(vm) else {
+            return false;
+        };
+        let domain = &member.facts.domain;
+        let mut neighbours = self
+            .members
+            .iter()
+            .filter(|other| other.facts.domain == *domain && !other.facts.leaving);
+        *domain != self.own.domain
+            && neighbours.clone().count() > 1
+            && neighbours.all(|other| !other.is_heard(now))
+    }
+
     fn search(&self, hash: u64) -> Result<usize, usize> {
         self.members
             .binary_search_by_key(&hash, |member| member.hash)
--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -49,7 +49,8 @@
 const PROBES: u32 = 2;
 
 /// One VM on the platform's list.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 pub struct ListedVm {
     /// Name of the VM.
     pub name: CompactString,
@@ -59,7 +60,8 @@
     pub state: CompactString,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct VmList {
     vms: Vec<ListedVm>,
 }
--- a/boragerill/src/snapshot.rs
+++ b/boragerill/src/snapshot.rs
@@ -36,7 +36,8 @@
 pub const REFUSAL_KIND: &str = "refusal";
 
 /// The last accepted form of an object whose newest one was refused.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct RefusalRecord {
     /// Kind of the object.
     pub kind: CompactString,
--- a/ctl/src/commands.rs
+++ b/ctl/src/commands.rs
@@ -79,7 +79,8 @@
 
 type CommandResult<T = ()> = Result<T, CommandFailure>;
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ResourceFile {
     kind: CompactString,
@@ -87,7 +88,8 @@
     spec: Value,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(untagged)]
 enum ResourceFiles {
     Many(Vec<ResourceFile>),
--- a/entry/src/record.rs
+++ b/entry/src/record.rs
@@ -35,7 +35,8 @@
 const RUNNING_RETRY: Duration = Duration::from_secs(1);
 
 /// What is kept of a run.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 struct RunRecord {
     /// Hash of the request, so that the key can't be used for another one.
     request: CompactString,
--- a/fleet/src/beat.rs
+++ b/fleet/src/beat.rs
@@ -287,7 +287,7 @@
                 waiting_tokens,
                 account: entry.account(),
                 closed: progress.is_closed(),
-                listed: u32::try_from(progress.listed().len()).unwrap_or(u32::MAX),
+                chunks: progress.chunks(),
             }
         });
         notes.collect()
@@ -433,7 +433,7 @@
             waiting_tokens: note.waiting_tokens,
             account: note.account,
             closed: note.closed,
-            listed: note.listed,
+            chunks: note.chunks,
             noted: now,
         };
         takeover::compare(&self.state, &notice);
--- a/fleet/src/commit.rs
+++ b/fleet/src/commit.rs
@@ -35,7 +35,8 @@
         JobEntry,
         RESULT_KIND, //
     },
-    state::FleetState, //
+    state::FleetState,
+    takeover::release, //
 };
 
 /// Longest time for which results are collected before they are stored.
@@ -52,14 +53,19 @@
     let mut pause = RETRY_PAUSE;
     loop {
         wait_for_results(&entry).await;
-        let next = lock(&entry.progress).next_chunk();
+        let next = lock(&entry.progress).next_chunk(&state.runner);
         let Some((number, chunk)) = next else {
             if lock(&entry.progress).is_closed() {
                 return;
             }
             continue;
         };
-        match store_chunk(&state, &entry, number, &chunk).await {
+        match store_chunk(&state, &entry.id, number, &chunk).await {
+            Ok(stored) if stored.runner != state.runner => {
+                info!(job = entry.id.as_str(), chunk = number, runner = stored.runner.as_str(); "job runs elsewhere");
+                release(&state, &entry);
+                return;
+            }
             Ok(stored) => {
                 lock(&entry.progress).adopt_chunk(number, &stored);
                 entry.changed.notify_waiters();
@@ -101,13 +107,13 @@
 }
 
 /// Stores a chunk, or returns the one that another runner stored under its number.
-async fn store_chunk(
+pub(crate) async fn store_chunk(
     state: &FleetState,
-    entry: &JobEntry,
+    job: &str,
     number: u32,
     chunk: &ResultChunk,
 ) -> Result<ResultChunk, ServeError> {
-    let name = chunk_object(&entry.id, number);
+    let name = chunk_object(job, number);
     let value = serde_json::to_value(chunk).unwrap_or_default();
     let started = Instant::now();
     let written = state
@@ -121,7 +127,6 @@
             Ok(chunk.clone())
         }
         Err(ServeError::Conflict(..)) => {
-            info!(job = entry.id.as_str(), chunk = number; "results of another runner found");
             let object = state.platform.get(RESULT_KIND, &name).await?;
             serde_json::from_value(object.spec).map_err(|error| {
                 ServeError::Malformed(
--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -120,6 +120,8 @@
         if is_covered(&state) {
             lock(&state.members).own_mut().follows = false;
             through = None;
+            // What others hear from the store counts as heard.
+            note_store(&state, true);
             sleep(COVER_PERIOD).await;
             continue;
         }
@@ -169,6 +171,9 @@
 
 fn note_store(state: &FleetState, answers: bool) {
     let now = Instant::now();
+    if answers && !state.backends.read(|table| table.is_away()) {
+        return;
+    }
     state.backends.update(|table| {
         if answers {
             table.note_back(now);
@@ -296,6 +301,7 @@
             } else {
                 object.version
             },
+            missing: false,
         })
         .collect();
     for change in &changes {
--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -9,7 +9,10 @@
 };
 
 use boragerill::{
-    error::ServeError,
+    error::{
+        ServeError,
+        Step, //
+    },
     generated::messages::{
         envelope::Body,
         JobBody,
@@ -19,6 +22,7 @@
         ResultNote, //
     },
     job::{
+        chunk_object,
         part_object,
         InputPart,
         JobHead,
@@ -33,7 +37,6 @@
     sync::lock, //
 };
 use bytes::Bytes;
-use compact_str::format_compact;
 use metrics::counter;
 use tokio::time::timeout_at;
 
@@ -46,6 +49,7 @@
         JOB_KIND,
         RESULT_KIND, //
     },
+    read_cache::StoredJob,
     relay::CallerResult,
     state::FleetState,
     wire::{
@@ -192,10 +196,24 @@
     after: u64,
     workspace: &str,
 ) -> Result<ResultPage, RefusalAnswer> {
-    let head = load_head(state, id, workspace).await?;
-    let listed = load_results(state, id).await.map_err(unsure)?;
-    let listed: Vec<JobResult> = listed.into_iter().flat_map(|chunk| chunk.results).collect();
-    Ok(cut_page(state, head.items as u64, after, &listed))
+    let cached = state.read_cache.find(id);
+    let mut stored = match cached {
+        Some(stored) => stored,
+        None => StoredJob {
+            head: owned_head(state, id, workspace).await?,
+            chunks: Vec::new(),
+        },
+    };
+    if stored.head.workspace != workspace {
+        return Err(unknown_job(id));
+    }
+    if !stored.is_complete() {
+        let more = load_chunks(state, id, stored.next_chunk()).await;
+        stored.chunks.extend(more.map_err(unsure)?);
+        state.read_cache.put(id, stored.clone());
+    }
+    let listed: Vec<JobResult> = stored.results().cloned().collect();
+    Ok(cut_page(state, stored.head.items as u64, after, &listed))
 }
 
 /// Reads the chunks of results of a job, in their order and without a gap.
@@ -203,41 +221,53 @@
     state: &FleetState,
     id: &str,
 ) -> Result<Vec<ResultChunk>, ServeError> {
-    let prefix = format_compact!("{id}.");
-    let objects = state.platform.list_prefix(RESULT_KIND, &prefix).await?;
+    load_chunks(state, id, 0).await
+}
+
+async fn load_chunks(
+    state: &FleetState,
+    id: &str,
+    first: u32,
+) -> Result<Vec<ResultChunk>, ServeError> {
     let mut chunks = Vec::new();
-    for (index, object) in (0..).zip(objects) {
-        if object.name != boragerill::job::chunk_object(id, index) {
-            break;
-        }
-        let chunk = serde_json::from_value(object.spec).map_err(|error| {
-            ServeError::Malformed(
-                boragerill::error::Step::PlatformRead,
-                object.name,
-                error.to_string().into(),
-            )
-        })?;
-        chunks.push(chunk);
+    for index in first.. {
+        let name = chunk_object(id, index);
+        let object = match state.platform.get(RESULT_KIND, &name).await {
+            Ok(object) => object,
+            Err(ServeError::Missing(..)) => break,
+            Err(error) => return Err(error),
+        };
+        chunks.push(parse_object(&name, object.spec)?);
     }
     Ok(chunks)
 }
 
-/// Reads the head of a job of a workspace from the store.
-async fn load_head(
+fn parse_object<T: serde::de::DeserializeOwned>(
+    name: &str,
+    spec: serde_json::Value,
+) -> Result<T, ServeError> {
+    serde_json::from_value(spec).map_err(|error| {
+        ServeError::Malformed(Step::PlatformRead, name.into(), error.to_string().into())
+    })
+}
+
+/// Reads the head of a job from the store.
+pub(crate) async fn load_head(state: &FleetState, id: &str) -> Result<JobHead, ServeError> {
+    let object = state.platform.get(JOB_KIND, id).await?;
+    parse_object(id, object.spec)
+}
+
+/// Reads the head of a job of a workspace.
+async fn owned_head(
     state: &FleetState,
     id: &str,
     workspace: &str,
 ) -> Result<JobHead, RefusalAnswer> {
-    let object = match state.platform.get(JOB_KIND, id).await {
-        Ok(object) => object,
-        Err(ServeError::Missing(..)) => return Err(unknown_job(id)),
-        Err(error) => return Err(unsure(error)),
-    };
-    let head: JobHead = serde_json::from_value(object.spec).unwrap_or_default();
-    if head.workspace != workspace {
-        return Err(unknown_job(id));
+    match load_head(state, id).await {
+        Ok(head) if head.workspace == workspace => Ok(head),
+        Ok(_) | Err(ServeError::Missing(..)) => Err(unknown_job(id)),
+        Err(error) => Err(unsure(error)),
     }
-    Ok(head)
 }
 
 /// Reads all items of a job from the store.
@@ -249,13 +279,7 @@
     for index in 0..head.parts {
         let name = part_object(&head.input, index);
         let object = state.platform.get(INPUT_KIND, &name).await?;
-        let part: InputPart = serde_json::from_value(object.spec).map_err(|error| {
-            ServeError::Malformed(
-                boragerill::error::Step::PlatformRead,
-                name,
-                error.to_string().into(),
-            )
-        })?;
+        let part: InputPart = parse_object(&name, object.spec)?;
         items.extend(part.items);
     }
     Ok(items)
@@ -270,7 +294,7 @@
     match state.jobs.find(id) {
         Some(entry) if entry.head.workspace == workspace => Ok(()),
         Some(_) => Err(unknown_job(id)),
-        None => load_head(state, id, workspace).await.map(|_| ()),
+        None => owned_head(state, id, workspace).await.map(|_| ()),
     }
 }
 
@@ -328,7 +352,7 @@
     item: &str,
     workspace: &str,
 ) -> Result<Option<Bytes>, RefusalAnswer> {
-    let head = load_head(state, id, workspace).await?;
+    let head = owned_head(state, id, workspace).await?;
     let items = load_items(state, &head).await.map_err(unsure)?;
     let found = items.into_iter().find(|known| known.id == item);
     Ok(found.map(|item| item.body))
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -26,6 +26,7 @@
         JobItem,
         JobProgress, //
     },
+    member::SILENCE,
     rank::{
         hash_name,
         score, //
@@ -140,8 +141,8 @@
     pub(crate) account: u64,
     /// Whether nothing more will run.
     pub(crate) closed: bool,
-    /// Stored results.
-    pub(crate) listed: u32,
+    /// Chunks of results that are stored.
+    pub(crate) chunks: u32,
     /// When it was last said.
     pub(crate) noted: Instant,
 }
@@ -189,6 +190,7 @@
     pub(crate) fn note(&self, notice: JobNotice) {
         let mut notices = lock(&self.notices);
         match notices.binary_search_by(|known| known.id.cmp(&notice.id)) {
+            Ok(index) if notices[index].outranks(&notice) => {}
             Ok(index) => notices[index] = notice,
             Err(index) => notices.insert(index, notice),
         }
@@ -201,6 +203,15 @@
         Some(notices[found.ok()?].clone())
     }
 
+    /// Puts off taking a job over.
+    pub(crate) fn put_off(&self, id: &str, now: Instant) {
+        let mut notices = lock(&self.notices);
+        let found = notices.binary_search_by(|notice| notice.id.as_str().cmp(id));
+        if let Ok(index) = found {
+            notices[index].noted = now;
+        }
+    }
+
     /// Returns what other VMs said of their jobs.
     pub(crate) fn notices(&self) -> Vec<JobNotice> {
         lock(&self.notices).clone()
@@ -231,6 +242,14 @@
     }
 }
 
+impl JobNotice {
+    /// Returns whether what another VM says of the same job is out of date: of two VMs that run a job
+    /// the one that has stored more goes on.
+    fn outranks(&self, other: &JobNotice) -> bool {
+        self.vm != other.vm && self.chunks > other.chunks && other.noted < self.noted + SILENCE
+    }
+}
+
 impl JobEntry {
     /// Makes the entry of a job none of whose items has run.
     pub(crate) fn new(
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 mod listener;
 mod peers;
 mod pool;
+mod read_cache;
 mod relay;
 mod relay_stream;
 mod retire;
--- a/fleet/src/listener.rs
+++ b/fleet/src/listener.rs
@@ -49,8 +49,9 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Time before the end of the grace period at which idle connections are closed.
-const CLOSE_MARGIN: Duration = Duration::from_millis(1500);
+/// Share of the grace period after which connections take no further request, so that those that run
+/// have the rest of it.
+const CLOSE_SHARE: f64 = 0.3;
 
 /// Time for the head of a request until a configuration says otherwise.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -143,7 +144,7 @@
     let closing = async {
         state.wait_leaving().await;
         let grace = Duration::from_secs_f64(state.settings.grace_s);
-        sleep(grace.saturating_sub(CLOSE_MARGIN)).await;
+        sleep(grace.mul_f64(CLOSE_SHARE)).await;
     };
     // Errors here are connections that callers broke off.
     tokio::select! {
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -304,6 +304,7 @@
     let note = BackendNote {
         id: change.id.to_string(),
         revision: change.revision,
+        missing: change.missing,
         ..Default::default()
     };
     let Some(server) = &change.server else {
@@ -335,5 +336,6 @@
         id,
         revision: note.revision,
         server,
+        missing: note.missing,
     }
 }
--- a/fleet/src/runner.rs
+++ b/fleet/src/runner.rs
@@ -171,7 +171,7 @@
             let route = catalog.find_route(&entry.head.host, &entry.head.path);
             match route.map(|route| &route.kind) {
                 Some(RouteKind::Batch(terms)) => {
-                    give_up_old(state, &entry, terms, now);
+                    give_up_old(&entry, terms, now);
                     jobs.push((pressure(&entry, terms, now), entry));
                 }
                 _ if now > entry.submitted + ROUTE_GRACE => give_up_all(&entry),
@@ -367,17 +367,18 @@
 }
 
 /// Gives up the items of a job that has waited for longer than its route allows.
-fn give_up_old(state: &FleetState, entry: &JobEntry, terms: &BatchTerms, now: Instant) {
-    if terms.abandon.is_zero() || now < entry.submitted + terms.abandon {
-        return;
+fn give_up_old(entry: &JobEntry, terms: &BatchTerms, now: Instant) {
+    if !terms.abandon.is_zero() && now >= entry.submitted + terms.abandon {
+        give_up_all(entry);
     }
-    give_up_all(entry);
-    state.jobs.work.notify_one();
 }
 
 fn give_up_all(entry: &JobEntry) {
     let mut progress = lock(&entry.progress);
     let unfinished: Vec<usize> = progress.unfinished().collect();
+    if unfinished.is_empty() {
+        return;
+    }
     for index in unfinished {
         progress.give_up(index);
     }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -39,6 +39,10 @@
     sync::lock, //
 };
 use bytes::Bytes;
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
 use log::info;
 use metrics::gauge;
 use tokio::sync::watch;
@@ -48,6 +52,7 @@
     ends::EndBook,
     jobs::JobBook,
     links::PeerLinks,
+    read_cache::ReadCache,
     wire::WireFormat, //
 };
 
@@ -134,10 +139,14 @@
     pub(crate) jobs: JobBook,
     /// Jobs that their clients ended.
     pub(crate) ends: EndBook,
+    /// Jobs of other VMs that were read here.
+    pub(crate) read_cache: ReadCache,
     /// Start of this process.
     pub(crate) incarnation: Incarnation,
     /// Hash of this VM's name.
     pub(crate) vm_hash: u64,
+    /// Name and start of this process, as stored results name it.
+    pub(crate) runner: CompactString,
     seeds: Mutex<Vec<String>>,
     leaving: watch::Sender<bool>,
     ready: AtomicBool,
@@ -163,6 +172,7 @@
         let first = (!settings.first_start).then_some(0.0);
         FleetState {
             vm_hash: hash_name(&settings.vm),
+            runner: format_compact!("{}.{incarnation}", settings.vm),
             format,
             platform,
             catalog: CatalogStore::default(),
@@ -172,6 +182,7 @@
             links: PeerLinks::default(),
             jobs: JobBook::default(),
             ends: EndBook::default(),
+            read_cache: ReadCache::default(),
             incarnation,
             seeds: Mutex::new(settings.seeds.clone()),
             leaving: watch::channel(false).0,
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -35,14 +35,19 @@
 use tokio::time::sleep;
 
 use crate::{
-    commit::commit_results,
+    commit::{
+        commit_results,
+        store_chunk, //
+    },
     job_reads::{
+        load_head,
         load_items,
         load_results, //
     },
     jobs::{
         JobEntry,
         JobNotice,
+        END_KIND,
         JOB_KIND, //
     },
     peers,
@@ -56,6 +61,10 @@
 /// Silence of a job's runner after which another VM takes the job over.
 const RUNNER_SILENCE: Duration = Duration::from_millis(1000);
 
+/// Silence of a whole failure domain after which its jobs are taken over. It is cut off more often than
+/// lost, and its VMs go on running their jobs meanwhile.
+const DOMAIN_SILENCE: Duration = Duration::from_millis(6500);
+
 /// Period of looking for jobs whose runner is gone.
 const LOOK_PERIOD: Duration = Duration::from_millis(250);
 
@@ -100,8 +109,14 @@
     if silent < RUNNER_SILENCE {
         return false;
     }
-    let rank = lock(&state.members).own_rank(hash_name(&notice.id), now);
-    silent >= RUNNER_SILENCE + RANK_WAIT * u32::try_from(rank).unwrap_or(u32::MAX)
+    let members = lock(&state.members);
+    let limit = if members.is_domain_silent(notice.vm, now) {
+        DOMAIN_SILENCE
+    } else {
+        RUNNER_SILENCE
+    };
+    let rank = members.own_rank(hash_name(&notice.id), now);
+    silent >= limit + RANK_WAIT * u32::try_from(rank).unwrap_or(u32::MAX)
 }
 
 /// Takes a job over when nobody says that it runs it.
@@ -132,7 +147,8 @@
     for (id, spec) in heads {
         let head: JobHead = serde_json::from_value(spec).unwrap_or_default();
         let age = Duration::from_millis(wall_ms().saturating_sub(head.submitted_ms));
-        if age > ORPHAN_AGE || state.jobs.notice(&id).is_some() || state.jobs.find(&id).is_some() {
+        let known = state.jobs.notice(&id).is_some() || state.jobs.find(&id).is_some();
+        if age > ORPHAN_AGE || known || state.ends.contains(&id) {
             continue;
         }
         watch_orphan(&state, &id);
@@ -141,8 +157,8 @@
 
 /// Runs a job from what the store knows of it.
 pub(crate) async fn take_over(state: &Arc<FleetState>, id: &str, submitted: Instant) {
-    match load_job(state, id, submitted).await {
-        Ok(entry) => {
+    match claim_job(state, id, submitted).await {
+        Ok(Some(entry)) => {
             if state.jobs.insert(entry.clone()).is_some() {
                 return;
             }
@@ -160,12 +176,38 @@
             );
             start_job(state, entry);
         }
+        Ok(None) => state.jobs.put_off(id, Instant::now()),
         Err(error) => {
+            state.jobs.put_off(id, Instant::now());
             warn!(job = id, error = error.to_string().as_str(); "job not taken over");
         }
     }
 }
 
+/// Loads a job and makes this process its runner, unless nothing of it is left to do or another VM has
+/// just taken it over.
+async fn claim_job(
+    state: &Arc<FleetState>,
+    id: &str,
+    submitted: Instant,
+) -> Result<Option<Arc<JobEntry>>, ServeError> {
+    let Some(entry) = load_job(state, id, submitted).await? else {
+        return Ok(None);
+    };
+    let mark = ResultChunk {
+        runner: state.runner.clone(),
+        results: Vec::new(),
+    };
+    let number = lock(&entry.progress).chunks();
+    let stored = store_chunk(state, id, number, &mark).await?;
+    if stored != mark {
+        info!(job = id, runner = stored.runner.as_str(); "job runs elsewhere");
+        return Ok(None);
+    }
+    lock(&entry.progress).adopt_chunk(number, &mark);
+    Ok(Some(entry))
+}
+
 /// Starts what a job needs while this VM runs it.
 pub(crate) fn start_job(state: &Arc<FleetState>, entry: Arc<JobEntry>) {
     tokio::spawn(commit_results(state.clone(), entry));
@@ -173,30 +215,37 @@
     state.backends.changed.notify_one();
 }
 
+/// Loads a job that isn't closed.
 async fn load_job(
     state: &FleetState,
     id: &str,
     submitted: Instant,
-) -> Result<Arc<JobEntry>, ServeError> {
-    let object = state.platform.get(JOB_KIND, id).await?;
-    let head: JobHead = serde_json::from_value(object.spec).map_err(|error| {
-        ServeError::Malformed(
-            boragerill::error::Step::PlatformRead,
-            id.into(),
-            error.to_string().into(),
-        )
-    })?;
+) -> Result<Option<Arc<JobEntry>>, ServeError> {
+    let head = load_head(state, id).await?;
+    let chunks = load_results(state, id).await?;
+    let listed: usize = chunks.iter().map(|chunk| chunk.results.len()).sum();
+    if listed >= head.items || is_ended(state, id).await? {
+        return Ok(None);
+    }
+    let items = load_items(state, &head).await?;
     // The time of day is close enough for a job whose first runner can't be asked.
     let age = Duration::from_millis(wall_ms().saturating_sub(head.submitted_ms)).min(ORPHAN_AGE);
     let by_clock = Instant::now().checked_sub(age).unwrap_or(submitted);
-    let items = load_items(state, &head).await?;
-    let chunks = load_results(state, id).await?;
     let entry = JobEntry::new(id, head, items, submitted.min(by_clock));
     restore(&mut lock(&entry.progress), &chunks);
+    Ok(Some(Arc::new(entry)))
+}
+
+/// Returns whether a job's client ended it.
+async fn is_ended(state: &FleetState, id: &str) -> Result<bool, ServeError> {
     if state.ends.contains(id) {
-        lock(&entry.progress).end();
+        return Ok(true);
+    }
+    match state.platform.get(END_KIND, id).await {
+        Ok(_) => Ok(true),
+        Err(ServeError::Missing(..)) => Ok(false),
+        Err(error) => Err(error),
     }
-    Ok(Arc::new(entry))
 }
 
 fn restore(progress: &mut JobProgress, chunks: &[ResultChunk]) {
@@ -210,23 +259,22 @@
     let Some(entry) = state.jobs.find(&notice.id) else {
         return;
     };
-    let (closed, listed) = {
+    let (closed, chunks) = {
         let progress = lock(&entry.progress);
-        (progress.is_closed(), progress.listed().len())
+        (progress.is_closed(), progress.chunks())
     };
     if closed || entry.released.load(Ordering::Relaxed) {
         return;
     }
-    let theirs = usize::try_from(notice.listed).unwrap_or(usize::MAX);
     let other_first = notice.vm > state.vm_hash;
-    if notice.closed || theirs > listed || (theirs == listed && other_first) {
-        info!(job = notice.id.as_str(), listed, theirs; "job left to another runner");
+    if notice.chunks > chunks || (notice.chunks == chunks && other_first) {
+        info!(job = notice.id.as_str(), chunks, theirs = notice.chunks; "job left to another runner");
         release(state, &entry);
     }
 }
 
 /// Stops running a job that another VM runs.
-fn release(state: &FleetState, entry: &JobEntry) {
+pub(crate) fn release(state: &FleetState, entry: &JobEntry) {
     entry.released.store(true, Ordering::Relaxed);
     lock(&entry.progress).end();
     entry.changed.notify_waiters();
@@ -299,7 +347,9 @@
     let age = Duration::from_millis(handover.age_ms.into());
     let submitted = Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
     let entry = match load_job(state, &handover.id, submitted).await {
-        Ok(entry) => entry,
+        Ok(Some(entry)) => entry,
+        // Nothing of it is left to run.
+        Ok(None) => return true,
         Err(error) => {
             warn!(job = handover.id.as_str(), error = error.to_string().as_str(); "job not taken over");
             return false;
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -86,7 +86,8 @@
 const LEAVE_TIME: Duration = Duration::from_millis(2500);
 
 /// What a VM registers.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 struct MemberRecord {
     address: String,
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -79,7 +79,8 @@
 }
 
 /// Faults of the engine.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineFaults {
     /// Answers that end in the middle.
@@ -177,12 +178,14 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ChatMessage {
     content: String,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ChatRequest {
     messages: Vec<ChatMessage>,
     #[serde(default)]
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -54,7 +54,8 @@
 };
 
 /// Faults of the platform.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformFaults {
     /// Every call fails.
@@ -68,7 +69,8 @@
 }
 
 /// One VM on the list.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct VmEntry {
     /// Name of the VM.
@@ -80,7 +82,8 @@
 }
 
 /// Calls counted by type.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct CallCounts {
     reads: u64,
     writes: u64,
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -35,7 +35,8 @@
 use tokio::time::sleep;
 
 /// Faults of the service.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ServiceFaults {
     /// Time that each run takes, in milliseconds.
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -11,7 +11,8 @@
 pub const VALUE_LIMIT_BYTES: usize = 1024 * 1024;
 
 /// One object or its deletion.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct StoredObject {
     /// Kind of the object.
     pub kind: CompactString,
