--- a/boragerill/src/allowance.rs
+++ b/boragerill/src/allowance.rs
@@ -10,7 +10,10 @@
     Instant, //
 };
 
-use crate::member::Incarnation;
+use crate::member::{
+    Incarnation,
+    EARNING_SILENCE, //
+};
 
 /// Rate and burst of a workspace.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -23,6 +26,45 @@
     pub burst: f64,
 }
 
+/// By how much the use of all VMs together may exceed a rate and burst.
+#[derive(Clone, Copy, Debug)]
+pub struct AllowanceTolerance {
+    /// Length of the windows in which use is counted.
+    pub window: Duration,
+    /// Part of what rate and burst allow in a window.
+    pub overage: f64,
+    /// Requests in a window.
+    pub slack: f64,
+}
+
+impl Default for AllowanceTolerance {
+    fn default() -> AllowanceTolerance {
+        AllowanceTolerance {
+            window: Duration::from_secs(1),
+            overage: 0.0,
+            slack: 0.0,
+        }
+    }
+}
+
+/// Part of the tolerance that a cut may use; the rest is for VMs that restart meanwhile.
+const CUT_PART: f64 = 0.85;
+
+/// Least part of a burst that is usable, however small the tolerance is.
+const LEAST_BURST: f64 = 0.5;
+
+impl AllowanceTolerance {
+    /// Returns the burst that the parts of a fleet may use which don't know yet that they are cut off
+    /// from each other: if both use it, and earn as if they were not, they stay within the tolerance.
+    fn usable_burst(self, limit: &AllowanceLimit) -> f64 {
+        let allowed = limit.rate * self.window.as_secs_f64() + limit.burst;
+        let tolerated = (allowed * self.overage + self.slack) * CUT_PART;
+        let doubled = limit.burst + limit.rate * EARNING_SILENCE.as_secs_f64();
+        let excess = (doubled - tolerated).max(0.0);
+        (limit.burst - excess).max(limit.burst * LEAST_BURST)
+    }
+}
+
 /// What the deciding VM knows of the fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetShare {
@@ -41,6 +83,21 @@
     }
 }
 
+/// What another VM says of its use.
+#[derive(Clone, Copy, Debug)]
+pub struct UseReport {
+    /// Hash of the VM's name.
+    pub vm: u64,
+    /// Start of its process.
+    pub incarnation: Incarnation,
+    /// Hash of the workspace's name.
+    pub workspace: u64,
+    /// Requests since the start of its process.
+    pub used: u64,
+    /// How long the VM had been silent, if its use wasn't known for a while.
+    pub silence: Option<Duration>,
+}
+
 /// Use of one VM, as last reported.
 #[derive(Clone, Copy, Debug)]
 struct PeerCount {
@@ -49,6 +106,21 @@
     used: u64,
 }
 
+/// What happens to a request of a workspace that has a rate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AllowanceVerdict {
+    /// It may run.
+    Granted,
+    /// It may run once the other VMs have heard of the requests before it; to be asked again after
+    /// this time.
+    Pending(Duration),
+    /// The rate is used up; the next request is earned after this time.
+    Refused(Duration),
+}
+
+/// Time after which the other VMs have heard of a request.
+pub const TOLD_AFTER: Duration = Duration::from_millis(25);
+
 /// The bucket of one workspace in the view of one VM.
 #[derive(Clone, Debug)]
 struct AllowanceBucket {
@@ -57,6 +129,7 @@
     updated: Instant,
     used: u64,
     changed: bool,
+    untold: Vec<Instant>, // Requests taken within the last `TOLD_AFTER`, oldest first.
     peers: Vec<PeerCount>, // Sorted by VM.
 }
 
@@ -66,6 +139,7 @@
     buckets: Vec<AllowanceBucket>, // Sorted by workspace.
     started: Instant,
     first: f64,
+    tolerance: AllowanceTolerance,
 }
 
 /// Time after a start in which workspaces are new to the process but not to the fleet.
@@ -74,40 +148,32 @@
 impl AllowanceTable {
     /// Makes an empty table. After a restart buckets begin with `first` requests, since the fleet may
     /// have used their bursts just before; on the first start of the fleet they begin full.
-    pub fn new(first: Option<f64>, now: Instant) -> AllowanceTable {
+    pub fn new(first: Option<f64>, tolerance: AllowanceTolerance, now: Instant) -> AllowanceTable {
         AllowanceTable {
+            tolerance,
             buckets: Vec::new(),
             started: now,
             first: first.unwrap_or(f64::INFINITY),
         }
     }
 
-    /// Takes one request's allowance, or returns after which time there will be one.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time after which the workspace has earned the next request.
+    /// Takes one request's allowance. What the others haven't heard of yet is bounded by this VM's part
+    /// of the bucket, so that VMs which take at the same moment don't take the same requests.
     pub fn take(
         &mut self,
         limit: AllowanceLimit,
         share: FleetShare,
         now: Instant,
-    ) -> Result<(), Duration> {
+    ) -> AllowanceVerdict {
         if limit.rate <= 0.0 {
-            return Ok(());
+            return AllowanceVerdict::Granted;
         }
         let index = self.bucket_index(limit, now);
+        let burst = self.tolerance.usable_burst(&limit);
         let bucket = &mut self.buckets[index];
-        bucket.earn(limit, share, now);
-        if bucket.level >= 1.0 {
-            bucket.level -= 1.0;
-            bucket.used += 1;
-            bucket.changed = true;
-            return Ok(());
-        }
-        let earned = limit.rate * share.fraction();
-        let wait = Duration::try_from_secs_f64((1.0 - bucket.level) / earned.max(1e-3));
-        Err(wait.unwrap_or(Duration::MAX))
+        bucket.limit = limit;
+        bucket.earn(burst, share, now);
+        bucket.take(share, now)
     }
 
     /// Gives back the allowance of a request that didn't run.
@@ -120,36 +186,47 @@
         }
     }
 
-    /// Takes over what another VM used since its start. After a silence `returned` is set: both sides
-    /// then earned their own parts only, so what the VM used meanwhile isn't taken off once more.
-    pub fn note_use(
-        &mut self,
-        vm: u64,
-        incarnation: Incarnation,
-        workspace: u64,
-        used: u64,
-        returned: bool,
-    ) {
-        let Ok(index) = self.search(workspace) else {
+    /// Takes over what another VM used since its start.
+    ///
+    /// After a silence both sides have earned their own parts only, so what the other one earned by
+    /// itself meanwhile isn't taken off here; what it used beyond that is.
+    pub fn note_use(&mut self, report: UseReport, share: FleetShare, now: Instant) {
+        let Ok(index) = self.search(report.workspace) else {
             return;
         };
         let bucket = &mut self.buckets[index];
         let count = PeerCount {
-            vm,
-            incarnation,
-            used,
+            vm: report.vm,
+            incarnation: report.incarnation,
+            used: report.used,
         };
-        match bucket.peers.binary_search_by_key(&vm, |peer| peer.vm) {
-            Ok(found) => {
-                let known = bucket.peers[found];
-                bucket.peers[found] = count;
-                if !returned && known.incarnation == incarnation {
-                    bucket.level -= used as f64 - known.used as f64;
+        let found = bucket
+            .peers
+            .binary_search_by_key(&report.vm, |peer| peer.vm);
+        let before = match found {
+            Ok(index) => {
+                let known = std::mem::replace(&mut bucket.peers[index], count);
+                let same_process = known.incarnation == report.incarnation;
+                same_process.then_some(known.used).unwrap_or(0)
+            }
+            Err(index) => {
+                bucket.peers.insert(index, count);
+                // A process that has just started can't tell what is new; later on a VM that wasn't
+                // named before had used nothing.
+                if now < self.started + UNKNOWN_PAST {
+                    return;
                 }
+                0
             }
-            // What was used before this VM knew of the other is in no one's view.
-            Err(found) => bucket.peers.insert(found, count),
-        }
+        };
+        let used = report.used as f64 - before as f64;
+        let Some(silence) = report.silence else {
+            bucket.level -= used;
+            return;
+        };
+        let alone = silence.min(now.saturating_duration_since(self.started));
+        let earned = bucket.limit.rate * alone.as_secs_f64() / share.size.max(1) as f64;
+        bucket.level -= (used - earned).max(0.0);
     }
 
     /// Returns the use of workspaces that has changed since the last call.
@@ -174,14 +251,17 @@
     pub fn prepare(&mut self, limits: &[AllowanceLimit], share: FleetShare, now: Instant) {
         for limit in limits.iter().filter(|limit| limit.rate > 0.0) {
             let index = self.bucket_index(*limit, now);
-            self.buckets[index].earn(*limit, share, now);
+            let burst = self.tolerance.usable_burst(limit);
+            self.buckets[index].limit = *limit;
+            self.buckets[index].earn(burst, share, now);
         }
     }
 
     /// Earns for all workspaces at the present share, before the share changes.
     pub fn settle(&mut self, share: FleetShare, now: Instant) {
         for bucket in &mut self.buckets {
-            bucket.earn(bucket.limit, share, now);
+            let burst = self.tolerance.usable_burst(&bucket.limit);
+            bucket.earn(burst, share, now);
         }
     }
 
@@ -197,6 +277,7 @@
                     updated: now,
                     used: 0,
                     changed: false,
+                    untold: Vec::new(),
                     peers: Vec::new(),
                 };
                 self.buckets.insert(index, bucket);
@@ -212,12 +293,31 @@
 }
 
 impl AllowanceBucket {
-    fn earn(&mut self, limit: AllowanceLimit, share: FleetShare, now: Instant) {
+    fn take(&mut self, share: FleetShare, now: Instant) -> AllowanceVerdict {
+        if self.level < 1.0 {
+            let earned = self.limit.rate * share.fraction();
+            let wait = Duration::try_from_secs_f64((1.0 - self.level) / earned.max(1e-3));
+            return AllowanceVerdict::Refused(wait.unwrap_or(Duration::MAX));
+        }
+        self.untold.retain(|&taken| now < taken + TOLD_AFTER);
+        let untold = self.untold.len() as f64;
+        let part = (self.level + untold) / share.heard.max(1) as f64;
+        if let Some(oldest) = self.untold.first().filter(|_| untold >= part.max(1.0)) {
+            let wait = (*oldest + TOLD_AFTER).saturating_duration_since(now);
+            return AllowanceVerdict::Pending(wait);
+        }
+        self.level -= 1.0;
+        self.used += 1;
+        self.changed = true;
+        self.untold.push(now);
+        AllowanceVerdict::Granted
+    }
+
+    fn earn(&mut self, burst: f64, share: FleetShare, now: Instant) {
         let time = now.saturating_duration_since(self.updated).as_secs_f64();
         let part = share.fraction();
         self.updated = self.updated.max(now);
-        self.limit = limit;
-        let most = (limit.burst * part).max(1.0);
-        self.level = (self.level + time * limit.rate * part).min(most);
+        let most = (burst * part).max(1.0);
+        self.level = (self.level + time * self.limit.rate * part).min(most);
     }
 }
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -15,6 +15,9 @@
 /// Silence after which a VM counts as unreachable.
 pub const SILENCE: Duration = Duration::from_millis(600);
 
+/// Silence after which rates are no longer earned on a VM's behalf; what it uses isn't known meanwhile.
+pub const EARNING_SILENCE: Duration = Duration::from_millis(350);
+
 /// Silence after which a VM no longer counts as a part of the fleet.
 pub const FORGET: Duration = Duration::from_secs(60);
 
@@ -58,8 +61,8 @@
     Stale,
     /// A further heartbeat.
     Current,
-    /// The first heartbeat of a VM, of a new process of it, or after a silence.
-    Returned,
+    /// The first heartbeat of a VM, of a new process of it, or after a silence of this length.
+    Returned(Duration),
 }
 
 /// The other VMs.
@@ -120,12 +123,14 @@
         if !restarted && member.heard.is_some() && member.sequence >= sequence {
             return BeatVerdict::Stale;
         }
-        let silent = member.heard.is_none_or(|heard| now >= heard + SILENCE);
+        let since = member.heard.unwrap_or(member.known);
+        let silence = now.saturating_duration_since(since);
+        let silent = member.heard.is_none() || silence >= SILENCE;
         member.facts = facts;
         member.sequence = sequence;
         member.heard = Some(now);
         if restarted || silent {
-            return BeatVerdict::Returned;
+            return BeatVerdict::Returned(silence);
         }
         BeatVerdict::Current
     }
@@ -183,6 +188,17 @@
             .count()
     }
 
+    /// Returns the number of VMs, the own one included, whose use of rates is known.
+    pub fn earning_size(&self, now: Instant) -> usize {
+        let known = self.members.iter().filter(|member| {
+            let heard = member
+                .heard
+                .is_some_and(|heard| now < heard + EARNING_SILENCE);
+            heard && !member.facts.leaving
+        });
+        1 + known.count()
+    }
+
     /// Drops VMs that have been silent for long, and those that left.
     pub fn forget_silent(&mut self, now: Instant) -> Vec<u64> {
         let is_gone = |member: &FleetMember| {
--- a/fleet/src/beat.rs
+++ b/fleet/src/beat.rs
@@ -18,6 +18,7 @@
 };
 
 use boragerill::{
+    allowance::UseReport,
     generated::messages::{
         Beat,
         JobNote,
@@ -341,7 +342,7 @@
             return;
         }
         let joins = beat.joins;
-        let returned = match &beat.member {
+        let silence = match &beat.member {
             Some(member) => {
                 // Earnings up to now go by the part of the fleet that was heard.
                 let verdict = {
@@ -351,22 +352,25 @@
                 if verdict == BeatVerdict::Stale && !joins {
                     return;
                 }
-                if verdict == BeatVerdict::Returned {
+                if matches!(verdict, BeatVerdict::Returned(_)) {
                     info!(vm = member.vm.as_str(), domain = member.domain.as_str(), incarnation = member.incarnation; "VM heard");
                     self.settle_allowances(now);
                 }
-                verdict == BeatVerdict::Returned
+                match verdict {
+                    BeatVerdict::Returned(silence) => Some(silence),
+                    BeatVerdict::Stale | BeatVerdict::Current => None,
+                }
             }
             None => {
                 let mut members = lock(&self.state.members);
                 if !members.note_update(beat.sender, beat.incarnation, beat.sequence, now) {
                     return;
                 }
-                false
+                None
             }
         };
         self.learn_members(&beat, now);
-        self.take_state(&beat, returned, now);
+        self.take_state(&beat, silence, now);
         self.fetch_newer(&beat, from);
         if joins {
             let answer = Beat {
@@ -384,7 +388,7 @@
         }
     }
 
-    fn take_state(&self, beat: &Beat, returned: bool, now: Instant) {
+    fn take_state(&self, beat: &Beat, silence: Option<Duration>, now: Instant) {
         let uses: Vec<(u32, PlaceUse)> = beat
             .places
             .iter()
@@ -408,15 +412,17 @@
             });
             self.state.jobs.work.notify_one();
         }
+        let share = self.state.fleet_share(now);
         let mut allowances = lock(&self.state.allowances);
         for note in &beat.uses {
-            allowances.note_use(
-                beat.sender,
-                beat.incarnation,
-                note.workspace,
-                note.used,
-                returned,
-            );
+            let report = UseReport {
+                vm: beat.sender,
+                incarnation: beat.incarnation,
+                workspace: note.workspace,
+                used: note.used,
+                silence,
+            };
+            allowances.note_use(report, share, now);
         }
         drop(allowances);
         for note in &beat.jobs {
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -9,6 +9,7 @@
 };
 
 use boragerill::{
+    allowance::AllowanceVerdict,
     catalog::{
         Catalog,
         CatalogRoute,
@@ -48,7 +49,10 @@
     counter,
     histogram, //
 };
-use tokio::time::timeout;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 
 use crate::{
     answer::{
@@ -187,7 +191,7 @@
     let request = admit(state, caller, route, workspace, body)?;
     let workspace = workspace.filter(|workspace| workspace.rate > 0.0);
     if let Some(workspace) = workspace {
-        take_allowance(state, workspace)?;
+        take_allowance(state, workspace).await?;
     }
     let result = run(state, request).await;
     if let (Some(workspace), Err(refused)) = (workspace, &result) {
@@ -212,21 +216,33 @@
         .ok_or_else(|| RefusalAnswer::not_run(RefusalReason::KeyUnknown, "authorization"))
 }
 
-fn take_allowance(state: &FleetState, workspace: &CatalogWorkspace) -> Result<(), RefusalAnswer> {
-    let now = Instant::now();
-    let share = state.fleet_share(now);
-    let taken = lock(&state.allowances).take(allowance_limit(workspace), share, now);
-    taken.map_err(|wait| {
-        let detail = format_compact!(
-            "workspace {}, {} of {} VMs heard",
-            workspace.name,
-            share.heard,
-            share.size
-        );
-        RefusalAnswer::not_run(RefusalReason::RateExceeded, detail).retry_after(wait)
-    })?;
-    state.backends.changed.notify_one();
-    Ok(())
+async fn take_allowance(
+    state: &FleetState,
+    workspace: &CatalogWorkspace,
+) -> Result<(), RefusalAnswer> {
+    loop {
+        let now = Instant::now();
+        let share = state.fleet_share(now);
+        let verdict = lock(&state.allowances).take(allowance_limit(workspace), share, now);
+        match verdict {
+            AllowanceVerdict::Granted => {
+                state.backends.changed.notify_one();
+                return Ok(());
+            }
+            AllowanceVerdict::Pending(wait) => sleep(wait).await,
+            AllowanceVerdict::Refused(wait) => {
+                let detail = format_compact!(
+                    "workspace {}, {} of {} VMs heard",
+                    workspace.name,
+                    share.heard,
+                    share.size
+                );
+                return Err(
+                    RefusalAnswer::not_run(RefusalReason::RateExceeded, detail).retry_after(wait)
+                );
+            }
+        }
+    }
 }
 
 async fn read_body(
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -10,6 +10,7 @@
         Mutex, //
     },
     time::{
+        Duration,
         Instant,
         SystemTime,
         UNIX_EPOCH, //
@@ -21,6 +22,7 @@
     allowance::{
         AllowanceLimit,
         AllowanceTable,
+        AllowanceTolerance,
         FleetShare, //
     },
     catalog::{
@@ -170,6 +172,11 @@
             follows: false,
         };
         let first = (!settings.first_start).then_some(0.0);
+        let tolerance = AllowanceTolerance {
+            window: Duration::from_secs_f64(settings.rate_window_s),
+            overage: settings.rate_overage,
+            slack: settings.rate_slack,
+        };
         FleetState {
             vm_hash: hash_name(&settings.vm),
             runner: format_compact!("{}.{incarnation}", settings.vm),
@@ -178,7 +185,7 @@
             catalog: CatalogStore::default(),
             backends: Arc::default(),
             members: Mutex::new(MemberTable::new(facts)),
-            allowances: Mutex::new(AllowanceTable::new(first, now)),
+            allowances: Mutex::new(AllowanceTable::new(first, tolerance, now)),
             links: PeerLinks::default(),
             jobs: JobBook::default(),
             ends: EndBook::default(),
@@ -195,7 +202,7 @@
     pub(crate) fn fleet_share(&self, now: Instant) -> FleetShare {
         let members = lock(&self.members);
         FleetShare {
-            heard: members.heard_size(now),
+            heard: members.earning_size(now),
             size: members.fleet_size(),
         }
     }
