--- a/boragerill/src/allowance.rs
+++ b/boragerill/src/allowance.rs
@@ -207,7 +207,11 @@
             Ok(index) => {
                 let known = std::mem::replace(&mut bucket.peers[index], count);
                 let same_process = known.incarnation == report.incarnation;
-                same_process.then_some(known.used).unwrap_or(0)
+                if same_process {
+                    known.used
+                } else {
+                    0
+                }
             }
             Err(index) => {
                 bucket.peers.insert(index, count);
