--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -112,10 +112,26 @@
         }
     }
 
-    /// Takes over changes that complete the table to `through`.
+    /// Takes over changes from the store that complete the table to `through`.
     pub fn apply(&mut self, changes: Vec<BackendChange>, through: Revision, now: Instant) {
+        let holds = self.holds_missing(now);
+        self.apply_all(changes, through, holds, now);
+    }
+
+    /// Takes over changes that another VM has told; it knows by itself which entries may come back.
+    pub fn apply_told(&mut self, changes: Vec<BackendChange>, through: Revision, now: Instant) {
+        self.apply_all(changes, through, false, now);
+    }
+
+    fn apply_all(
+        &mut self,
+        changes: Vec<BackendChange>,
+        through: Revision,
+        holds: bool,
+        now: Instant,
+    ) {
         for change in changes {
-            self.apply_one(change, now);
+            self.apply_one(change, holds, now);
         }
         self.through = self.through.max(through);
         self.forget_old();
@@ -193,7 +209,7 @@
             .filter_map(|entry| entry.server.as_ref())
     }
 
-    fn apply_one(&mut self, change: BackendChange, now: Instant) {
+    fn apply_one(&mut self, change: BackendChange, holds: bool, now: Instant) {
         let found = self
             .entries
             .binary_search_by(|entry| entry.id.cmp(&change.id));
@@ -211,10 +227,12 @@
                 index
             }
         };
-        let holds = self.holds_missing(now);
+        let known = found.is_ok();
         let entry = &mut self.entries[index];
         entry.revision = change.revision;
         match change.server {
+            // Whoever holds a missing entry doesn't know whether the server is gone.
+            Some(_) if change.missing && known && entry.server.is_none() => {}
             Some(server) => {
                 entry.server = Some(server);
                 entry.missing = change.missing.then_some(now);
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -225,6 +225,15 @@
             .count()
     }
 
+    /// Returns the VM that ranks first for a duty among the own and the reachable ones that don't leave;
+    /// nothing when it is the own one.
+    pub fn first_ranked(&self, duty: u64, now: Instant) -> Option<u64> {
+        let own = score(duty, hash_name(&self.own.vm));
+        let staying = self.heard(now).filter(|member| !member.facts.leaving);
+        let first = staying.max_by_key(|member| score(duty, member.hash))?;
+        (score(duty, first.hash) > own).then_some(first.hash)
+    }
+
     /// Returns how many reachable VMs that follow the store rank before the own one for a duty.
     pub fn followers_before(&self, duty: u64, now: Instant) -> usize {
         let own = score(duty, hash_name(&self.own.vm));
--- a/boragerill/src/place.rs
+++ b/boragerill/src/place.rs
@@ -116,6 +116,64 @@
     }
 }
 
+/// Items that could be started at the servers of one service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PlaceDemand {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// How many they are.
+    pub waiting: u32,
+    /// Time until the first of them is due, in milliseconds; late ones come after all others.
+    pub due_ms: u32,
+}
+
+/// Value of [`PlaceDemand::due_ms`] when all items are late.
+pub const DUE_LATE: u32 = u32::MAX;
+
+/// What the other VMs could start.
+#[derive(Clone, Debug, Default)]
+pub struct DemandTable {
+    demands: Vec<(u64, Instant, Vec<PlaceDemand>)>, // Sorted by VM.
+}
+
+impl DemandTable {
+    /// Takes over what a VM could start.
+    pub fn note(&mut self, vm: u64, demands: Vec<PlaceDemand>, now: Instant) {
+        match self.demands.binary_search_by_key(&vm, |entry| entry.0) {
+            Ok(index) => self.demands[index] = (vm, now, demands),
+            Err(index) => self.demands.insert(index, (vm, now, demands)),
+        }
+    }
+
+    /// Returns how many items a VM may start while `free` places are left for batch: the VM whose items
+    /// are due first takes first, so that VMs which see the same places don't all take them.
+    pub fn allowed_starts(&self, vm: u64, own: PlaceDemand, free: u32, now: Instant) -> u32 {
+        let fresh = self
+            .demands
+            .iter()
+            .filter(|entry| entry.0 != vm && now < entry.1 + REPORT_LIFETIME);
+        let mut before = 0;
+        for (other, _, demands) in fresh {
+            let same = demands
+                .iter()
+                .filter(|demand| demand.service == own.service);
+            for demand in same {
+                if (demand.due_ms, *other) < (own.due_ms, vm) {
+                    before += demand.waiting;
+                }
+            }
+        }
+        free.saturating_sub(before).min(own.waiting)
+    }
+}
+
+/// Returns how many places of servers are left for batch.
+pub fn free_places(views: &[PlaceView], reserve: u32) -> u32 {
+    let usable = views.iter().filter(|view| !view.leaving && !view.suspect);
+    let free = usable.map(|view| view.slots.saturating_sub(reserve + view.used.total()));
+    free.sum()
+}
+
 /// What the deciding VM itself uses of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnUse {
--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -1,6 +1,17 @@
 //! Client of the platform's object API.
 
-use std::time::Duration;
+use std::{
+    future::Future,
+    pin::Pin,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
 
 use bytes::Bytes;
 use compact_str::{
@@ -11,6 +22,7 @@
 use reqwest::Client;
 use serde::Deserialize;
 use serde_json::Value;
+use tokio::time::timeout;
 
 use crate::{
     api::{
@@ -25,7 +37,8 @@
     error::{
         ServeError,
         Step, //
-    }, //
+    },
+    sync::lock, //
 };
 
 pub use crate::api::{
@@ -40,7 +53,13 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Longest time for opening a connection to the platform.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time without an answer after which a call also goes the other way.
+const HEDGE_AFTER: Duration = Duration::from_millis(150);
+
+/// Time for which calls go the other way first after the straight one has failed.
+const AVOID_PERIOD: Duration = Duration::from_secs(2);
 
 /// Silence of a connection after which it is probed, and the time between probes.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
@@ -93,6 +112,7 @@
     base: CompactString,
     http: Client,
     options: ClientOptions,
+    avoid_until: Arc<Mutex<Option<Instant>>>, // While the straight way is known to fail.
 }
 
 impl std::fmt::Debug for PlatformClient {
@@ -123,6 +143,7 @@
             base: base.trim_end_matches('/').into(),
             http: builder.build().unwrap_or_default(),
             options,
+            avoid_until: Arc::default(),
         }
     }
 
@@ -378,46 +399,86 @@
             _ => Duration::ZERO,
         };
         let request = (self.options.codec.encode)(&call);
-        let response = self
-            .send(step, request, wait + self.options.timeout)
-            .await?;
+        let limit = wait + self.options.timeout;
+        let relay = self.options.relay.as_ref();
+        let response = match (relay.filter(|_| is_relayed(&call)), is_safe(&call)) {
+            (None, _) => self.send_straight(step, request, limit).await?,
+            (Some(relay), true) => self.send_safely(step, request, limit, relay).await?,
+            (Some(relay), false) => self.send_once(step, request, limit, relay).await?,
+        };
         let body = self.check_status(step, response)?;
         decode(&body).map_err(|error| {
             ServeError::Malformed(step, self.base.clone(), error.to_compact_string())
         })
     }
 
-    /// Sends a request straight, or on the other way when the platform can't be reached straight and
-    /// has certainly not carried it out.
-    async fn send(
+    /// Sends a request straight, and the other way only when it has certainly not been carried out.
+    async fn send_once(
         &self,
         step: Step,
         request: ApiRequest,
         timeout: Duration,
+        relay: &ApiRelay,
     ) -> Result<ApiResponse, ServeError> {
-        let Some(relay) = &self.options.relay else {
-            return self.send_straight(step, request, timeout).await;
-        };
         let straight = self.send_straight(step, request.clone(), timeout).await;
         let refused = match &straight {
-            Ok(response) => response.status == 503 || response.status == 429,
-            Err(error) => step == Step::PlatformRead || !error.is_ambiguous(),
+            Ok(response) => is_refusal(response),
+            Err(error) => !error.is_ambiguous(),
         };
         if !refused {
             return straight;
         }
         match relay(request, timeout).await {
-            Ok(response) => Ok(response),
-            Err(error) if error.is_ambiguous() && step == Step::PlatformWrite => Err(error),
-            Err(_) => straight,
+            Err(error) if !error.is_ambiguous() => straight,
+            other => other,
         }
     }
 
+    /// Sends a request that may be carried out twice on both ways, if the first one doesn't answer soon.
+    async fn send_safely(
+        &self,
+        step: Step,
+        request: ApiRequest,
+        timeout: Duration,
+        relay: &ApiRelay,
+    ) -> Result<ApiResponse, ServeError> {
+        let straight = self.send_straight(step, request.clone(), timeout);
+        let other = relay(request, timeout);
+        let (first, second): (ApiFuture<'_>, ApiFuture<'_>) = if self.avoids_straight() {
+            (other, Box::pin(straight))
+        } else {
+            (Box::pin(straight), other)
+        };
+        hedge(first, second).await
+    }
+
+    fn avoids_straight(&self) -> bool {
+        lock(&self.avoid_until).is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Notes whether the straight way works.
+    fn note_straight(&self, result: &Result<ApiResponse, ServeError>) {
+        let works = result.as_ref().is_ok_and(|response| !is_refusal(response));
+        let until = (!works).then(|| Instant::now() + AVOID_PERIOD);
+        *lock(&self.avoid_until) = until;
+    }
+
     async fn send_straight(
         &self,
         step: Step,
         request: ApiRequest,
         timeout: Duration,
+    ) -> Result<ApiResponse, ServeError> {
+        let result = self.exchange(step, request, timeout).await;
+        self.note_straight(&result);
+        result
+    }
+
+    async fn exchange(
+        &self,
+        step: Step,
+        request: ApiRequest,
+        timeout: Duration,
     ) -> Result<ApiResponse, ServeError> {
         counter!("platform_calls_total", "step" => step_name(step)).increment(1);
         let url = format!("{}{}", self.base, request.target);
@@ -465,6 +526,68 @@
     }
 }
 
+type ApiFuture<'a> = Pin<Box<dyn Future<Output = Result<ApiResponse, ServeError>> + Send + 'a>>;
+
+/// Waits for the first good answer; the second way is taken when the first one fails or is slow.
+async fn hedge(
+    mut first: ApiFuture<'_>,
+    mut second: ApiFuture<'_>,
+) -> Result<ApiResponse, ServeError> {
+    let failed = match timeout(HEDGE_AFTER, &mut first).await {
+        Ok(result) if is_good(&result) => return result,
+        Ok(result) => result,
+        Err(_) => {
+            tokio::select! {
+                result = &mut first => if is_good(&result) { return result } else { result },
+                result = &mut second => {
+                    return if is_good(&result) { result } else { first.await };
+                }
+            }
+        }
+    };
+    let result = second.await;
+    if is_good(&result) {
+        return result;
+    }
+    // An ambiguous failure of either way is what the caller has to know.
+    match &failed {
+        Err(error) if error.is_ambiguous() => failed,
+        _ if result.is_err() => failed,
+        _ => result,
+    }
+}
+
+fn is_good(result: &Result<ApiResponse, ServeError>) -> bool {
+    result.as_ref().is_ok_and(|response| !is_refusal(response))
+}
+
+/// Returns whether the platform has turned a call away without carrying it out.
+fn is_refusal(response: &ApiResponse) -> bool {
+    response.status == 503 || response.status == 429
+}
+
+/// Returns whether a call may go another way than straight: one that waits or lists is taken up again
+/// by whoever reaches the platform.
+fn is_relayed(call: &ApiCall<'_>) -> bool {
+    !matches!(
+        call,
+        ApiCall::Watch { .. } | ApiCall::List { .. } | ApiCall::ListVms
+    )
+}
+
+/// Returns whether a call may be carried out twice.
+fn is_safe(call: &ApiCall<'_>) -> bool {
+    matches!(
+        call,
+        ApiCall::Get { .. }
+            | ApiCall::PutStatus { .. }
+            | ApiCall::Put {
+                expected: Expected::Absent,
+                ..
+            }
+    )
+}
+
 /// Returns the innermost cause of an HTTP error, which names what really failed.
 pub fn root_cause(error: &reqwest::Error) -> CompactString {
     let mut cause: &dyn std::error::Error = error;
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -22,6 +22,8 @@
         BackendTable, //
     },
     place::{
+        DemandTable,
+        PlaceDemand,
         PlaceTable,
         PlaceUse,
         PlaceView, //
@@ -77,6 +79,8 @@
     table: Mutex<BackendTable>,
     servers: ArcSwap<Vec<Arc<BackendState>>>, // Sorted by id.
     places: Mutex<PlaceTable>,
+    demands: Mutex<DemandTable>,
+    own_demands: Mutex<Vec<PlaceDemand>>,
     /// Signals that requests at servers have changed and others have to be told.
     pub(crate) changed: Notify,
     /// Signals that a place may have become free.
@@ -90,6 +94,8 @@
             table: Mutex::default(),
             servers: ArcSwap::default(),
             places: Mutex::default(),
+            demands: Mutex::default(),
+            own_demands: Mutex::default(),
             changed: Notify::new(),
             freed: Notify::new(),
             started: Instant::now(),
@@ -153,6 +159,35 @@
         read(&lock(&self.places))
     }
 
+    /// Takes over what another VM could start.
+    pub(crate) fn note_demands(&self, vm: u64, demands: Vec<PlaceDemand>, now: Instant) {
+        lock(&self.demands).note(vm, demands, now);
+    }
+
+    /// Returns how many of the own items of a service may be started in free places.
+    pub(crate) fn allowed_starts(&self, vm: u64, own: PlaceDemand, free: u32, now: Instant) -> u32 {
+        lock(&self.demands).allowed_starts(vm, own, free, now)
+    }
+
+    /// Replaces what this VM could start, to be told to the others.
+    pub(crate) fn set_own_demands(&self, demands: Vec<PlaceDemand>) {
+        let mut own = lock(&self.own_demands);
+        let same = own.len() == demands.len()
+            && own
+                .iter()
+                .zip(&demands)
+                .all(|(a, b)| a.service == b.service && a.waiting == b.waiting);
+        *own = demands;
+        if !same {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Returns what this VM could start.
+    pub(crate) fn own_demands(&self) -> Vec<PlaceDemand> {
+        lock(&self.own_demands).clone()
+    }
+
     /// Counts a request at a server until the guard is dropped.
     pub(crate) fn fly(
         self: &Arc<Self>,
--- a/fleet/src/beat.rs
+++ b/fleet/src/beat.rs
@@ -21,6 +21,7 @@
     allowance::UseReport,
     generated::messages::{
         Beat,
+        DemandNote,
         JobNote,
         MemberNote,
         PlaceNote,
@@ -30,7 +31,10 @@
         BeatVerdict,
         MemberFacts, //
     },
-    place::PlaceUse,
+    place::{
+        PlaceDemand,
+        PlaceUse, //
+    },
     sync::lock,
     timer::TimerService, //
 };
@@ -77,6 +81,7 @@
     socket: UdpSocket,
     sequence: AtomicU64,
     told: Mutex<Vec<(u32, PlaceUse)>>, // Sorted by the server's key.
+    told_demands: Mutex<Vec<PlaceDemand>>,
     fetching: Arc<AtomicBool>,
 }
 
@@ -88,6 +93,7 @@
             socket,
             sequence: AtomicU64::new(1),
             told: Mutex::default(),
+            told_demands: Mutex::default(),
             fetching: Arc::default(),
         }
     }
@@ -179,7 +185,9 @@
     async fn send_changes(&self) {
         let places = self.changed_places();
         let uses = lock(&self.state.allowances).take_changes();
-        if places.is_empty() && uses.is_empty() {
+        let demands = self.state.backends.own_demands();
+        let same = std::mem::replace(&mut *lock(&self.told_demands), demands.clone()) == demands;
+        if places.is_empty() && uses.is_empty() && same {
             return;
         }
         let beat = Beat {
@@ -224,10 +232,21 @@
             catalog: self.state.catalog.version(),
             backends: self.state.backends.read(|table| table.through()),
             ends: self.state.ends.through(),
+            demands: self.demand_notes(),
             ..Default::default()
         }
     }
 
+    fn demand_notes(&self) -> Vec<DemandNote> {
+        let demands = self.state.backends.own_demands();
+        let notes = demands.into_iter().map(|demand| DemandNote {
+            service: demand.service,
+            waiting: demand.waiting,
+            due_ms: demand.due_ms,
+        });
+        notes.collect()
+    }
+
     fn whole_beat(&self) -> Beat {
         let now = Instant::now();
         let own = lock(&self.state.members).own().clone();
@@ -400,6 +419,14 @@
                 (note.server, used)
             })
             .collect();
+        let demands = beat.demands.iter().map(|note| PlaceDemand {
+            service: note.service,
+            waiting: note.waiting,
+            due_ms: note.due_ms,
+        });
+        self.state
+            .backends
+            .note_demands(beat.sender, demands.collect(), now);
         if beat.full || !uses.is_empty() {
             self.state.backends.update_places(|places| {
                 if beat.full {
--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -304,20 +304,7 @@
             missing: false,
         })
         .collect();
-    for change in &changes {
-        let state =
-            change.server.as_ref().map_or(
-                "gone",
-                |server| {
-                    if server.leaving {
-                        "leaving"
-                    } else {
-                        "ready"
-                    }
-                },
-            );
-        info!(server = change.id.as_str(), revision = change.revision, state; "backend server changed");
-    }
+    log_changes(&changes, "store");
     let now = Instant::now();
     state.backends.update(|table| {
         if whole {
@@ -327,3 +314,16 @@
         }
     });
 }
+
+/// Notes what this VM learns of backend servers, and from whom.
+pub(crate) fn log_changes(changes: &[BackendChange], source: &str) {
+    for change in changes {
+        let state = match &change.server {
+            Some(server) if server.leaving => "leaving",
+            Some(_) if change.missing => "missing",
+            Some(_) => "ready",
+            None => "gone",
+        };
+        info!(server = change.id.as_str(), revision = change.revision, state, source; "backend server changed");
+    }
+}
--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -30,6 +30,7 @@
         JobResult,
         ResultChunk, //
     },
+    rank::hash_name,
     refusal::{
         RefusalAnswer,
         RefusalReason, //
@@ -64,6 +65,9 @@
 /// Longest time that another VM may take beyond the read's own wait.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for which a job is taken as it was last read from the store.
+const FRESH_TIME: Duration = Duration::from_millis(400);
+
 /// Share of an answer's limit that results fill; their JSON text is longer.
 const PAGE_SHARE: u64 = 2;
 
@@ -83,10 +87,7 @@
             page_of(state, &entry, after)
         }
         Some(_) => return Err(unknown_job(id)),
-        None => match ask_keeper(state, id, after, workspace, wait).await {
-            Some(page) => page,
-            None => load_page(state, id, after, workspace).await?,
-        },
+        None => read_elsewhere(state, id, after, workspace, wait).await?,
     };
     let body = (state.format.encode_page)(&page);
     Ok(plain(200, "application/json", body))
@@ -135,21 +136,45 @@
     }
 }
 
-async fn ask_keeper(
+/// Reads a job that this VM doesn't keep: from the VM that does, else from the one that reads it from the
+/// store for all, else from the store.
+async fn read_elsewhere(
     state: &Arc<FleetState>,
     id: &str,
     after: u64,
     workspace: &str,
     wait: Duration,
-) -> Option<ResultPage> {
-    let notice = state.jobs.notice(id)?;
-    let ask = Body::JobRead(JobRead {
+) -> Result<ResultPage, RefusalAnswer> {
+    let ask = JobRead {
         id: id.to_owned(),
         workspace: workspace.to_owned(),
         after,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(0),
-    });
-    let answer = crate::peers::ask(state, notice.vm, ask, wait + PEER_TIMEOUT).await;
+        load: false,
+    };
+    if let Some(notice) = state.jobs.notice(id) {
+        if let Some(page) = ask_page(state, notice.vm, ask.clone(), wait).await {
+            return Ok(page);
+        }
+    }
+    let reader = lock(&state.members).first_ranked(hash_name(id), Instant::now());
+    if let Some(reader) = reader {
+        let ask = JobRead { load: true, ..ask };
+        if let Some(page) = ask_page(state, reader, ask, Duration::ZERO).await {
+            return Ok(page);
+        }
+    }
+    load_page(state, id, after, workspace).await
+}
+
+async fn ask_page(
+    state: &Arc<FleetState>,
+    vm: u64,
+    ask: JobRead,
+    wait: Duration,
+) -> Option<ResultPage> {
+    let after = ask.after;
+    let answer = crate::peers::ask(state, vm, Body::JobRead(ask), wait + PEER_TIMEOUT).await;
     match answer {
         Ok(Body::JobPage(page)) if page.known => Some(decode_page(page, after)),
         _ => {
@@ -190,7 +215,8 @@
     }
 }
 
-async fn load_page(
+/// Reads results from the store, or as this VM has just read them.
+pub(crate) async fn load_page(
     state: &FleetState,
     id: &str,
     after: u64,
@@ -202,14 +228,18 @@
         None => StoredJob {
             head: owned_head(state, id, workspace).await?,
             chunks: Vec::new(),
+            read: Instant::now()
+                .checked_sub(FRESH_TIME)
+                .unwrap_or_else(Instant::now),
         },
     };
     if stored.head.workspace != workspace {
         return Err(unknown_job(id));
     }
-    if !stored.is_complete() {
+    if !stored.is_complete() && stored.read.elapsed() >= FRESH_TIME {
         let more = load_chunks(state, id, stored.next_chunk()).await;
         stored.chunks.extend(more.map_err(unsure)?);
+        stored.read = Instant::now();
         state.read_cache.put(id, stored.clone());
     }
     let listed: Vec<JobResult> = stored.results().cloned().collect();
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -155,12 +155,21 @@
 
 async fn answer_read(state: &Arc<FleetState>, ask: JobRead) -> JobPage {
     let kept = state.jobs.find(&ask.id);
-    let Some(entry) = kept.filter(|entry| entry.head.workspace == ask.workspace) else {
-        return JobPage::default();
+    let page = match kept.filter(|entry| entry.head.workspace == ask.workspace) {
+        Some(entry) => {
+            let until = Instant::now() + Duration::from_millis(ask.wait_ms.into());
+            job_reads::wait_for_results(&entry, ask.after, until).await;
+            job_reads::page_of(state, &entry, ask.after)
+        }
+        None if ask.load => {
+            match job_reads::load_page(state, &ask.id, ask.after, &ask.workspace).await {
+                Ok(page) => page,
+                Err(_) => return JobPage::default(),
+            }
+        }
+        None => return JobPage::default(),
     };
-    let until = Instant::now() + Duration::from_millis(ask.wait_ms.into());
-    job_reads::wait_for_results(&entry, ask.after, until).await;
-    job_reads::encode_page(job_reads::page_of(state, &entry, ask.after))
+    job_reads::encode_page(page)
 }
 
 fn answer_body(state: &FleetState, ask: &JobBodyAsk) -> JobBody {
@@ -288,10 +297,11 @@
         return Ok(());
     };
     let changes: Vec<BackendChange> = answer.backends.into_iter().map(backend_change).collect();
+    crate::follow::log_changes(&changes, address);
     let now = Instant::now();
     state
         .backends
-        .update(|table| table.apply(changes, answer.backends_through, now));
+        .update(|table| table.apply_told(changes, answer.backends_through, now));
     let ends = answer.ends.into_iter();
     let ends = ends.map(|note| (note.revision, note.id.into())).collect();
     for id in state.ends.apply(ends, answer.ends_through) {
--- a/fleet/src/read_cache.rs
+++ b/fleet/src/read_cache.rs
@@ -1,6 +1,9 @@
 //! Jobs of other VMs as this VM last read them from the store; chunks of results never change.
 
-use std::sync::Mutex;
+use std::{
+    sync::Mutex,
+    time::Instant, //
+};
 
 use boragerill::{
     job::{
@@ -22,6 +25,8 @@
     pub(crate) head: JobHead,
     /// Chunks of results in their order.
     pub(crate) chunks: Vec<ResultChunk>,
+    /// When it was last read from the store.
+    pub(crate) read: Instant,
 }
 
 impl StoredJob {
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -91,6 +91,9 @@
 /// When a caller may come back while this VM knows no configuration yet.
 const CONFIG_RETRY: Duration = Duration::from_millis(300);
 
+/// When a caller may come back whose request would outlast this VM.
+const CLOSING_RETRY: Duration = Duration::from_millis(50);
+
 /// When a caller may come back while no server can take its request.
 const CAPACITY_RETRY: Duration = Duration::from_millis(400);
 
@@ -169,6 +172,12 @@
         let workspace = identify(&catalog, &caller)?;
         return jobs::serve_call(state, &caller, call, &workspace.name).await;
     }
+    if state.is_closing() {
+        let detail = "this VM ends soon";
+        return Err(
+            RefusalAnswer::not_run(RefusalReason::ShuttingDown, detail).retry_after(CLOSING_RETRY)
+        );
+    }
     if caller.id.is_empty() {
         let field = state.format.names.request_id.as_str();
         return Err(RefusalAnswer::not_run(
--- a/fleet/src/retire.rs
+++ b/fleet/src/retire.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use boragerill::error::ServeError;
+use boragerill::{
+    config::Version,
+    error::ServeError, //
+};
 use log::{
     info,
     warn, //
@@ -23,15 +26,19 @@
 /// Pause after a failed call.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
 
-/// Watches for the order to empty this VM, and carries it out.
+/// Watches for orders to empty this VM, and carries each out once.
 pub(crate) async fn watch_retirement(state: Arc<FleetState>) {
     let mut through = None;
+    let mut done = None;
     loop {
         match find_order(&state, through).await {
-            Ok((false, version)) => through = Some(version),
-            Ok((true, version)) => {
+            Ok((order, version)) => {
                 through = Some(version);
-                empty(&state).await;
+                // The status written here is a change of the same order.
+                if order.is_some() && order != done {
+                    empty(&state).await;
+                    done = order;
+                }
             }
             Err(ServeError::Compacted(..)) => through = None,
             Err(error) => {
@@ -42,8 +49,11 @@
     }
 }
 
-/// Waits for an order, and returns whether this VM is meant and how far orders are known.
-async fn find_order(state: &FleetState, through: Option<u64>) -> Result<(bool, u64), ServeError> {
+/// Waits for an order, and returns which one means this VM and how far orders are known.
+async fn find_order(
+    state: &FleetState,
+    through: Option<Version>,
+) -> Result<(Option<Version>, Version), ServeError> {
     let kind = state.format.kinds.retirements;
     let (objects, version) = match through {
         None => state.platform.list(kind, |object| object).await?,
@@ -53,8 +63,8 @@
         }
     };
     let mut orders = objects.iter().filter(|object| !object.deleted);
-    let meant = orders.any(|object| object.name == state.settings.vm);
-    Ok((meant, version))
+    let meant = orders.find(|object| object.name == state.settings.vm);
+    Ok((meant.map(|object| object.created), version))
 }
 
 /// Hands over what this VM runs; it keeps nothing else that the store doesn't have.
--- a/fleet/src/runner.rs
+++ b/fleet/src/runner.rs
@@ -14,15 +14,19 @@
 use boragerill::{
     catalog::{
         BatchTerms,
+        Catalog,
         CatalogRoute,
         RouteKind, //
     },
     job::JobPressure,
     place::{
         choose_batch_place,
+        free_places,
         OwnUse,
-        PlaceView, //
+        PlaceDemand,
+        DUE_LATE, //
     },
+    rank::hash_name,
     stream::EventCutter,
     sync::lock, //
 };
@@ -179,19 +183,48 @@
             }
         }
         jobs.sort_by_key(|job| job.0.rank());
+        let demands = collect_demands(&catalog, &jobs, now);
+        state.backends.set_own_demands(demands.clone());
+        for demand in demands {
+            self.start_service(state, &catalog, &jobs, demand, now);
+        }
+    }
+
+    /// Starts items of one service as far as this VM may.
+    fn start_service(
+        self: &Arc<Self>,
+        state: &Arc<FleetState>,
+        catalog: &Catalog,
+        jobs: &[(JobPressure, Arc<JobEntry>)],
+        demand: PlaceDemand,
+        now: Instant,
+    ) {
+        let mut allowed: Option<u32> = None;
         for (pressure, entry) in jobs {
             let Some(route) = catalog.find_route(&entry.head.host, &entry.head.path) else {
                 continue;
             };
             let startable = lock(&entry.progress).startable(now);
             for index in startable {
-                let Some(service) = route.choose_service(&entry.items[index].id) else {
-                    break;
+                let service = route.choose_service(&entry.items[index].id);
+                let Some(service) = service.filter(|name| hash_name(name) == demand.service) else {
+                    continue;
                 };
-                let Some(server) = choose_server(state, service, now) else {
+                let domain = &state.settings.domain;
+                let (servers, views) = state.backends.views(service, domain, now);
+                let left = allowed.get_or_insert_with(|| {
+                    let free = free_places(&views, RESERVE);
+                    state
+                        .backends
+                        .allowed_starts(state.vm_hash, demand, free, now)
+                });
+                let place = choose_batch_place(&views, &[], RESERVE).filter(|_| *left > 0);
+                let Some(place) = place else {
                     return;
                 };
-                self.start(state, &entry, route, index, server, pressure.left);
+                *left -= 1;
+                let server = servers[place].clone();
+                self.start(state, entry, route, index, server, pressure.left);
             }
         }
     }
@@ -351,11 +384,40 @@
     }
 }
 
-fn choose_server(state: &FleetState, service: &str, now: Instant) -> Option<Arc<BackendState>> {
-    let domain = &state.settings.domain;
-    let (servers, views): (_, Vec<PlaceView>) = state.backends.views(service, domain, now);
-    let index = choose_batch_place(&views, &[], RESERVE)?;
-    Some(servers[index].clone())
+/// Returns the items that could be started now, by service.
+fn collect_demands(
+    catalog: &Catalog,
+    jobs: &[(JobPressure, Arc<JobEntry>)],
+    now: Instant,
+) -> Vec<PlaceDemand> {
+    let mut demands: Vec<PlaceDemand> = Vec::new();
+    for (pressure, entry) in jobs {
+        let Some(route) = catalog.find_route(&entry.head.host, &entry.head.path) else {
+            continue;
+        };
+        let due_ms = match pressure.late {
+            true => DUE_LATE,
+            false => u32::try_from(pressure.left.as_millis()).unwrap_or(DUE_LATE),
+        };
+        for index in lock(&entry.progress).startable(now) {
+            let Some(service) = route.choose_service(&entry.items[index].id) else {
+                break;
+            };
+            let service = hash_name(service);
+            match demands.iter_mut().find(|demand| demand.service == service) {
+                Some(demand) => {
+                    demand.waiting += 1;
+                    demand.due_ms = demand.due_ms.min(due_ms);
+                }
+                None => demands.push(PlaceDemand {
+                    service,
+                    waiting: 1,
+                    due_ms,
+                }),
+            }
+        }
+    }
+    demands
 }
 
 fn pressure(entry: &JobEntry, terms: &BatchTerms, now: Instant) -> JobPressure {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -7,7 +7,8 @@
             Ordering, //
         },
         Arc,
-        Mutex, //
+        Mutex,
+        OnceLock, //
     },
     time::{
         Duration,
@@ -58,6 +59,9 @@
     wire::WireFormat, //
 };
 
+/// Share of the grace period in which a leaving VM still takes requests.
+const OPEN_SHARE: f64 = 0.6;
+
 /// The configuration in force.
 #[derive(Debug)]
 pub(crate) struct CatalogStore {
@@ -151,6 +155,7 @@
     pub(crate) runner: CompactString,
     seeds: Mutex<Vec<String>>,
     leaving: watch::Sender<bool>,
+    closing: OnceLock<Instant>, // From when on requests would outlast the process.
     ready: AtomicBool,
 }
 
@@ -193,6 +198,7 @@
             incarnation,
             seeds: Mutex::new(settings.seeds.clone()),
             leaving: watch::channel(false).0,
+            closing: OnceLock::new(),
             ready: AtomicBool::new(false),
             settings,
         }
@@ -222,8 +228,17 @@
         *self.leaving.borrow()
     }
 
+    /// Returns whether a request that comes now would outlast the process.
+    pub(crate) fn is_closing(&self) -> bool {
+        let closing = self.closing.get();
+        closing.is_some_and(|closing| Instant::now() >= *closing)
+    }
+
     /// Notes that the process was told to stop.
     pub(crate) fn leave(&self) {
+        let grace = Duration::from_secs_f64(self.settings.grace_s);
+        self.closing
+            .get_or_init(|| Instant::now() + grace.mul_f64(OPEN_SHARE));
         lock(&self.members).own_mut().leaving = true;
         self.leaving.send_replace(true);
     }
