--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -117,6 +117,29 @@
     pub items: Vec<JobItem>,
 }
 
+/// Output of an item that isn't listed yet.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct PartialOutput {
+    /// Position of the item in the submission.
+    pub item: usize,
+    /// Number of the last event.
+    pub last: EventId,
+    /// Data of all events so far.
+    pub text: CompactString,
+    /// Whether the output is whole.
+    pub whole: bool,
+}
+
+/// Output that is stored now and then, so that a runner that takes over goes on from there. It may be
+/// old: every beginning of an item's output is a beginning of the same output.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct JobCheckpoint {
+    /// Items that have come anywhere.
+    pub outputs: Vec<PartialOutput>,
+}
+
 /// Returns the name of a chunk of results.
 pub fn chunk_object(job: &str, index: u32) -> CompactString {
     format_compact!("{job}.{index:04}")
@@ -284,18 +307,40 @@
         self.items[index].text.len()
     }
 
-    /// Returns an item's output so far and the number of its last event, to be handed to another VM.
-    pub fn partial(&self, index: usize) -> Option<(EventId, &[u8])> {
-        let item = &self.items[index];
-        Some((item.last?, &item.text))
+    /// Returns the output of all items that aren't listed yet.
+    pub fn checkpoint(&self) -> JobCheckpoint {
+        let items = self.items.iter().enumerate();
+        let outputs = items.filter_map(|(index, item)| {
+            let whole = item.phase == ItemPhase::Ended(JobOutcome::Completed);
+            let unlisted = whole || matches!(item.phase, ItemPhase::Waiting | ItemPhase::Running);
+            let last = item.last.filter(|_| unlisted)?;
+            Some(PartialOutput {
+                item: index,
+                last,
+                text: CompactString::from_utf8_lossy(&item.text),
+                whole,
+            })
+        });
+        JobCheckpoint {
+            outputs: outputs.collect(),
+        }
     }
 
-    /// Takes over output that another VM received.
-    pub fn adopt_partial(&mut self, index: usize, last: EventId, text: &[u8]) {
-        let item = &mut self.items[index];
-        if item.phase == ItemPhase::Waiting && item.last.is_none_or(|known| known < last) {
-            item.last = Some(last);
-            item.text = text.to_vec();
+    /// Goes on from outputs that another runner received, where they are farther.
+    pub fn adopt_checkpoint(&mut self, checkpoint: JobCheckpoint) {
+        for output in checkpoint.outputs {
+            let Some(item) = self.items.get_mut(output.item) else {
+                continue;
+            };
+            let farther = item.last.is_none_or(|known| known < output.last);
+            if item.phase != ItemPhase::Waiting || !farther {
+                continue;
+            }
+            item.last = Some(output.last);
+            item.text = output.text.as_bytes().to_vec();
+            if output.whole {
+                item.phase = ItemPhase::Ended(JobOutcome::Completed);
+            }
         }
     }
 
--- a/boragerill/tests/allowance.rs
+++ b/boragerill/tests/allowance.rs
@@ -92,7 +92,7 @@
         Just(()).boxed()
     }
 
-    fn transitions(_: &()) -> BoxedStrategy<FleetEvent> {
+    fn transitions((): &()) -> BoxedStrategy<FleetEvent> {
         prop_oneof![
             4 => (0..VMS, 1..60_u32, 1..3_u32)
                 .prop_map(|(vm, steps, each)| FleetEvent::Send { vm, steps, each }),
@@ -106,9 +106,7 @@
         .boxed()
     }
 
-    fn apply(state: (), _: &FleetEvent) {
-        state
-    }
+    fn apply((): (), _: &FleetEvent) {}
 }
 
 /// The fleet: a table a VM, and what each last heard of the others.
@@ -213,11 +211,11 @@
     type SystemUnderTest = FleetModel;
     type Reference = FleetReference;
 
-    fn init_test(_: &()) -> FleetModel {
+    fn init_test((): &()) -> FleetModel {
         FleetModel::new()
     }
 
-    fn apply(mut model: FleetModel, _: &(), event: FleetEvent) -> FleetModel {
+    fn apply(mut model: FleetModel, (): &(), event: FleetEvent) -> FleetModel {
         match event {
             FleetEvent::Send { vm, steps, each } => {
                 for _ in 0..steps {
@@ -240,7 +238,7 @@
         model
     }
 
-    fn check_invariants(model: &FleetModel, _: &()) {
+    fn check_invariants(model: &FleetModel, (): &()) {
         let most = (RATE * WINDOW.as_secs_f64() + BURST) * (1.0 + OVERAGE) + SLACK;
         let mut start = 0;
         for (end, &time) in model.grants.iter().enumerate() {
--- /dev/null
+++ b/fleet/src/checkpoint.rs
@@ -0,0 +1,93 @@
+//! Stores what has come of running items, so that little runs again when their runner is lost.
+
+use std::{
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
+    time::Duration,
+};
+
+use boragerill::{
+    api::Expected,
+    error::ServeError,
+    job::JobCheckpoint,
+    sync::lock, //
+};
+use log::warn;
+use metrics::counter;
+use tokio::time::sleep;
+
+use crate::{
+    jobs::{
+        JobEntry,
+        CHECKPOINT_KIND, //
+    },
+    state::FleetState, //
+};
+
+/// Period of storing a job's output. A shorter one costs calls, a longer one work after a loss.
+const CHECKPOINT_PERIOD: Duration = Duration::from_millis(2000);
+
+/// Stores a job's output periodically while this VM runs the job.
+pub(crate) async fn store_checkpoints(state: Arc<FleetState>, entry: Arc<JobEntry>) {
+    let mut stored = JobCheckpoint::default();
+    let mut exists = false;
+    loop {
+        sleep(CHECKPOINT_PERIOD).await;
+        let checkpoint = {
+            let progress = lock(&entry.progress);
+            if progress.is_closed() || entry.released.load(Ordering::Relaxed) {
+                return;
+            }
+            progress.checkpoint()
+        };
+        if checkpoint.outputs.is_empty() || checkpoint == stored {
+            continue;
+        }
+        match store(&state, &entry.id, &checkpoint, exists).await {
+            Ok(()) => {
+                exists = true;
+                stored = checkpoint;
+                counter!("checkpoints_stored_total").increment(1);
+            }
+            Err(error) => {
+                warn!(job = entry.id.as_str(), error = error.to_string().as_str(); "output not stored");
+            }
+        }
+    }
+}
+
+async fn store(
+    state: &FleetState,
+    job: &str,
+    checkpoint: &JobCheckpoint,
+    exists: bool,
+) -> Result<(), ServeError> {
+    let value = serde_json::to_value(checkpoint).unwrap_or_default();
+    let limit = usize::try_from(state.settings.value_bytes).unwrap_or(usize::MAX);
+    let size: usize = checkpoint
+        .outputs
+        .iter()
+        .map(|output| output.text.len())
+        .sum();
+    if size * 2 > limit {
+        // Too much for one object; a job of this size has most of its results stored anyway.
+        return Ok(());
+    }
+    let expected = if exists {
+        Expected::Any
+    } else {
+        Expected::Absent
+    };
+    let put = |expected| {
+        state
+            .platform
+            .put(CHECKPOINT_KIND, job, expected, "", &value)
+    };
+    match put(expected).await {
+        // An earlier runner has stored one.
+        Err(ServeError::Conflict(..)) => put(Expected::Any).await.map(|_| ()),
+        result => result.map(|_| ()),
+    }
+}
--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -272,7 +272,8 @@
     Ok(chunks)
 }
 
-fn parse_object<T: serde::de::DeserializeOwned>(
+/// Reads the value of an object of the store.
+pub(crate) fn parse_object<T: serde::de::DeserializeOwned>(
     name: &str,
     spec: serde_json::Value,
 ) -> Result<T, ServeError> {
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -84,6 +84,9 @@
 /// Kind of the objects that hold results.
 pub(crate) const RESULT_KIND: &str = "batch-results";
 
+/// Kind of the objects that hold output of items that haven't ended.
+pub(crate) const CHECKPOINT_KIND: &str = "batch-checkpoints";
+
 /// Kind of the objects that end jobs.
 pub(crate) const END_KIND: &str = "batch-ends";
 
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod backends;
 mod beat;
 mod caller;
+mod checkpoint;
 mod commit;
 mod ends;
 mod follow;
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -19,8 +19,10 @@
         PartialNote, //
     },
     job::{
+        JobCheckpoint,
         JobHead,
         JobProgress,
+        PartialOutput,
         ResultChunk, //
     },
     rank::hash_name,
@@ -35,6 +37,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    checkpoint::store_checkpoints,
     commit::{
         commit_results,
         store_chunk, //
@@ -42,11 +45,13 @@
     job_reads::{
         load_head,
         load_items,
-        load_results, //
+        load_results,
+        parse_object, //
     },
     jobs::{
         JobEntry,
         JobNotice,
+        CHECKPOINT_KIND,
         END_KIND,
         JOB_KIND, //
     },
@@ -68,8 +73,11 @@
 /// Period of looking for jobs whose runner is gone.
 const LOOK_PERIOD: Duration = Duration::from_millis(250);
 
-/// Time for which a VM waits after its start, so that others can tell which jobs they run.
-const START_WAIT: Duration = Duration::from_millis(500);
+/// Longest time for which a VM waits after its start for others to tell which jobs they run.
+const START_WAIT: Duration = Duration::from_millis(600);
+
+/// Time in which every VM that is heard sends a whole heartbeat.
+const BEAT_WAIT: Duration = Duration::from_millis(160);
 
 /// Time that each further VM waits in which those that rank before it can take a job over.
 const RANK_WAIT: Duration = Duration::from_millis(400);
@@ -133,7 +141,7 @@
 
 /// Takes over the jobs in the store that nobody runs; called once after the start.
 pub(crate) async fn find_orphans(state: Arc<FleetState>) {
-    sleep(START_WAIT).await;
+    wait_for_fleet(&state).await;
     let heads = loop {
         let convert = |object: boragerill::api::PlatformObject| (object.name, object.spec);
         match state.platform.list(JOB_KIND, convert).await {
@@ -151,10 +159,35 @@
         if age > ORPHAN_AGE || known || state.ends.contains(&id) {
             continue;
         }
-        watch_orphan(&state, &id);
+        let state = state.clone();
+        tokio::spawn(async move {
+            let rank = lock(&state.members).own_rank(hash_name(&id), Instant::now());
+            sleep(RANK_WAIT * u32::try_from(rank).unwrap_or(0)).await;
+            if state.jobs.notice(&id).is_none() && state.jobs.find(&id).is_none() {
+                take_over(&state, &id, Instant::now()).await;
+            }
+        });
     }
 }
 
+/// Waits until every VM of the fleet could tell which jobs it runs.
+async fn wait_for_fleet(state: &FleetState) {
+    let until = Instant::now() + START_WAIT;
+    sleep(BEAT_WAIT).await;
+    while Instant::now() < until {
+        let now = Instant::now();
+        let all_heard = {
+            let members = lock(&state.members);
+            members.heard_size(now) > 1 && members.heard_size(now) >= members.fleet_size()
+        };
+        if all_heard {
+            break;
+        }
+        sleep(BEAT_WAIT / 4).await;
+    }
+    sleep(BEAT_WAIT).await;
+}
+
 /// Runs a job from what the store knows of it.
 pub(crate) async fn take_over(state: &Arc<FleetState>, id: &str, submitted: Instant) {
     match claim_job(state, id, submitted).await {
@@ -210,6 +243,7 @@
 
 /// Starts what a job needs while this VM runs it.
 pub(crate) fn start_job(state: &Arc<FleetState>, entry: Arc<JobEntry>) {
+    tokio::spawn(store_checkpoints(state.clone(), entry.clone()));
     tokio::spawn(commit_results(state.clone(), entry));
     state.jobs.work.notify_one();
     state.backends.changed.notify_one();
@@ -228,14 +262,25 @@
         return Ok(None);
     }
     let items = load_items(state, &head).await?;
+    let checkpoint = load_checkpoint(state, id).await?;
     // The time of day is close enough for a job whose first runner can't be asked.
     let age = Duration::from_millis(wall_ms().saturating_sub(head.submitted_ms)).min(ORPHAN_AGE);
     let by_clock = Instant::now().checked_sub(age).unwrap_or(submitted);
     let entry = JobEntry::new(id, head, items, submitted.min(by_clock));
     restore(&mut lock(&entry.progress), &chunks);
+    lock(&entry.progress).adopt_checkpoint(checkpoint);
     Ok(Some(Arc::new(entry)))
 }
 
+/// Reads the output that an earlier runner stored.
+async fn load_checkpoint(state: &FleetState, id: &str) -> Result<JobCheckpoint, ServeError> {
+    match state.platform.get(CHECKPOINT_KIND, id).await {
+        Ok(object) => parse_object(id, object.spec),
+        Err(ServeError::Missing(..)) => Ok(JobCheckpoint::default()),
+        Err(error) => Err(error),
+    }
+}
+
 /// Returns whether a job's client ended it.
 async fn is_ended(state: &FleetState, id: &str) -> Result<bool, ServeError> {
     if state.ends.contains(id) {
@@ -323,19 +368,28 @@
 }
 
 fn partials(entry: &JobEntry) -> Vec<PartialNote> {
-    let progress = lock(&entry.progress);
-    let unfinished = progress.unfinished();
-    let notes = unfinished.filter_map(|index| {
-        let (last_event, text) = progress.partial(index)?;
-        Some(PartialNote {
-            item: u32::try_from(index).ok()?,
-            last_event,
-            text: text.to_vec(),
-        })
+    let checkpoint = lock(&entry.progress).checkpoint();
+    let notes = checkpoint.outputs.into_iter().map(|output| PartialNote {
+        item: u32::try_from(output.item).unwrap_or(u32::MAX),
+        last_event: output.last,
+        text: output.text.to_string(),
+        whole: output.whole,
     });
     notes.collect()
 }
 
+fn checkpoint_of(partials: Vec<PartialNote>) -> JobCheckpoint {
+    let outputs = partials.into_iter().map(|note| PartialOutput {
+        item: usize::try_from(note.item).unwrap_or(usize::MAX),
+        last: note.last_event,
+        text: note.text.into(),
+        whole: note.whole,
+    });
+    JobCheckpoint {
+        outputs: outputs.collect(),
+    }
+}
+
 /// Takes a job over from a leaving VM; returns whether this VM runs it now.
 pub(crate) async fn take_handover(state: &Arc<FleetState>, handover: JobHandover) -> bool {
     if state.is_leaving() {
@@ -355,12 +409,8 @@
             return false;
         }
     };
-    for note in handover.partials {
-        let index = usize::try_from(note.item).unwrap_or(usize::MAX);
-        if index < entry.items.len() {
-            lock(&entry.progress).adopt_partial(index, note.last_event, &note.text);
-        }
-    }
+    let checkpoint = checkpoint_of(handover.partials);
+    lock(&entry.progress).adopt_checkpoint(checkpoint);
     if state.jobs.insert(entry.clone()).is_none() {
         info!(job = entry.id.as_str(); "job taken from a leaving VM");
         start_job(state, entry);
