--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod logger;
 pub mod member;
 pub mod online;
+pub mod patience;
 pub mod place;
 pub mod platform;
 pub mod process;
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -1,7 +1,10 @@
 //! Serves online requests: checks them, finds a place, and passes the answer on.
 
 use std::{
-    sync::Arc,
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
     time::{
         Duration,
         Instant, //
@@ -17,9 +20,15 @@
         RouteKind, //
     },
     keys::hash_key,
+    patience::{
+        PlaceRule,
+        PlaceWait, //
+    },
     place::{
+        choose_batch_place,
         choose_place,
-        PlaceQuery, //
+        PlaceQuery,
+        PlaceView, //
     },
     refusal::{
         RefusalAnswer,
@@ -97,11 +106,8 @@
 /// When a caller may come back while no server can take its request.
 const CAPACITY_RETRY: Duration = Duration::from_millis(400);
 
-/// Share of the time in which an answer is in time for which a request may wait here for a place.
-const WAIT_SHARE: f64 = 0.25;
-
-/// Requests that may wait at a server beyond its places.
-const SERVER_QUEUE: u32 = 3;
+/// Places of a server that a request which is late anyway leaves to others.
+const SPARE_PLACES: u32 = 1;
 
 /// Servers that may refuse a request before it is refused to its caller.
 const REFUSALS: usize = 6;
@@ -125,6 +131,8 @@
     pub(crate) outgoing: OutgoingRequest,
     /// When the request had arrived.
     pub(crate) arrived: Instant,
+    /// Time for which the caller had asked before.
+    age: Duration,
     prefix: Option<u64>,
 }
 
@@ -310,6 +318,11 @@
     Ok(AdmittedRequest {
         service: service.clone(),
         arrived: caller.arrived,
+        age: state.patience.note(
+            &route.name,
+            caller.deadline.saturating_duration_since(caller.arrived),
+            caller.arrived,
+        ),
         prefix: caller.prefix,
         outgoing: OutgoingRequest {
             id: caller.id,
@@ -410,33 +423,89 @@
     request: &AdmittedRequest,
     history: &RunHistory,
 ) -> Result<Arc<BackendState>, RefusalAnswer> {
-    let patience = request.route.target.mul_f64(WAIT_SHARE);
-    let until = (request.arrived + patience).min(request.outgoing.deadline);
+    let mut waiting = None;
     loop {
         let freed = state.backends.freed.notified();
         let now = Instant::now();
+        let held = now.saturating_duration_since(request.arrived);
+        let fresh = waiting.as_ref().is_some_and(FreshGuard::is_set);
+        let wait = PlaceWait {
+            age: request.age + held,
+            held,
+            target: request.route.target,
+            remaining: request.outgoing.deadline.saturating_duration_since(now),
+            fresh_waiting: state.fresh_waiting.load(Ordering::Relaxed) - usize::from(fresh),
+        };
+        let rule = wait.rule();
         let (servers, views) = state
             .backends
             .views(&request.service, &state.settings.domain, now);
-        let query = PlaceQuery {
-            prefix: request.prefix,
-            draw: rand::random(),
-            waiting: SERVER_QUEUE,
-        };
-        if let Some(index) = choose_place(&views, &history.tried, query) {
+        if let Some(index) = choose(&views, request, history, rule) {
             return Ok(servers[index].clone());
         }
-        let exhausted = !history.tried.is_empty();
-        if now >= until || exhausted {
-            if history.runs > 0 {
-                return Err(final_refusal(history, false));
-            }
-            let detail = format_compact!("{} servers, none with a place", servers.len());
-            return Err(RefusalAnswer::not_run(RefusalReason::CapacityShort, detail)
-                .retry_after(CAPACITY_RETRY));
+        let exhausted = !history.tried.is_empty() && history.tried.len() >= servers.len();
+        if matches!(rule, PlaceRule::Last(_)) || exhausted || servers.is_empty() {
+            return Err(no_place(history, servers.len()));
         }
+        waiting.get_or_insert_with(|| FreshGuard::new(state, !wait.is_late()));
         // Running out of time here only means to look again.
-        let _ = timeout(PLACE_POLL.min(until - now), freed).await;
+        let _ = timeout(PLACE_POLL, freed).await;
+    }
+}
+
+fn choose(
+    views: &[PlaceView],
+    request: &AdmittedRequest,
+    history: &RunHistory,
+    rule: PlaceRule,
+) -> Option<usize> {
+    let query = |waiting| PlaceQuery {
+        prefix: request.prefix,
+        draw: rand::random(),
+        waiting,
+    };
+    match rule {
+        PlaceRule::Free => choose_place(views, &history.tried, query(0)),
+        PlaceRule::Queue(waiting) | PlaceRule::Last(waiting) => {
+            choose_place(views, &history.tried, query(waiting))
+        }
+        PlaceRule::Spare => choose_batch_place(views, &history.tried, SPARE_PLACES),
+        PlaceRule::Wait => None,
+    }
+}
+
+fn no_place(history: &RunHistory, servers: usize) -> RefusalAnswer {
+    if history.runs > 0 {
+        return final_refusal(history, false);
+    }
+    let detail = format_compact!("{servers} servers, none with a place");
+    RefusalAnswer::not_run(RefusalReason::CapacityShort, detail).retry_after(CAPACITY_RETRY)
+}
+
+/// Counts a request that could be served in time and waits, until dropped.
+struct FreshGuard<'a> {
+    state: &'a FleetState,
+    fresh: bool,
+}
+
+impl<'a> FreshGuard<'a> {
+    fn new(state: &'a FleetState, fresh: bool) -> FreshGuard<'a> {
+        if fresh {
+            state.fresh_waiting.fetch_add(1, Ordering::Relaxed);
+        }
+        FreshGuard { state, fresh }
+    }
+
+    fn is_set(&self) -> bool {
+        self.fresh
+    }
+}
+
+impl Drop for FreshGuard<'_> {
+    fn drop(&mut self) {
+        if self.fresh {
+            self.state.fresh_waiting.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 }
 
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -4,6 +4,7 @@
     sync::{
         atomic::{
             AtomicBool,
+            AtomicUsize,
             Ordering, //
         },
         Arc,
@@ -36,6 +37,7 @@
         MemberFacts,
         MemberTable, //
     },
+    patience::PatienceTable,
     platform::PlatformClient,
     rank::hash_name,
     settings::VmSettings,
@@ -139,6 +141,10 @@
     pub(crate) members: Mutex<MemberTable>,
     /// Rates of workspaces.
     pub(crate) allowances: Mutex<AllowanceTable>,
+    /// Time that callers give their requests.
+    pub(crate) patience: PatienceTable,
+    /// Requests that could be served in time and wait for a place.
+    pub(crate) fresh_waiting: AtomicUsize,
     /// Connections to other VMs.
     pub(crate) links: PeerLinks,
     /// Batch jobs.
@@ -191,6 +197,8 @@
             backends: Arc::default(),
             members: Mutex::new(MemberTable::new(facts)),
             allowances: Mutex::new(AllowanceTable::new(first, tolerance, now)),
+            patience: PatienceTable::default(),
+            fresh_waiting: AtomicUsize::new(0),
             links: PeerLinks::default(),
             jobs: JobBook::default(),
             ends: EndBook::default(),
