--- a/boragerill/src/allowance.rs
+++ b/boragerill/src/allowance.rs
@@ -47,21 +47,28 @@
     }
 }
 
-/// Part of the tolerance that a cut may use; the rest is for VMs that restart meanwhile.
-const CUT_PART: f64 = 0.85;
+/// Part of the tolerance that a cut may use.
+const CUT_PART: f64 = 0.5;
+
+/// Part of the tolerance that a restart of the whole fleet may use.
+const RESTART_PART: f64 = 0.15;
 
 /// Least part of a burst that is usable, however small the tolerance is.
 const LEAST_BURST: f64 = 0.5;
 
 impl AllowanceTolerance {
+    fn requests(self, limit: &AllowanceLimit) -> f64 {
+        let allowed = limit.rate * self.window.as_secs_f64() + limit.burst;
+        allowed * self.overage + self.slack
+    }
+
     /// Returns the burst that the parts of a fleet may use which don't know yet that they are cut off
     /// from each other: if both use it, and earn as if they were not, they stay within the tolerance.
     fn usable_burst(self, limit: &AllowanceLimit) -> f64 {
-        let allowed = limit.rate * self.window.as_secs_f64() + limit.burst;
-        let tolerated = (allowed * self.overage + self.slack) * CUT_PART;
-        let doubled = limit.burst + limit.rate * EARNING_SILENCE.as_secs_f64();
-        let excess = (doubled - tolerated).max(0.0);
-        (limit.burst - excess).max(limit.burst * LEAST_BURST)
+        let earned_twice = limit.rate * EARNING_SILENCE.as_secs_f64();
+        let tolerated = self.requests(limit) * CUT_PART;
+        let each = (tolerated + limit.burst - earned_twice) / 2.0;
+        each.clamp(limit.burst * LEAST_BURST, limit.burst)
     }
 }
 
@@ -261,6 +268,18 @@
         }
     }
 
+    /// Adds what the fleet may use after all of it has started anew: nobody knows what was used before,
+    /// and the tolerance bears a part of it.
+    pub fn allow_restart(&mut self, share: FleetShare, now: Instant) {
+        let tolerance = self.tolerance;
+        for bucket in &mut self.buckets {
+            let burst = tolerance.usable_burst(&bucket.limit);
+            bucket.earn(burst, share, now);
+            bucket.level += tolerance.requests(&bucket.limit) * RESTART_PART * share.fraction();
+            bucket.earn(burst, share, now);
+        }
+    }
+
     /// Earns for all workspaces at the present share, before the share changes.
     pub fn settle(&mut self, share: FleetShare, now: Instant) {
         for bucket in &mut self.buckets {
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -21,6 +21,9 @@
 /// Silence after which a VM no longer counts as a part of the fleet.
 pub const FORGET: Duration = Duration::from_secs(60);
 
+/// Messages that a VM sends within a few seconds of its start; it sends at least six a second.
+const YOUNG_SEQUENCE: u64 = 40;
+
 /// Start of a VM's process; differs from one start to the next.
 pub type Incarnation = u64;
 
@@ -199,6 +202,12 @@
         1 + known.count()
     }
 
+    /// Returns whether all VMs that are heard have started lately, and they are most of the fleet.
+    pub fn is_fleet_young(&self, now: Instant) -> bool {
+        let young = |member: &FleetMember| member.sequence < YOUNG_SEQUENCE;
+        self.heard(now).all(young) && 2 * self.heard_size(now) > self.fleet_size()
+    }
+
     /// Drops VMs that have been silent for long, and those that left.
     pub fn forget_silent(&mut self, now: Instant) -> Vec<u64> {
         let is_gone = |member: &FleetMember| {
--- a/boragerill/tests/allowance.rs
+++ b/boragerill/tests/allowance.rs
@@ -35,6 +35,7 @@
 const SLACK: f64 = 20.0;
 const STEP: Duration = Duration::from_millis(10);
 const CALM_STEPS: u32 = 800;
+const RESTART_STEPS: u32 = 30;
 
 fn limit() -> AllowanceLimit {
     AllowanceLimit {
@@ -205,6 +206,19 @@
     }
 }
 
+impl FleetModel {
+    fn restart_all(&mut self) {
+        (0..VMS).for_each(|vm| self.restart(vm));
+        (0..RESTART_STEPS).for_each(|_| self.step());
+        for vm in 0..VMS {
+            let share = self.share(vm);
+            if 2 * share.heard > VMS {
+                self.tables[vm].allow_restart(share, self.now);
+            }
+        }
+    }
+}
+
 struct FleetTest;
 
 impl StateMachineTest for FleetTest {
@@ -233,7 +247,7 @@
             FleetEvent::Cut { first } => model.first = first,
             FleetEvent::Heal => model.first = 0,
             FleetEvent::Restart { vm } => model.restart(vm),
-            FleetEvent::RestartAll => (0..VMS).for_each(|vm| model.restart(vm)),
+            FleetEvent::RestartAll => model.restart_all(),
         }
         model
     }
@@ -343,3 +357,19 @@
     let owed = BURST + RATE * EARNING_SILENCE.as_secs_f64();
     assert!(granted >= RATE * 3.0 - owed, "{granted}");
 }
+
+#[test]
+fn restart_of_the_whole_fleet_leaves_something_to_use() {
+    // arrange
+    let mut model = FleetModel::new();
+
+    // act
+    model.restart_all();
+    let granted = grant_evenly(&mut model, 1, 100) as f64;
+
+    // assert: a part of the tolerance, and what was earned since
+    let earned = RATE * STEP.as_secs_f64() * f64::from(RESTART_STEPS);
+    let tolerated = (RATE * WINDOW.as_secs_f64() + BURST) * OVERAGE + SLACK;
+    assert!(granted >= tolerated * 0.14, "{granted}");
+    assert!(granted <= tolerated / 4.0 + earned, "{granted}");
+}
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -76,6 +76,9 @@
 /// Pause between looks at whether this VM can serve.
 const READY_PERIOD: Duration = Duration::from_millis(20);
 
+/// Time after the start in which the other VMs are heard.
+const RESTART_WAIT: Duration = Duration::from_millis(350);
+
 /// Pause after a failed registration.
 const REGISTER_PAUSE: Duration = Duration::from_millis(400);
 
@@ -198,9 +201,23 @@
     tokio::spawn(takeover::watch_runners(state.clone()));
     tokio::spawn(takeover::find_orphans(state.clone()));
     tokio::spawn(watch_readiness(state.clone()));
+    if !state.settings.first_start {
+        tokio::spawn(allow_restart(state.clone()));
+    }
     Ok(())
 }
 
+/// Lets workspaces use a part of the tolerance of their rates when the whole fleet has started anew.
+async fn allow_restart(state: Arc<FleetState>) {
+    sleep(RESTART_WAIT).await;
+    let now = Instant::now();
+    let share = state.fleet_share(now);
+    if lock(&state.members).is_fleet_young(now) {
+        info!(heard = share.heard, fleet = share.size; "fleet has started anew");
+        lock(&state.allowances).allow_restart(share, now);
+    }
+}
+
 fn start_peers(state: &Arc<FleetState>, socket: UdpSocket) {
     let beats = Arc::new(BeatSocket::new(state.clone(), socket));
     let (sender, receiver, joiner) = (beats.clone(), beats.clone(), beats);
