--- a/boragerill/src/logger.rs
+++ b/boragerill/src/logger.rs
@@ -69,6 +69,12 @@
     }
 }
 
+/// Longest time that lines get to be written when the process ends.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+
+/// Lines that the writer has taken but not yet written, and those that still wait.
+static UNWRITTEN: AtomicU64 = AtomicU64::new(0);
+
 /// Lines written in the present second.
 #[derive(Debug)]
 struct LogWindow {
@@ -150,7 +156,9 @@
             return;
         }
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        UNWRITTEN.fetch_add(1, Ordering::Relaxed);
         if self.lines.try_send(format_line(record, dropped)).is_err() {
+            UNWRITTEN.fetch_sub(1, Ordering::Relaxed);
             self.dropped.fetch_add(dropped, Ordering::Relaxed);
             self.drop_line();
         }
@@ -225,14 +233,28 @@
 pub fn write_lines(queue: &Receiver<Vec<u8>>, output: &mut impl Write) {
     while let Ok(first) = queue.recv() {
         let mut lines = first;
+        let mut count = 1;
         // Lines that come together are written together.
         std::thread::sleep(WRITE_PERIOD);
         while let Ok(more) = queue.try_recv() {
             lines.extend_from_slice(&more);
+            count += 1;
         }
         // Nobody can be told that standard output is gone.
         let _ = output.write_all(&lines);
         let _ = output.flush();
+        // Tests write lines that no logger of this process has counted.
+        let _ = UNWRITTEN.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |lines| {
+            Some(lines.saturating_sub(count))
+        });
+    }
+}
+
+/// Waits until the lines so far are written, but not for long.
+pub fn flush() {
+    let until = Instant::now() + FLUSH_LIMIT;
+    while UNWRITTEN.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(1));
     }
 }
 
--- a/boragerill/src/process.rs
+++ b/boragerill/src/process.rs
@@ -134,20 +134,25 @@
         .build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
-        Err(error) => {
-            error!("{name}: no runtime: {error}");
-            return ExitCode::FAILURE;
-        }
+        Err(error) => return fail(name, &format!("no runtime: {error}")),
     };
     match runtime.block_on(daemon) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            error!("{name}: {error}");
-            ExitCode::FAILURE
+        Ok(()) => {
+            logger::flush();
+            ExitCode::SUCCESS
         }
+        Err(error) => fail(name, &error.to_string()),
     }
 }
 
+/// Reports why a daemon ends, in its log and to whoever started it.
+fn fail(name: &str, cause: &str) -> ExitCode {
+    error!("{name}: {cause}");
+    logger::flush();
+    eprintln!("{name}: {cause}");
+    ExitCode::FAILURE
+}
+
 fn usage<T>(info: ProcessInfo, cause: &str) -> StartMode<T> {
     eprintln!("{}: {cause}", info.name);
     StartMode::Exit(ExitCode::from(EXIT_USAGE))
