Test the adapter byte by byte against stand-ins of the store and servers; stop items of ended jobs

Found by the new tests: items of a job that its client ended ran on to their end; a refusal of a large body could be lost with a connection that was reset.

--- /dev/null
+++ b/boragerill/tests/jobs.rs
@@ -0,0 +1,409 @@
+//! Items of small batch jobs end once, and results keep their positions, whoever runs the job.
+
+use std::time::Instant;
+
+use boragerill::job::{
+    split_items,
+    ItemPhase,
+    JobCheckpoint,
+    JobItem,
+    JobOutcome,
+    JobProgress,
+    ResultChunk, //
+};
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use proptest::{
+    prelude::*,
+    test_runner::RngSeed, //
+};
+use proptest_state_machine::{
+    prop_state_machine,
+    ReferenceStateMachine,
+    StateMachineTest, //
+};
+
+const RUNNERS: usize = 3;
+const ITEMS: usize = 5;
+const EVENTS: u64 = 4;
+const ATTEMPTS: u32 = 3;
+const POISONED: usize = 2;
+
+fn item_id(index: usize) -> CompactString {
+    format_compact!("item-{index}")
+}
+
+fn fresh() -> JobProgress {
+    let ids: Vec<CompactString> = (0..ITEMS).map(item_id).collect();
+    JobProgress::new(ids.iter())
+}
+
+fn event_text(item: usize, event: u64) -> String {
+    format!("{item}.{event}")
+}
+
+fn event(item: usize, event: u64) -> String {
+    format!("id: {event}\ndata: {}\n\n", event_text(item, event))
+}
+
+fn whole_text(item: usize) -> String {
+    let events: Vec<String> = (0..EVENTS).map(|event| event_text(item, event)).collect();
+    events.join("\n")
+}
+
+/// What happens to a job and its runners.
+#[derive(Clone, Debug)]
+enum JobEvent {
+    /// A runner receives some events of an item, and its end if they are the last ones.
+    Run {
+        runner: usize,
+        item: usize,
+        events: u64,
+    },
+    /// A backend server fails the item.
+    Fail { runner: usize, item: usize },
+    /// A runner stores results; the answer may be lost after they were stored.
+    Commit { runner: usize, lost: bool },
+    /// A runner stores the output of its running items.
+    Checkpoint { runner: usize },
+    /// A VM takes the job over, whether or not another one runs it.
+    TakeOver { runner: usize },
+    /// A process ends and forgets everything.
+    Crash { runner: usize },
+    /// The client ends the job at one runner.
+    End { runner: usize },
+}
+
+/// The oracle knows what every item must come to.
+#[derive(Clone, Debug)]
+struct JobReference;
+
+impl ReferenceStateMachine for JobReference {
+    type State = ();
+    type Transition = JobEvent;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<JobEvent> {
+        prop_oneof![
+            10 => (0..RUNNERS, 0..ITEMS, 1..=EVENTS)
+                .prop_map(|(runner, item, events)| JobEvent::Run { runner, item, events }),
+            2 => (0..RUNNERS).prop_map(|runner| JobEvent::Fail { runner, item: POISONED }),
+            6 => (0..RUNNERS, any::<bool>())
+                .prop_map(|(runner, lost)| JobEvent::Commit { runner, lost }),
+            2 => (0..RUNNERS).prop_map(|runner| JobEvent::Checkpoint { runner }),
+            3 => (0..RUNNERS).prop_map(|runner| JobEvent::TakeOver { runner }),
+            2 => (0..RUNNERS).prop_map(|runner| JobEvent::Crash { runner }),
+            1 => (0..RUNNERS).prop_map(|runner| JobEvent::End { runner }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &JobEvent) {}
+}
+
+/// One process that runs the job.
+struct RunnerModel {
+    name: CompactString,
+    progress: JobProgress,
+}
+
+/// The store and the runners.
+struct JobModel {
+    chunks: Vec<ResultChunk>,
+    checkpoint: JobCheckpoint,
+    runners: Vec<Option<RunnerModel>>,
+    starts: u32,
+    read: Vec<String>, // Positions that some runner has shown.
+}
+
+impl JobModel {
+    fn new() -> JobModel {
+        let mut model = JobModel {
+            chunks: Vec::new(),
+            checkpoint: JobCheckpoint::default(),
+            runners: (0..RUNNERS).map(|_| None).collect(),
+            starts: 0,
+            read: Vec::new(),
+        };
+        model.runners[0] = Some(RunnerModel {
+            name: "accepted".into(),
+            progress: fresh(),
+        });
+        model
+    }
+
+    fn progress(&mut self, runner: usize) -> Option<&mut JobProgress> {
+        self.runners[runner]
+            .as_mut()
+            .map(|model| &mut model.progress)
+    }
+
+    fn run(&mut self, runner: usize, item: usize, events: u64) {
+        let Some(progress) = self.progress(runner) else {
+            return;
+        };
+        if !progress.startable(Instant::now()).contains(&item) {
+            return;
+        }
+        let next = progress.begin(item).map_or(0, |last| last + 1);
+        let end = (next + events).min(EVENTS);
+        let chunk: String = (next..end).map(|number| event(item, number)).collect();
+        progress.extend(item, chunk.as_bytes());
+        if end == EVENTS {
+            progress.complete(item);
+        } else {
+            progress.pause(item, None);
+        }
+    }
+
+    fn fail(&mut self, runner: usize, item: usize) {
+        let now = Instant::now();
+        let Some(progress) = self.progress(runner) else {
+            return;
+        };
+        if progress.startable(now).contains(&item) {
+            progress.begin(item);
+            progress.fail(item, ATTEMPTS, now);
+        }
+    }
+
+    fn commit(&mut self, runner: usize, lost: bool) {
+        let Some(model) = &mut self.runners[runner] else {
+            return;
+        };
+        let Some((number, chunk)) = model.progress.next_chunk(&model.name) else {
+            return;
+        };
+        let index = number as usize;
+        if index == self.chunks.len() {
+            self.chunks.push(chunk.clone());
+            if lost {
+                return;
+            }
+        }
+        let stored = self.chunks[index].clone();
+        if stored.runner == model.name {
+            // Its own, also when an earlier answer was lost.
+            assert_eq!(stored, chunk);
+            model.progress.adopt_chunk(number, &stored);
+        } else {
+            self.runners[runner] = None;
+        }
+    }
+
+    fn take_over(&mut self, runner: usize) {
+        self.starts += 1;
+        let mut progress = fresh();
+        for (number, chunk) in (0..).zip(&self.chunks) {
+            progress.adopt_chunk(number, chunk);
+        }
+        progress.adopt_checkpoint(self.checkpoint.clone());
+        let mark = ResultChunk {
+            runner: format_compact!("start-{}", self.starts),
+            results: Vec::new(),
+        };
+        progress.adopt_chunk(progress.chunks(), &mark);
+        self.chunks.push(mark.clone());
+        self.runners[runner] = Some(RunnerModel {
+            name: mark.runner,
+            progress,
+        });
+    }
+
+    fn checkpoint(&mut self, runner: usize) {
+        if let Some(progress) = self.progress(runner) {
+            self.checkpoint = progress.checkpoint();
+        }
+    }
+
+    fn listing(&self) -> Vec<String> {
+        let results = self.chunks.iter().flat_map(|chunk| &chunk.results);
+        results
+            .map(|result| format!("{} {:?} {}", result.id, result.outcome, result.text))
+            .collect()
+    }
+}
+
+struct JobTest;
+
+impl StateMachineTest for JobTest {
+    type SystemUnderTest = JobModel;
+    type Reference = JobReference;
+
+    fn init_test((): &()) -> JobModel {
+        JobModel::new()
+    }
+
+    fn apply(mut model: JobModel, (): &(), event: JobEvent) -> JobModel {
+        match event {
+            JobEvent::Run {
+                runner,
+                item,
+                events,
+            } => model.run(runner, item, events),
+            JobEvent::Fail { runner, item } => model.fail(runner, item),
+            JobEvent::Commit { runner, lost } => model.commit(runner, lost),
+            JobEvent::Checkpoint { runner } => model.checkpoint(runner),
+            JobEvent::TakeOver { runner } => model.take_over(runner),
+            JobEvent::Crash { runner } => model.runners[runner] = None,
+            JobEvent::End { runner } => {
+                if let Some(progress) = model.progress(runner) {
+                    progress.end();
+                }
+            }
+        }
+        let listing = model.listing();
+        for runner in model.runners.iter().flatten() {
+            let shown = runner.progress.listed();
+            for (position, result) in shown.iter().enumerate() {
+                let line = format!("{} {:?} {}", result.id, result.outcome, result.text);
+                // Whatever a runner shows is stored under the same position.
+                assert_eq!(listing.get(position), Some(&line));
+            }
+        }
+        assert!(listing.starts_with(&model.read), "a position has changed");
+        model.read = listing;
+        model
+    }
+
+    fn check_invariants(model: &JobModel, (): &()) {
+        let results = model.chunks.iter().flat_map(|chunk| &chunk.results);
+        let mut ids: Vec<&CompactString> = Vec::new();
+        for result in results {
+            assert!(!ids.contains(&&result.id), "{} stands twice", result.id);
+            ids.push(&result.id);
+            let item: usize = result.id["item-".len()..].parse().expect("index");
+            match result.outcome {
+                JobOutcome::Completed => assert_eq!(result.text, whole_text(item)),
+                JobOutcome::Failed => assert_eq!(item, POISONED),
+            }
+        }
+    }
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn items_end_once_and_positions_stay(sequential 1..60 => JobTest);
+}
+
+#[test]
+fn calm_job_completes_with_whole_texts() {
+    // arrange
+    let mut model = JobModel::new();
+
+    // act
+    for item in 0..ITEMS {
+        model.run(0, item, 1);
+        model.run(0, item, EVENTS);
+    }
+    model.commit(0, false);
+
+    // assert
+    let progress = model.progress(0).expect("runner");
+    assert!(progress.is_complete());
+    assert!(progress
+        .listed()
+        .iter()
+        .all(|result| result.outcome == JobOutcome::Completed));
+}
+
+#[test]
+fn poisoned_item_is_given_up_after_its_attempts_and_holds_nothing_up() {
+    // arrange
+    let mut model = JobModel::new();
+
+    // act
+    for _ in 0..ATTEMPTS {
+        model.fail(0, POISONED);
+    }
+    for item in (0..ITEMS).filter(|&item| item != POISONED) {
+        model.run(0, item, EVENTS);
+    }
+    model.commit(0, false);
+
+    // assert
+    let progress = model.progress(0).expect("runner");
+    assert!(progress.is_complete());
+    assert_eq!(progress.phase(POISONED), ItemPhase::Listed);
+}
+
+#[test]
+fn runner_that_lost_the_job_meets_the_mark_of_the_next_one() {
+    // arrange
+    let mut model = JobModel::new();
+    model.run(0, 1, EVENTS);
+
+    // act: another VM takes over before the first one stores its result
+    model.take_over(1);
+    model.commit(0, false);
+
+    // assert
+    assert!(model.runners[0].is_none());
+    assert!(model.listing().is_empty());
+}
+
+#[test]
+fn new_runner_goes_on_from_the_stored_output() {
+    // arrange
+    let mut model = JobModel::new();
+    model.run(0, 3, 2);
+    model.run(0, 4, EVENTS);
+    model.checkpoint(0);
+
+    // act
+    model.runners[0] = None;
+    model.take_over(2);
+    let progress = model.progress(2).expect("runner");
+
+    // assert
+    assert_eq!(progress.phase(4), ItemPhase::Ended(JobOutcome::Completed));
+    assert_eq!(progress.begin(3), Some(1));
+}
+
+#[test]
+fn ended_job_starts_nothing_and_keeps_what_is_listed() {
+    // arrange
+    let mut model = JobModel::new();
+    model.run(0, 0, EVENTS);
+    model.commit(0, false);
+
+    // act
+    let progress = model.progress(0).expect("runner");
+    progress.end();
+
+    // assert
+    assert!(progress.startable(Instant::now()).is_empty());
+    assert!(progress.is_closed());
+    assert_eq!(progress.listed().len(), 1);
+}
+
+#[test]
+fn large_submissions_are_split_into_parts_under_the_limit() {
+    // arrange
+    let item = |size: usize| JobItem {
+        body: vec![0; size].into(),
+        ..Default::default()
+    };
+
+    // act
+    let parts = split_items(vec![item(40), item(50), item(20), item(200), item(1)], 100);
+
+    // assert
+    let sizes: Vec<usize> = parts.iter().map(|part| part.items.len()).collect();
+    assert_eq!(sizes, [2, 1, 1, 1]);
+}
--- /dev/null
+++ b/boragerill/tests/member.rs
@@ -0,0 +1,205 @@
+//! What one VM makes of the heartbeats of the others.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use boragerill::{
+    member::{
+        BeatVerdict,
+        MemberFacts,
+        MemberTable,
+        EARNING_SILENCE,
+        FORGET,
+        SILENCE, //
+    },
+    rank::hash_name, //
+};
+
+const BEAT: Duration = Duration::from_millis(150);
+
+fn facts(vm: &str, domain: &str) -> MemberFacts {
+    MemberFacts {
+        vm: vm.into(),
+        address: "10.0.0.1:7360".into(),
+        domain: domain.into(),
+        incarnation: 1,
+        ..Default::default()
+    }
+}
+
+/// Returns a table of VM `own` that has heard VMs a, b and c of three failure domains.
+fn table(now: Instant) -> MemberTable {
+    let mut table = MemberTable::new(facts("own", "x"));
+    for (vm, domain) in [("a", "x"), ("b", "y"), ("c", "y")] {
+        table.note_beat(facts(vm, domain), 1, now);
+    }
+    table
+}
+
+#[test]
+fn heartbeats_that_come_twice_or_out_of_order_are_passed_over() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(now);
+
+    // act
+    let next = table.note_beat(facts("a", "x"), 3, now + BEAT);
+    let late = table.note_beat(facts("a", "x"), 2, now + BEAT);
+    let twice = table.note_beat(facts("a", "x"), 3, now + BEAT);
+
+    // assert
+    assert_eq!(next, BeatVerdict::Current);
+    assert_eq!(late, BeatVerdict::Stale);
+    assert_eq!(twice, BeatVerdict::Stale);
+}
+
+#[test]
+fn silence_and_restart_are_told() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(now);
+    let silence = SILENCE + BEAT;
+    let restarted = MemberFacts {
+        incarnation: 2,
+        ..facts("b", "y")
+    };
+
+    // act
+    let returned = table.note_beat(facts("a", "x"), 9, now + silence);
+    let anew = table.note_beat(restarted, 1, now + BEAT);
+
+    // assert
+    assert_eq!(returned, BeatVerdict::Returned(silence));
+    assert_eq!(anew, BeatVerdict::Returned(BEAT));
+}
+
+#[test]
+fn short_messages_count_only_from_a_known_process() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(now);
+    let hash = hash_name("a");
+
+    // act
+    let known = table.note_update(hash, 1, 2, now + BEAT);
+    let old = table.note_update(hash, 1, 2, now + BEAT);
+    let other_process = table.note_update(hash, 7, 9, now + BEAT);
+    let unknown = table.note_update(hash_name("z"), 1, 1, now + BEAT);
+
+    // assert
+    assert_eq!(
+        [known, old, other_process, unknown],
+        [true, false, false, false]
+    );
+}
+
+#[test]
+fn fleet_keeps_its_size_through_a_cut_and_forgets_who_left() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(now);
+    let leaving = MemberFacts {
+        leaving: true,
+        ..facts("c", "y")
+    };
+    table.note_beat(leaving, 2, now);
+
+    // act
+    let cut = now + Duration::from_secs(10);
+    let heard = table.heard_size(cut);
+    let size = table.fleet_size();
+    let gone = table.forget_silent(cut);
+    let later = table.forget_silent(now + FORGET);
+
+    // assert
+    assert_eq!((heard, size), (1, 3));
+    assert_eq!(gone, [hash_name("c")]);
+    assert_eq!(later.len(), 2);
+}
+
+#[test]
+fn use_of_a_vm_counts_as_unknown_before_the_vm_counts_as_silent() {
+    // arrange
+    let now = Instant::now();
+    let table = table(now);
+
+    // act
+    let short = table.earning_size(now + EARNING_SILENCE - BEAT);
+    let longer = table.earning_size(now + EARNING_SILENCE);
+
+    // assert
+    assert_eq!((short, longer), (4, 1));
+    assert_eq!(table.heard_size(now + EARNING_SILENCE), 4);
+}
+
+#[test]
+fn whole_domain_that_falls_silent_is_told_from_a_lost_vm() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(now);
+    let later = now + SILENCE;
+
+    // act
+    let both = table.is_domain_silent(hash_name("b"), later);
+    table.note_beat(facts("c", "y"), 2, later);
+    let one = table.is_domain_silent(hash_name("b"), later);
+    let own_domain = table.is_domain_silent(hash_name("a"), later);
+
+    // assert
+    assert_eq!([both, one, own_domain], [true, false, false]);
+}
+
+#[test]
+fn every_duty_has_one_first_vm() {
+    // arrange
+    let now = Instant::now();
+    let names = ["own", "a", "b", "c"];
+    let table_of = |own: &str| {
+        let mut table = MemberTable::new(facts(own, "x"));
+        for vm in names.iter().filter(|vm| **vm != own) {
+            table.note_beat(facts(vm, "x"), 1, now);
+        }
+        table
+    };
+
+    for duty in 0..50 {
+        // act
+        let ranks: Vec<usize> = names
+            .iter()
+            .map(|vm| table_of(vm).own_rank(duty, now))
+            .collect();
+
+        // assert
+        let mut sorted = ranks.clone();
+        sorted.sort_unstable();
+        assert_eq!(sorted, [0, 1, 2, 3]);
+        let first = names[ranks.iter().position(|&rank| rank == 0).expect("first")];
+        assert_eq!(table_of(first).first_ranked(duty, now), None);
+    }
+}
+
+#[test]
+fn only_followers_that_are_heard_stand_before_a_vm() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(now);
+    for vm in ["a", "b", "c"] {
+        let following = MemberFacts {
+            follows: true,
+            ..facts(vm, "x")
+        };
+        table.note_beat(following, 2, now);
+    }
+
+    // act
+    let before: usize = (0..64).map(|duty| table.followers_before(duty, now)).sum();
+    let silent: usize = (0..64)
+        .map(|duty| table.followers_before(duty, now + SILENCE))
+        .sum();
+
+    // assert
+    assert!(before > 0);
+    assert_eq!(silent, 0);
+}
--- /dev/null
+++ b/boragerill/tests/place.rs
@@ -0,0 +1,266 @@
+//! Where requests go, what batch leaves to them, and who gives places up.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use boragerill::place::{
+    choose_batch_place,
+    choose_place,
+    free_places,
+    DemandTable,
+    OwnUse,
+    PlaceDemand,
+    PlaceQuery,
+    PlaceTable,
+    PlaceUse,
+    PlaceView,
+    DUE_LATE,
+    REPORT_LIFETIME, //
+};
+
+const SERVER: u32 = 9;
+const SLOTS: u32 = 8;
+
+fn used(online: u32, batch: u32) -> PlaceUse {
+    PlaceUse { online, batch }
+}
+
+fn view(key: u32, used: PlaceUse) -> PlaceView {
+    PlaceView {
+        key,
+        used,
+        slots: SLOTS,
+        local: true,
+        ..Default::default()
+    }
+}
+
+fn query(waiting: u32) -> PlaceQuery {
+    PlaceQuery {
+        waiting,
+        ..Default::default()
+    }
+}
+
+#[test]
+fn free_place_goes_before_one_that_batch_has_to_give_up() {
+    // arrange
+    let views = [view(1, used(2, 6)), view(2, used(7, 0))];
+
+    // act
+    let chosen = choose_place(&views, &[], query(0));
+
+    // assert
+    assert_eq!(chosen, Some(1));
+}
+
+#[test]
+fn places_of_batch_are_taken_when_no_other_is_free() {
+    // arrange
+    let views = [view(1, used(8, 0)), view(2, used(3, 5))];
+
+    // act
+    let chosen = choose_place(&views, &[], query(0));
+
+    // assert
+    assert_eq!(chosen, Some(1));
+}
+
+#[test]
+fn full_servers_take_none_beyond_the_allowed_queue() {
+    // arrange
+    let views = [view(1, used(8, 0)), view(2, used(9, 0))];
+
+    // act
+    let without = choose_place(&views, &[], query(0));
+    let with = choose_place(&views, &[], query(1));
+
+    // assert
+    assert_eq!(without, None);
+    assert_eq!(with, Some(0));
+}
+
+#[test]
+fn leaving_and_tried_servers_get_nothing_and_suspect_ones_go_last() {
+    // arrange
+    let leaving = PlaceView {
+        leaving: true,
+        ..view(1, used(0, 0))
+    };
+    let suspect = PlaceView {
+        suspect: true,
+        ..view(2, used(0, 0))
+    };
+    let views = [leaving, suspect, view(3, used(7, 0))];
+
+    // act
+    let first = choose_place(&views, &[], query(0));
+    let second = choose_place(&views, &[3], query(0));
+    let third = choose_place(&views, &[2, 3], query(0));
+
+    // assert
+    assert_eq!((first, second, third), (Some(2), Some(1), None));
+}
+
+#[test]
+fn prompts_with_the_same_beginning_meet_at_one_of_equal_servers() {
+    // arrange
+    let views: Vec<PlaceView> = (0..6).map(|key| view(key, used(1, 0))).collect();
+    let choose = |draw| {
+        let query = PlaceQuery {
+            prefix: Some(77),
+            draw,
+            waiting: 0,
+        };
+        choose_place(&views, &[], query)
+    };
+
+    // act
+    let chosen: Vec<_> = (0..20).map(choose).collect();
+
+    // assert
+    assert!(chosen.iter().all(|place| place == &chosen[0]));
+}
+
+#[test]
+fn batch_keeps_the_reserve_free() {
+    // arrange
+    let views = [view(1, used(4, 3)), view(2, used(5, 3))];
+
+    // act
+    let place = choose_batch_place(&views, &[], 0);
+    let reserved = choose_batch_place(&views, &[], 1);
+
+    // assert
+    assert_eq!(place, Some(0));
+    assert_eq!(reserved, None);
+    assert_eq!(free_places(&views, 0), 1);
+}
+
+#[test]
+fn one_online_request_too_many_makes_one_vm_pause_one_item() {
+    // arrange: three VMs have two items each at a server, and a third online request comes
+    let now = Instant::now();
+    let vms = [11_u64, 22, 33];
+    let pauses = |own: u64| {
+        let mut table = PlaceTable::default();
+        table.note(99, SERVER, used(3, 0), now);
+        for vm in vms.iter().filter(|&&vm| vm != own) {
+            table.note(*vm, SERVER, used(0, 2), now);
+        }
+        let own = OwnUse {
+            vm: own,
+            used: used(0, 2),
+        };
+        table.pauses(SERVER, own, SLOTS, now)
+    };
+
+    // act
+    let total: u32 = vms.iter().map(|&vm| pauses(vm)).sum();
+
+    // assert
+    assert_eq!(total, 1);
+}
+
+#[test]
+fn crest_of_online_requests_takes_every_place_of_batch() {
+    // arrange
+    let now = Instant::now();
+    let mut table = PlaceTable::default();
+    table.note(99, SERVER, used(8, 0), now);
+
+    // act
+    let own = OwnUse {
+        vm: 1,
+        used: used(0, 5),
+    };
+    let pauses = table.pauses(SERVER, own, SLOTS, now);
+
+    // assert
+    assert_eq!(pauses, 5);
+}
+
+#[test]
+fn reports_of_a_silent_vm_lapse() {
+    // arrange
+    let now = Instant::now();
+    let mut table = PlaceTable::default();
+    table.note(1, SERVER, used(3, 0), now);
+
+    // act
+    let fresh = table.others(SERVER, now);
+    let lapsed = table.others(SERVER, now + REPORT_LIFETIME);
+
+    // assert
+    assert_eq!(fresh, used(3, 0));
+    assert_eq!(lapsed, PlaceUse::default());
+}
+
+#[test]
+fn whole_report_clears_what_it_does_not_name() {
+    // arrange
+    let now = Instant::now();
+    let mut table = PlaceTable::default();
+    table.note(1, SERVER, used(3, 0), now);
+
+    // act
+    table.note_all(1, &[(SERVER + 1, used(1, 0))], now);
+
+    // assert
+    assert_eq!(table.others(SERVER, now), PlaceUse::default());
+    assert_eq!(table.others(SERVER + 1, now), used(1, 0));
+}
+
+fn demand(waiting: u32, due_ms: u32) -> PlaceDemand {
+    PlaceDemand {
+        service: 5,
+        waiting,
+        due_ms,
+    }
+}
+
+#[test]
+fn vms_that_see_the_same_places_share_them_by_due_time() {
+    // arrange: ten places, and three VMs with more items than that
+    let now = Instant::now();
+    let demands = [
+        (1_u64, demand(6, 9000)),
+        (2, demand(6, 2000)),
+        (3, demand(6, DUE_LATE)),
+    ];
+    let allowed = |vm: u64, own: PlaceDemand| {
+        let mut table = DemandTable::default();
+        for (other, demand) in demands.iter().filter(|entry| entry.0 != vm) {
+            table.note(*other, vec![*demand], now);
+        }
+        table.allowed_starts(vm, own, 10, now)
+    };
+
+    // act
+    let starts: Vec<u32> = demands.iter().map(|&(vm, own)| allowed(vm, own)).collect();
+
+    // assert: the job that is due first takes all it can, the late one what is left
+    assert_eq!(starts, [4, 6, 0]);
+}
+
+#[test]
+fn demands_of_other_services_and_silent_vms_hold_nobody_up() {
+    // arrange
+    let now = Instant::now();
+    let mut table = DemandTable::default();
+    let other_service = PlaceDemand {
+        service: 6,
+        ..demand(9, 1)
+    };
+    table.note(1, vec![other_service], now);
+    table.note(2, vec![demand(9, 1)], now);
+
+    // act
+    let later = now + REPORT_LIFETIME + Duration::from_millis(1);
+
+    // assert
+    assert_eq!(table.allowed_starts(7, demand(3, 500), 4, now), 0);
+    assert_eq!(table.allowed_starts(7, demand(3, 500), 4, later), 3);
+}
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -115,6 +115,12 @@
 /// Longest time for receiving a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Most bytes of a refused body that are read.
+const DISCARD_LIMIT_BYTES: usize = 32 * 1024 * 1024;
+
+/// Longest time for reading a refused body.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Largest whole answer that is kept here until it is complete, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
@@ -284,6 +290,7 @@
     }
     let announced = body.size_hint().lower();
     if announced > limits.body_bytes as u64 {
+        discard(body).await;
         return Err(too_large(format_compact!("body of {announced} bytes")));
     }
     let reading = Limited::new(body, limits.body_bytes).collect();
@@ -299,6 +306,16 @@
     }
 }
 
+/// Reads the rest of a refused body, so that the refusal isn't lost with a connection that is reset.
+async fn discard(body: Incoming) {
+    let reading = async {
+        let mut rest = Limited::new(body, DISCARD_LIMIT_BYTES);
+        while let Some(Ok(_)) = rest.frame().await {}
+    };
+    // Whoever sends for longer loses the refusal.
+    let _ = timeout(DISCARD_TIMEOUT, reading).await;
+}
+
 fn admit(
     state: &FleetState,
     caller: CallerRequest,
--- a/fleet/src/runner.rs
+++ b/fleet/src/runner.rs
@@ -95,6 +95,7 @@
 /// An item in flight that can be told to pause.
 struct RunningItem {
     number: u64,
+    job: Arc<JobEntry>,
     server: u32,
     job_due: Duration,
     progress: usize,
@@ -114,6 +115,7 @@
         loop {
             // Running out of time here only means to look again.
             let _ = timeout(LOOK_PERIOD, state.jobs.work.notified()).await;
+            self.stop_ended();
             self.pause_items(&state);
             if !state.is_leaving() {
                 self.start_items(&state);
@@ -145,6 +147,20 @@
         }
     }
 
+    /// Stops the items of jobs that their clients ended, or that other VMs run.
+    fn stop_ended(&self) {
+        let mut running = lock(&self.running);
+        for item in running.iter_mut().filter(|item| item.pause.is_some()) {
+            if !lock(&item.job.progress).is_ended() {
+                continue;
+            }
+            if let Some(pause) = item.pause.take() {
+                // An error means that the item has just ended.
+                let _ = pause.send(());
+            }
+        }
+    }
+
     /// Tells the items on a server that have come least far to pause.
     fn pause_at(&self, server: u32, count: u32) {
         let mut running = lock(&self.running);
@@ -244,6 +260,7 @@
         let progress = lock(&entry.progress).progress(index);
         lock(&self.running).push(RunningItem {
             number,
+            job: entry.clone(),
             server: server.key,
             job_due,
             progress,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,4 +7,6 @@
 pub mod launch;
 pub mod platform;
 pub mod service;
+pub mod standard_server;
+pub mod standard_store;
 pub mod store;
