--- a/boragerill/src/allowance.rs
+++ b/boragerill/src/allowance.rs
@@ -136,6 +136,7 @@
     updated: Instant,
     used: u64,
     changed: bool,
+    used_at: Option<Instant>,
     untold: Vec<Instant>, // Requests taken within the last `TOLD_AFTER`, oldest first.
     peers: Vec<PeerCount>, // Sorted by VM.
 }
@@ -149,6 +150,9 @@
     tolerance: AllowanceTolerance,
 }
 
+/// Time for which use is told again, should a message have been lost.
+const RECENT_TIME: Duration = Duration::from_secs(3);
+
 /// Time after a start in which workspaces are new to the process but not to the fleet.
 const UNKNOWN_PAST: Duration = Duration::from_secs(6);
 
@@ -251,6 +255,17 @@
             .collect()
     }
 
+    /// Returns the use of workspaces that used anything lately, to be told once more.
+    pub fn recent_uses(&self, now: Instant) -> Vec<(u64, u64)> {
+        let recent = self
+            .buckets
+            .iter()
+            .filter(|bucket| bucket.used_at.is_some_and(|used| now < used + RECENT_TIME));
+        recent
+            .map(|bucket| (bucket.limit.workspace, bucket.used))
+            .collect()
+    }
+
     /// Returns the use of all workspaces.
     pub fn uses(&self) -> Vec<(u64, u64)> {
         let used = self.buckets.iter().filter(|bucket| bucket.used > 0);
@@ -300,6 +315,7 @@
                     updated: now,
                     used: 0,
                     changed: false,
+                    used_at: None,
                     untold: Vec::new(),
                     peers: Vec::new(),
                 };
@@ -332,6 +348,7 @@
         self.level -= 1.0;
         self.used += 1;
         self.changed = true;
+        self.used_at = Some(now);
         self.untold.push(now);
         AllowanceVerdict::Granted
     }
--- a/boragerill/src/place.rs
+++ b/boragerill/src/place.rs
@@ -11,7 +11,7 @@
 
 use crate::rank::score;
 
-/// Age beyond which a VM's report of its requests counts for nothing.
+/// Silence of a VM after which its reports count for nothing.
 pub const REPORT_LIFETIME: Duration = Duration::from_millis(700);
 
 /// Requests that one VM has at one server.
@@ -35,18 +35,26 @@
 struct PeerUse {
     vm: u64,
     used: PlaceUse,
-    noted: Instant,
 }
 
-/// Reports of the other VMs by server.
+/// Reports of the other VMs by server; those of VMs that have fallen silent count for nothing.
 #[derive(Clone, Debug, Default)]
 pub struct PlaceTable {
     servers: Vec<(u32, Vec<PeerUse>)>, // Sorted by the server's key; reports sorted by VM.
+    alive: Vec<(u64, Instant)>,        // When each VM was last heard; sorted by VM.
 }
 
 impl PlaceTable {
+    /// Notes that a VM was heard; what it reported before still holds.
+    pub fn note_alive(&mut self, vm: u64, now: Instant) {
+        match self.alive.binary_search_by_key(&vm, |entry| entry.0) {
+            Ok(index) => self.alive[index].1 = now,
+            Err(index) => self.alive.insert(index, (vm, now)),
+        }
+    }
+
     /// Notes what a VM uses of a server.
-    pub fn note(&mut self, vm: u64, server: u32, used: PlaceUse, now: Instant) {
+    pub fn note(&mut self, vm: u64, server: u32, used: PlaceUse) {
         let index = match self.servers.binary_search_by_key(&server, |entry| entry.0) {
             Ok(index) => index,
             Err(index) => {
@@ -55,11 +63,7 @@
             }
         };
         let reports = &mut self.servers[index].1;
-        let report = PeerUse {
-            vm,
-            used,
-            noted: now,
-        };
+        let report = PeerUse { vm, used };
         match reports.binary_search_by_key(&vm, |known| known.vm) {
             Ok(index) => reports[index] = report,
             Err(index) => reports.insert(index, report),
@@ -67,15 +71,20 @@
     }
 
     /// Takes over a VM's whole report: servers that it doesn't name, it doesn't use.
-    pub fn note_all(&mut self, vm: u64, uses: &[(u32, PlaceUse)], now: Instant) {
-        self.forget_vm(vm);
+    pub fn note_all(&mut self, vm: u64, uses: &[(u32, PlaceUse)]) {
+        self.drop_reports(vm);
         for &(server, used) in uses {
-            self.note(vm, server, used, now);
+            self.note(vm, server, used);
         }
     }
 
-    /// Drops the reports of a VM.
+    /// Drops all that is known of a VM.
     pub fn forget_vm(&mut self, vm: u64) {
+        self.drop_reports(vm);
+        self.alive.retain(|entry| entry.0 != vm);
+    }
+
+    fn drop_reports(&mut self, vm: u64) {
         for (_, reports) in &mut self.servers {
             reports.retain(|report| report.vm != vm);
         }
@@ -110,9 +119,10 @@
     fn fresh_reports(&self, server: u32, now: Instant) -> impl Iterator<Item = &PeerUse> {
         let found = self.servers.binary_search_by_key(&server, |entry| entry.0);
         let reports = found.map_or(&[][..], |index| self.servers[index].1.as_slice());
-        reports
-            .iter()
-            .filter(move |report| now < report.noted + REPORT_LIFETIME)
+        reports.iter().filter(move |report| {
+            let heard = self.alive.binary_search_by_key(&report.vm, |entry| entry.0);
+            heard.is_ok_and(|index| now < self.alive[index].1 + REPORT_LIFETIME)
+        })
     }
 }
 
--- a/boragerill/tests/place.rs
+++ b/boragerill/tests/place.rs
@@ -37,6 +37,11 @@
     }
 }
 
+fn note(table: &mut PlaceTable, vm: u64, used: PlaceUse, now: Instant) {
+    table.note_alive(vm, now);
+    table.note(vm, SERVER, used);
+}
+
 fn query(waiting: u32) -> PlaceQuery {
     PlaceQuery {
         waiting,
@@ -146,9 +151,9 @@
     let vms = [11_u64, 22, 33];
     let pauses = |own: u64| {
         let mut table = PlaceTable::default();
-        table.note(99, SERVER, used(3, 0), now);
+        note(&mut table, 99, used(3, 0), now);
         for vm in vms.iter().filter(|&&vm| vm != own) {
-            table.note(*vm, SERVER, used(0, 2), now);
+            note(&mut table, *vm, used(0, 2), now);
         }
         let own = OwnUse {
             vm: own,
@@ -169,7 +174,7 @@
     // arrange
     let now = Instant::now();
     let mut table = PlaceTable::default();
-    table.note(99, SERVER, used(8, 0), now);
+    note(&mut table, 99, used(8, 0), now);
 
     // act
     let own = OwnUse {
@@ -187,15 +192,18 @@
     // arrange
     let now = Instant::now();
     let mut table = PlaceTable::default();
-    table.note(1, SERVER, used(3, 0), now);
+    note(&mut table, 1, used(3, 0), now);
 
     // act
     let fresh = table.others(SERVER, now);
     let lapsed = table.others(SERVER, now + REPORT_LIFETIME);
+    table.note_alive(1, now + REPORT_LIFETIME);
+    let back = table.others(SERVER, now + REPORT_LIFETIME);
 
     // assert
     assert_eq!(fresh, used(3, 0));
     assert_eq!(lapsed, PlaceUse::default());
+    assert_eq!(back, used(3, 0));
 }
 
 #[test]
@@ -203,10 +211,10 @@
     // arrange
     let now = Instant::now();
     let mut table = PlaceTable::default();
-    table.note(1, SERVER, used(3, 0), now);
+    note(&mut table, 1, used(3, 0), now);
 
     // act
-    table.note_all(1, &[(SERVER + 1, used(1, 0))], now);
+    table.note_all(1, &[(SERVER + 1, used(1, 0))]);
 
     // assert
     assert_eq!(table.others(SERVER, now), PlaceUse::default());
--- /dev/null
+++ b/fleet/src/hear.rs
@@ -0,0 +1,262 @@
+//! What this VM makes of the heartbeats of the others.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    allowance::UseReport,
+    error::ServeError,
+    generated::messages::{
+        Beat,
+        JobNote,
+        MemberNote, //
+    },
+    member::{
+        BeatVerdict,
+        MemberFacts, //
+    },
+    place::{
+        PlaceDemand,
+        PlaceUse, //
+    },
+    sync::lock, //
+};
+use log::info;
+use metrics::gauge;
+
+use crate::{
+    jobs::JobNotice,
+    peers,
+    state::FleetState,
+    takeover, //
+};
+
+/// Time between a VM's last heartbeat and the one before it, in which it is found to be silent.
+const LOOK_PERIOD: Duration = Duration::from_millis(150);
+
+/// Takes heartbeats over.
+pub(crate) struct BeatListener {
+    state: Arc<FleetState>,
+    fetching: Arc<AtomicBool>,
+}
+
+impl BeatListener {
+    /// Makes a listener that has heard nobody.
+    pub(crate) fn new(state: Arc<FleetState>) -> BeatListener {
+        BeatListener {
+            state,
+            fetching: Arc::default(),
+        }
+    }
+
+    /// Takes a heartbeat over; returns whether its sender is to be told everything at once, because it
+    /// joins or was not heard before.
+    pub(crate) fn hear(&self, beat: &Beat, from: SocketAddr) -> bool {
+        let now = Instant::now();
+        if beat.sender == self.state.vm_hash {
+            return false;
+        }
+        let Some(silence) = self.note_sender(beat, now) else {
+            return beat.joins;
+        };
+        self.learn_members(beat, now);
+        self.take_places(beat, now);
+        self.take_uses(beat, silence.filter(|time| !time.is_zero()), now);
+        for note in &beat.jobs {
+            self.take_job(note, beat, now);
+        }
+        self.fetch_newer(beat, from);
+        beat.joins || silence.is_some()
+    }
+
+    /// Drops what silent VMs reported, and notes those that have just fallen silent.
+    pub(crate) fn note_silence(&self, now: Instant) {
+        let (gone, silent) = {
+            let mut members = lock(&self.state.members);
+            let gone = members.forget_silent(now);
+            let before = now.checked_sub(LOOK_PERIOD).unwrap_or(now);
+            let fallen = members.members().iter().filter(|member| {
+                !member.is_heard(now) && member.is_heard(before) && member.heard.is_some()
+            });
+            let silent: Vec<MemberFacts> = fallen.map(|member| member.facts.clone()).collect();
+            gauge!("members_heard").set(members.heard_size(now) as f64);
+            gauge!("members").set(members.fleet_size() as f64);
+            (gone, silent)
+        };
+        for facts in &silent {
+            info!(vm = facts.vm.as_str(), domain = facts.domain.as_str(); "VM not heard any more");
+        }
+        if !silent.is_empty() {
+            self.settle_allowances(now);
+        }
+        for vm in gone {
+            let forget = |places: &mut boragerill::place::PlaceTable| places.forget_vm(vm);
+            self.state.backends.update_places(forget);
+        }
+    }
+
+    /// Notes the sender of a heartbeat, and returns for how long it had been silent, if it had been;
+    /// nothing when the heartbeat is to be passed over.
+    fn note_sender(&self, beat: &Beat, now: Instant) -> Option<Option<Duration>> {
+        let Some(member) = &beat.member else {
+            let mut members = lock(&self.state.members);
+            let known = members.note_update(beat.sender, beat.incarnation, beat.sequence, now);
+            return known.then_some(None);
+        };
+        // Earnings up to now go by the part of the fleet that was heard.
+        let verdict = {
+            let mut members = lock(&self.state.members);
+            members.note_beat(facts_of(member), beat.sequence, now)
+        };
+        match verdict {
+            BeatVerdict::Stale => None,
+            BeatVerdict::Current => Some(None),
+            BeatVerdict::Returned(silence) => {
+                info!(vm = member.vm.as_str(), domain = member.domain.as_str(), incarnation = member.incarnation; "VM heard");
+                self.settle_allowances(now);
+                Some(Some(silence))
+            }
+        }
+    }
+
+    fn settle_allowances(&self, now: Instant) {
+        let share = self.state.fleet_share(now);
+        lock(&self.state.allowances).settle(share, now);
+    }
+
+    fn learn_members(&self, beat: &Beat, now: Instant) {
+        let mut members = lock(&self.state.members);
+        for note in &beat.members {
+            members.learn(facts_of(note), now);
+        }
+    }
+
+    fn take_places(&self, beat: &Beat, now: Instant) {
+        let uses: Vec<(u32, PlaceUse)> = beat
+            .places
+            .iter()
+            .map(|note| {
+                let used = PlaceUse {
+                    online: note.online,
+                    batch: note.batch,
+                };
+                (note.server, used)
+            })
+            .collect();
+        let demands = beat.demands.iter().map(|note| PlaceDemand {
+            service: note.service,
+            waiting: note.waiting,
+            due_ms: note.due_ms,
+        });
+        self.state
+            .backends
+            .note_demands(beat.sender, demands.collect(), now);
+        self.state.backends.update_places(|places| {
+            places.note_alive(beat.sender, now);
+            if beat.full {
+                places.note_all(beat.sender, &uses);
+                return;
+            }
+            for &(server, used) in &uses {
+                places.note(beat.sender, server, used);
+            }
+        });
+        if beat.full || !uses.is_empty() {
+            self.state.jobs.work.notify_one();
+        }
+    }
+
+    fn take_uses(&self, beat: &Beat, silence: Option<Duration>, now: Instant) {
+        if beat.uses.is_empty() {
+            return;
+        }
+        let share = self.state.fleet_share(now);
+        let mut allowances = lock(&self.state.allowances);
+        for note in &beat.uses {
+            let report = UseReport {
+                vm: beat.sender,
+                incarnation: beat.incarnation,
+                workspace: note.workspace,
+                used: note.used,
+                silence,
+            };
+            allowances.note_use(report, share, now);
+        }
+    }
+
+    fn take_job(&self, note: &JobNote, beat: &Beat, now: Instant) {
+        let age = Duration::from_millis(note.age_ms.into());
+        let notice = JobNotice {
+            id: note.id.as_str().into(),
+            vm: beat.sender,
+            incarnation: beat.incarnation,
+            submitted: now.checked_sub(age).unwrap_or(now),
+            waiting_tokens: note.waiting_tokens,
+            account: note.account,
+            closed: note.closed,
+            chunks: note.chunks,
+            noted: now,
+        };
+        takeover::compare(&self.state, &notice);
+        self.state.jobs.note(notice);
+    }
+
+    /// Fetches what the sender knows and this VM doesn't yet.
+    fn fetch_newer(&self, beat: &Beat, from: SocketAddr) {
+        let state = &self.state;
+        let catalog = beat.catalog > state.catalog.version();
+        let backends = beat.backends > state.backends.read(|table| table.through())
+            || beat.ends > state.ends.through();
+        if !catalog && !backends || self.fetching.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let (state, address) = (state.clone(), from.to_string());
+        let fetching = self.fetching.clone();
+        tokio::spawn(async move {
+            let result = fetch(&state, &address, catalog, backends).await;
+            fetching.store(false, Ordering::Relaxed);
+            if let Err(error) = result {
+                info!(peer = address.as_str(), error = error.to_string().as_str(); "newer state not fetched");
+            }
+        });
+    }
+}
+
+async fn fetch(
+    state: &FleetState,
+    address: &str,
+    catalog: bool,
+    backends: bool,
+) -> Result<(), ServeError> {
+    if catalog {
+        peers::fetch_catalog(state, address).await?;
+    }
+    if backends {
+        peers::fetch_backends(state, address).await?;
+    }
+    Ok(())
+}
+
+/// Reads what a VM says of itself or of another.
+fn facts_of(note: &MemberNote) -> MemberFacts {
+    MemberFacts {
+        vm: note.vm.as_str().into(),
+        address: note.address.as_str().into(),
+        domain: note.domain.as_str().into(),
+        incarnation: note.incarnation,
+        leaving: note.leaving,
+        follows: note.follows,
+    }
+}
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -26,7 +26,7 @@
         JobItem,
         JobProgress, //
     },
-    member::SILENCE,
+    member::Incarnation,
     rank::{
         hash_name,
         score, //
@@ -105,6 +105,9 @@
 /// Pause before a call to the store is tried again.
 const STORE_PAUSE: Duration = Duration::from_millis(60);
 
+/// Time for which what a VM has said of a job goes before what one says that has stored less.
+const RIVAL_PERIOD: Duration = Duration::from_millis(2500);
+
 /// Time for which a finished job is kept in memory beyond its last use.
 const NOTE_LIFETIME: Duration = Duration::from_secs(300);
 
@@ -136,6 +139,8 @@
     pub(crate) id: JobId,
     /// Hash of the VM that keeps it.
     pub(crate) vm: u64,
+    /// Start of that VM's process.
+    pub(crate) incarnation: Incarnation,
     /// First submission on this process's clock.
     pub(crate) submitted: Instant,
     /// Tokens of the items that haven't ended.
@@ -249,7 +254,7 @@
     /// Returns whether what another VM says of the same job is out of date: of two VMs that run a job
     /// the one that has stored more goes on.
     fn outranks(&self, other: &JobNotice) -> bool {
-        self.vm != other.vm && self.chunks > other.chunks && other.noted < self.noted + SILENCE
+        self.vm != other.vm && self.chunks > other.chunks && other.noted < self.noted + RIVAL_PERIOD
     }
 }
 
--- /dev/null
+++ b/fleet/src/report.rs
@@ -0,0 +1,248 @@
+//! What this VM tells the others in its heartbeats: everything now and then, changes as they come.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Arc,
+        Mutex, //
+    },
+    time::Instant,
+};
+
+use boragerill::{
+    generated::messages::{
+        Beat,
+        DemandNote,
+        JobNote,
+        MemberNote,
+        PlaceNote,
+        UseNote, //
+    },
+    member::MemberFacts,
+    place::{
+        PlaceDemand,
+        PlaceUse, //
+    },
+    sync::lock,
+};
+
+use crate::{
+    jobs::JobEntry,
+    relay::millis,
+    state::FleetState, //
+};
+
+/// Heartbeats between two that tell everything.
+const WHOLE_BEATS: u64 = 7;
+
+/// First heartbeats of a process, which tell everything.
+const FIRST_BEATS: u64 = 3;
+
+/// Whole heartbeats between two that tell which VMs the sender knows and what all workspaces used.
+const COMPLETE_BEATS: u64 = 4;
+
+/// What the others were told last.
+#[derive(Debug, Default)]
+struct ToldState {
+    places: Vec<(u32, PlaceUse)>, // Sorted by the server's key.
+    demands: Vec<PlaceDemand>,
+    jobs: Vec<JobNote>, // Sorted by id.
+    facts: MemberFacts,
+}
+
+/// Makes the heartbeats of this VM.
+pub(crate) struct BeatReport {
+    state: Arc<FleetState>,
+    sequence: AtomicU64,
+    beats: AtomicU64,
+    told: Mutex<ToldState>,
+}
+
+impl BeatReport {
+    /// Makes a report of which nothing was told.
+    pub(crate) fn new(state: Arc<FleetState>) -> BeatReport {
+        BeatReport {
+            state,
+            sequence: AtomicU64::new(1),
+            beats: AtomicU64::new(0),
+            told: Mutex::default(),
+        }
+    }
+
+    /// Returns the next periodic heartbeat.
+    pub(crate) fn next_beat(&self) -> Beat {
+        let number = self.beats.fetch_add(1, Ordering::Relaxed);
+        if number >= FIRST_BEATS && number % WHOLE_BEATS != 0 {
+            return self.changes().unwrap_or_else(|| self.sign_of_life());
+        }
+        let mut beat = self.whole();
+        if number / WHOLE_BEATS % COMPLETE_BEATS == 0 {
+            beat.members = self.known_members();
+            beat.uses = use_notes(lock(&self.state.allowances).uses());
+        }
+        beat
+    }
+
+    /// Returns a heartbeat that tells everything.
+    pub(crate) fn whole(&self) -> Beat {
+        let facts = lock(&self.state.members).own().clone();
+        let mut told = lock(&self.told);
+        told.places = self.places();
+        told.jobs = self.jobs();
+        told.facts = facts.clone();
+        Beat {
+            member: Some(member_note(&facts)),
+            full: true,
+            places: told.places.iter().map(place_note).collect(),
+            uses: use_notes(lock(&self.state.allowances).recent_uses(Instant::now())),
+            jobs: told.jobs.clone(),
+            ..self.sign_of_life()
+        }
+    }
+
+    /// Returns what has changed since the last heartbeat, if anything has.
+    pub(crate) fn changes(&self) -> Option<Beat> {
+        let facts = lock(&self.state.members).own().clone();
+        if lock(&self.told).facts != facts {
+            return Some(self.whole());
+        }
+        let places = self.changed_places();
+        let jobs = self.changed_jobs();
+        let uses = use_notes(lock(&self.state.allowances).take_changes());
+        let demands = self.state.backends.own_demands();
+        let before = std::mem::replace(&mut lock(&self.told).demands, demands.clone());
+        if places.is_empty() && jobs.is_empty() && uses.is_empty() && before == demands {
+            return None;
+        }
+        Some(Beat {
+            places,
+            uses,
+            jobs,
+            ..self.sign_of_life()
+        })
+    }
+
+    /// Returns the VMs that this one knows.
+    pub(crate) fn known_members(&self) -> Vec<MemberNote> {
+        let members = lock(&self.state.members);
+        let notes = members.members().iter();
+        notes.map(|member| member_note(&member.facts)).collect()
+    }
+
+    /// Returns the least that a heartbeat says.
+    fn sign_of_life(&self) -> Beat {
+        let demands = self.state.backends.own_demands();
+        Beat {
+            sender: self.state.vm_hash,
+            incarnation: self.state.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+            catalog: self.state.catalog.version(),
+            backends: self.state.backends.read(|table| table.through()),
+            ends: self.state.ends.through(),
+            demands: demands.into_iter().map(demand_note).collect(),
+            ..Default::default()
+        }
+    }
+
+    /// Returns the requests at servers, sorted by the servers' keys.
+    fn places(&self) -> Vec<(u32, PlaceUse)> {
+        let servers = self.state.backends.all();
+        let uses = servers.iter().map(|state| (state.key, state.used()));
+        let mut uses: Vec<(u32, PlaceUse)> = uses.filter(|(_, used)| used.total() > 0).collect();
+        uses.sort_by_key(|entry| entry.0);
+        uses
+    }
+
+    fn changed_places(&self) -> Vec<PlaceNote> {
+        let places = self.places();
+        let before = std::mem::replace(&mut lock(&self.told).places, places.clone());
+        let find = |entries: &[(u32, PlaceUse)], key: u32| {
+            let found = entries.binary_search_by_key(&key, |entry| entry.0);
+            found.map_or(PlaceUse::default(), |index| entries[index].1)
+        };
+        let changed = places
+            .iter()
+            .filter(|entry| find(&before, entry.0) != entry.1);
+        let freed = before
+            .iter()
+            .filter(|entry| find(&places, entry.0).total() == 0);
+        let freed = freed.map(|entry| (entry.0, PlaceUse::default()));
+        changed
+            .copied()
+            .chain(freed)
+            .map(|entry| place_note(&entry))
+            .collect()
+    }
+
+    /// Returns the jobs that this VM runs or keeps, sorted by id.
+    fn jobs(&self) -> Vec<JobNote> {
+        let now = Instant::now();
+        let entries = self.state.jobs.all();
+        entries.iter().map(|entry| job_note(entry, now)).collect()
+    }
+
+    fn changed_jobs(&self) -> Vec<JobNote> {
+        let jobs = self.jobs();
+        let before = std::mem::replace(&mut lock(&self.told).jobs, jobs.clone());
+        let is_told = |note: &JobNote| {
+            let found = before.binary_search_by(|known| known.id.cmp(&note.id));
+            found.is_ok_and(|index| is_same_job(&before[index], note))
+        };
+        jobs.into_iter().filter(|note| !is_told(note)).collect()
+    }
+}
+
+fn is_same_job(a: &JobNote, b: &JobNote) -> bool {
+    a.chunks == b.chunks && a.closed == b.closed && a.waiting_tokens == b.waiting_tokens
+}
+
+fn job_note(entry: &JobEntry, now: Instant) -> JobNote {
+    let waiting_tokens = entry.waiting_tokens();
+    let age = now.saturating_duration_since(entry.submitted);
+    let progress = lock(&entry.progress);
+    JobNote {
+        id: entry.id.to_string(),
+        age_ms: u32::try_from(millis(age)).unwrap_or(u32::MAX),
+        waiting_tokens,
+        account: entry.account(),
+        closed: progress.is_closed(),
+        chunks: progress.chunks(),
+    }
+}
+
+fn member_note(facts: &MemberFacts) -> MemberNote {
+    MemberNote {
+        vm: facts.vm.to_string(),
+        address: facts.address.to_string(),
+        domain: facts.domain.to_string(),
+        incarnation: facts.incarnation,
+        leaving: facts.leaving,
+        follows: facts.follows,
+    }
+}
+
+fn place_note(&(key, used): &(u32, PlaceUse)) -> PlaceNote {
+    PlaceNote {
+        server: key,
+        online: used.online,
+        batch: used.batch,
+    }
+}
+
+fn demand_note(demand: PlaceDemand) -> DemandNote {
+    DemandNote {
+        service: demand.service,
+        waiting: demand.waiting,
+        due_ms: demand.due_ms,
+    }
+}
+
+fn use_notes(uses: Vec<(u64, u64)>) -> Vec<UseNote> {
+    let notes = uses.into_iter();
+    notes
+        .map(|(workspace, used)| UseNote { workspace, used })
+        .collect()
+}
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -25,6 +25,7 @@
         PartialOutput,
         ResultChunk, //
     },
+    member::MemberTable,
     rank::hash_name,
     sync::lock,
     timer::TimerService, //
@@ -70,6 +71,9 @@
 /// lost, and its VMs go on running their jobs meanwhile.
 const DOMAIN_SILENCE: Duration = Duration::from_millis(6500);
 
+/// Time within which a VM that is heard names every job that it runs.
+const NAME_PERIOD: Duration = Duration::from_millis(2500);
+
 /// Period of looking for jobs whose runner is gone.
 const LOOK_PERIOD: Duration = Duration::from_millis(250);
 
@@ -113,11 +117,11 @@
     if notice.closed || state.jobs.find(&notice.id).is_some() || state.ends.contains(&notice.id) {
         return false;
     }
-    let silent = now.saturating_duration_since(notice.noted);
+    let members = lock(&state.members);
+    let silent = runner_silence(&members, notice, now);
     if silent < RUNNER_SILENCE {
         return false;
     }
-    let members = lock(&state.members);
     let limit = if members.is_domain_silent(notice.vm, now) {
         DOMAIN_SILENCE
     } else {
@@ -127,6 +131,23 @@
     silent >= limit + RANK_WAIT * u32::try_from(rank).unwrap_or(u32::MAX)
 }
 
+/// Returns for how long nobody has said that a job is run: its runner is silent, has started anew, or
+/// names it no more.
+fn runner_silence(members: &MemberTable, notice: &JobNotice, now: Instant) -> Duration {
+    let named = now.saturating_duration_since(notice.noted);
+    let Some(runner) = members.find(notice.vm) else {
+        return named;
+    };
+    if runner.facts.incarnation != notice.incarnation {
+        return named;
+    }
+    if runner.is_heard(now) {
+        return named.saturating_sub(NAME_PERIOD);
+    }
+    let heard = runner.heard.unwrap_or(notice.noted);
+    now.saturating_duration_since(heard).min(named)
+}
+
 /// Takes a job over when nobody says that it runs it.
 pub(crate) fn watch_orphan(state: &Arc<FleetState>, id: &str) {
     let (state, id) = (state.clone(), compact_str::CompactString::from(id));
