--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod process;
 pub mod queue;
 pub mod rank;
+pub mod reach;
 pub mod refusal;
 pub mod retry;
 pub mod roster;
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -154,7 +154,7 @@
         Err(failure) => {
             match &failure {
                 AttemptFailure::NotRun(NotRunCause::Unreachable, _) => {
-                    state.backends.note_silence(server, now);
+                    state.backends.note_unreachable(server, now);
                 }
                 _ => state.backends.note_failure(server, now),
             }
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -28,16 +28,27 @@
         PlaceUse,
         PlaceView, //
     },
+    reach::ReachTable,
     route::ServerHealth,
     sync::lock, //
 };
-use tokio::sync::Notify;
+use log::info;
+use tokio::{
+    sync::Notify,
+    time::sleep, //
+};
 
-use crate::pool::ConnectionPool;
+use crate::pool::{
+    BackendConnection,
+    ConnectionPool, //
+};
 
 /// Time for which a server is passed over after it failed to answer at all.
 const SILENT_PENALTY: Duration = Duration::from_millis(1000);
 
+/// Period of trying to reach a server to which no connection could be opened.
+const PROBE_PERIOD: Duration = Duration::from_millis(300);
+
 /// One backend server.
 #[derive(Debug)]
 pub(crate) struct BackendState {
@@ -60,6 +71,7 @@
 #[derive(Debug, Default)]
 struct BackendHealth {
     failures: ServerHealth,
+    unreachable: bool, // Until a connection can be opened again.
     silent_until: Option<Instant>,
     crossed_until: Option<Instant>,
 }
@@ -81,6 +93,7 @@
     places: Mutex<PlaceTable>,
     demands: Mutex<DemandTable>,
     own_demands: Mutex<Vec<PlaceDemand>>,
+    reach: Mutex<ReachTable>,
     /// Signals that requests at servers have changed and others have to be told.
     pub(crate) changed: Notify,
     /// Signals that a place may have become free.
@@ -96,6 +109,7 @@
             places: Mutex::default(),
             demands: Mutex::default(),
             own_demands: Mutex::default(),
+            reach: Mutex::default(),
             changed: Notify::new(),
             freed: Notify::new(),
             started: Instant::now(),
@@ -208,6 +222,34 @@
         let mut health = lock(&state.shared.health);
         health.failures.note_success();
         health.silent_until = None;
+        drop(health);
+        let domain = &state.server.domain;
+        lock(&self.reach).note_reached(domain, state.key, Instant::now());
+    }
+
+    /// Notes that no connection to a server could be opened; it is passed over until one can. When its
+    /// whole failure domain seems to be cut off, so are the other servers there.
+    pub(crate) fn note_unreachable(self: &Arc<Self>, state: &Arc<BackendState>, now: Instant) {
+        self.pass_over(state);
+        let domain = &state.server.domain;
+        if !lock(&self.reach).note_unreachable(domain, state.key, now) {
+            return;
+        }
+        for other in self.servers.load().iter() {
+            if other.server.domain == *domain {
+                self.pass_over(other);
+            }
+        }
+    }
+
+    /// Passes a server over until a connection to it can be opened.
+    fn pass_over(self: &Arc<Self>, state: &Arc<BackendState>) {
+        state.pool().clear();
+        if std::mem::replace(&mut lock(&state.shared.health).unreachable, true) {
+            return;
+        }
+        info!(server = state.server.id.as_str(), domain = state.server.domain.as_str(); "backend server passed over");
+        tokio::spawn(probe(self.clone(), state.clone()));
     }
 
     /// Notes that a server failed a request or could not be reached.
@@ -245,7 +287,7 @@
             slots: state.server.slots,
             local: state.server.domain == domain,
             leaving: state.server.leaving,
-            suspect: silent || health.failures.is_ejected(self.millis(now)),
+            suspect: silent || health.unreachable || health.failures.is_ejected(self.millis(now)),
         }
     }
 
@@ -291,6 +333,30 @@
     }
 }
 
+/// Tries to open a connection to a server until it can, or the server is gone.
+async fn probe(book: Arc<BackendBook>, state: Arc<BackendState>) {
+    loop {
+        sleep(PROBE_PERIOD).await;
+        let servers = book.servers.load_full();
+        let known = servers
+            .iter()
+            .find(|known| known.server.id == state.server.id);
+        if known.is_none_or(|known| !Arc::ptr_eq(&known.shared, &state.shared)) {
+            return;
+        }
+        let Ok(connection) = BackendConnection::open(state.server.address).await else {
+            continue;
+        };
+        let now = Instant::now();
+        state.pool().put(connection, now);
+        lock(&state.shared.health).unreachable = false;
+        lock(&book.reach).note_reached(&state.server.domain, state.key, now);
+        info!(server = state.server.id.as_str(); "backend server reached again");
+        book.freed.notify_waiters();
+        return;
+    }
+}
+
 /// Returns the known state of a server, or a new one when it registered anew.
 fn keep_state(known: &[Arc<BackendState>], server: &BackendServer) -> Arc<BackendState> {
     let found = known.binary_search_by(|state| state.server.id.cmp(&server.id));
--- a/fleet/src/pool.rs
+++ b/fleet/src/pool.rs
@@ -35,7 +35,7 @@
 };
 
 /// Longest time for opening a connection to a backend server.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Time for which sent bytes may stay unacknowledged before a connection counts as lost.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(2500);
