Ask up to three VMs for calls to the store; count a runner's silence from its return

A VM heard again by short heartbeats wasn't taken as returned, so its jobs were taken over right after a cut healed. Ruled out: more time for one relay (the caller's time is spent), asking all at once (three calls to the store for one). Conclusion: kept; the relays are tried in a random order, 250 ms each.

--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -53,6 +53,8 @@
     pub hash: u64,
     /// When it was last heard.
     pub heard: Option<Instant>,
+    /// Since when it has been heard without a silence.
+    pub since: Instant,
     sequence: u64,
     known: Instant,
 }
@@ -105,6 +107,7 @@
             facts,
             hash,
             heard: None,
+            since: now,
             sequence: 0,
             known: now,
         };
@@ -126,38 +129,29 @@
         if !restarted && member.heard.is_some() && member.sequence >= sequence {
             return BeatVerdict::Stale;
         }
-        let since = member.heard.unwrap_or(member.known);
-        let silence = now.saturating_duration_since(since);
-        let silent = member.heard.is_none() || silence >= SILENCE;
         member.facts = facts;
-        member.sequence = sequence;
-        member.heard = Some(now);
-        if restarted || silent {
-            return BeatVerdict::Returned(silence);
-        }
-        BeatVerdict::Current
+        member.hear(sequence, restarted, now)
     }
 
-    /// Notes a short message of a VM's process, and returns whether it is to be used.
+    /// Notes a short message of a VM's process; one of a process that isn't known is passed over.
     pub fn note_update(
         &mut self,
         hash: u64,
         incarnation: Incarnation,
         sequence: u64,
         now: Instant,
-    ) -> bool {
+    ) -> BeatVerdict {
         let Ok(index) = self.search(hash) else {
-            return false;
+            return BeatVerdict::Stale;
         };
         let member = &mut self.members[index];
         let current = member.facts.incarnation == incarnation
             && member.heard.is_some()
             && member.sequence < sequence;
-        if current {
-            member.sequence = sequence;
-            member.heard = Some(now);
+        if !current {
+            return BeatVerdict::Stale;
         }
-        current
+        member.hear(sequence, false, now)
     }
 
     /// Returns another VM by the hash of its name.
@@ -276,6 +270,20 @@
 }
 
 impl FleetMember {
+    /// Notes a message, and returns whether the VM was silent before.
+    fn hear(&mut self, sequence: u64, restarted: bool, now: Instant) -> BeatVerdict {
+        let before = self.heard.unwrap_or(self.known);
+        let silence = now.saturating_duration_since(before);
+        let silent = self.heard.is_none() || silence >= SILENCE;
+        self.sequence = sequence;
+        self.heard = Some(now);
+        if !restarted && !silent {
+            return BeatVerdict::Current;
+        }
+        self.since = now;
+        BeatVerdict::Returned(silence)
+    }
+
     /// Returns whether the VM was heard lately.
     pub fn is_heard(&self, now: Instant) -> bool {
         self.heard.is_some_and(|heard| now < heard + SILENCE)
--- a/boragerill/tests/member.rs
+++ b/boragerill/tests/member.rs
@@ -89,10 +89,8 @@
     let unknown = table.note_update(hash_name("z"), 1, 1, now + BEAT);
 
     // assert
-    assert_eq!(
-        [known, old, other_process, unknown],
-        [true, false, false, false]
-    );
+    assert_eq!(known, BeatVerdict::Current);
+    assert_eq!([old, other_process, unknown], [BeatVerdict::Stale; 3]);
 }
 
 #[test]
@@ -203,3 +201,21 @@
     assert!(before > 0);
     assert_eq!(silent, 0);
 }
+
+#[test]
+fn a_vm_heard_by_short_messages_after_a_cut_counts_as_returned_since_then() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(now);
+    let hash = hash_name("a");
+    let healed = now + SILENCE + BEAT;
+
+    // act
+    let first = table.note_update(hash, 1, 2, healed);
+    let next = table.note_update(hash, 1, 3, healed + BEAT);
+
+    // assert
+    assert_eq!(first, BeatVerdict::Returned(SILENCE + BEAT));
+    assert_eq!(next, BeatVerdict::Current);
+    assert_eq!(table.find(hash).map(|member| member.since), Some(healed));
+}
--- a/fleet/src/hear.rs
+++ b/fleet/src/hear.rs
@@ -39,6 +39,7 @@
 use crate::{
     jobs::JobNotice,
     peers,
+    relay::millis,
     state::FleetState,
     takeover, //
 };
@@ -110,27 +111,34 @@
     /// Notes the sender of a heartbeat, and returns for how long it had been silent, if it had been;
     /// nothing when the heartbeat is to be passed over.
     fn note_sender(&self, beat: &Beat, now: Instant) -> Option<Option<Duration>> {
-        let Some(member) = &beat.member else {
-            let mut members = lock(&self.state.members);
-            let known = members.note_update(beat.sender, beat.incarnation, beat.sequence, now);
-            return known.then_some(None);
-        };
         // Earnings up to now go by the part of the fleet that was heard.
         let verdict = {
             let mut members = lock(&self.state.members);
-            members.note_beat(facts_of(member), beat.sequence, now)
+            match &beat.member {
+                Some(member) => members.note_beat(facts_of(member), beat.sequence, now),
+                None => members.note_update(beat.sender, beat.incarnation, beat.sequence, now),
+            }
         };
         match verdict {
             BeatVerdict::Stale => None,
             BeatVerdict::Current => Some(None),
             BeatVerdict::Returned(silence) => {
-                info!(vm = member.vm.as_str(), domain = member.domain.as_str(), incarnation = member.incarnation; "VM heard");
-                self.settle_allowances(now);
+                self.note_return(beat.sender, silence, now);
                 Some(Some(silence))
             }
         }
     }
 
+    fn note_return(&self, sender: u64, silence: Duration, now: Instant) {
+        let facts = lock(&self.state.members)
+            .find(sender)
+            .map(|member| member.facts.clone());
+        if let Some(facts) = facts {
+            info!(vm = facts.vm.as_str(), domain = facts.domain.as_str(), incarnation = facts.incarnation, silence_ms = millis(silence); "VM heard");
+        }
+        self.settle_allowances(now);
+    }
+
     fn settle_allowances(&self, now: Instant) {
         let share = self.state.fleet_share(now);
         lock(&self.state.allowances).settle(share, now);
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -63,7 +63,10 @@
     answer::plain,
     caller::CallerRequest,
     job_reads,
-    relay::CallerResult,
+    relay::{
+        millis,
+        CallerResult, //
+    },
     state::{
         wall_ms,
         FleetState, //
@@ -402,7 +405,8 @@
         job = caller.id.as_str(),
         workspace = head.workspace.as_str(),
         items = head.items,
-        tokens = head.tokens;
+        tokens = head.tokens,
+        age_ms = millis(caller.arrived.elapsed());
         "job accepted"
     );
     counter!("jobs_accepted_total").increment(1);
--- a/fleet/src/links.rs
+++ b/fleet/src/links.rs
@@ -6,12 +6,19 @@
 };
 
 use boragerill::{
-    error::ServeError,
+    error::{
+        ServeError,
+        Step, //
+    },
     frame::FrameLink,
     generated::messages::envelope::Body,
     sync::lock, //
 };
 use compact_str::CompactString;
+use tokio::time::timeout;
+
+/// Longest time for opening a connection to another VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Connections to other VMs by address.
 #[derive(Debug, Default)]
@@ -41,7 +48,9 @@
             return Ok(link);
         }
         // Nothing but answers comes on connections that this VM opens.
-        let (link, _) = FrameLink::connect(address).await?;
+        let connecting = timeout(CONNECT_TIMEOUT, FrameLink::connect(address)).await;
+        let late = |_| ServeError::Timeout(Step::Connect, address.into());
+        let (link, _) = connecting.map_err(late)??;
         let mut links = lock(&self.links);
         match links.binary_search_by(|entry| entry.0.as_str().cmp(address)) {
             Ok(index) => links[index].1 = link.clone(),
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -39,9 +39,13 @@
         StoreAnswer,
         StoreCall, //
     },
+    rank::score,
     sync::lock, //
 };
-use compact_str::CompactString;
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
 use log::{
     info,
     warn, //
@@ -60,6 +64,12 @@
 /// Longest time for telling a VM that a job ended.
 const TELL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// VMs that are asked to carry out a call to the platform.
+const RELAYS: usize = 3;
+
+/// Time after which the next of them is asked.
+const RELAY_PATIENCE: Duration = Duration::from_millis(250);
+
 /// Longest time for fetching configuration and backend servers from another VM.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -210,50 +220,77 @@
     }
 }
 
-/// Has another VM carry out a call to the platform.
+/// Has other VMs carry out a call to the platform, one after the other until one can.
 pub(crate) async fn relay_store(
     state: &FleetState,
     request: ApiRequest,
     limit: Duration,
 ) -> Result<ApiResponse, ServeError> {
-    let now = Instant::now();
-    let address = {
-        let members = lock(&state.members);
-        let mut following = members.heard(now).filter(|member| member.facts.follows);
-        let first = following.next();
-        first.map(|member| member.facts.address.clone())
-    };
-    let none = || ServeError::Unreachable(Step::Connect, "vm".into(), "none follows".into());
-    let address = address.ok_or_else(none)?;
     counter!("platform_calls_relayed_total").increment(1);
+    let addresses = followers(state);
+    // Creating an object twice does no harm, nor does reading.
+    let is_safe = matches!(request.method.as_str(), "GET" | "POST");
+    let mut failure = ServeError::Unreachable(Step::Connect, "vm".into(), "none follows".into());
+    for (index, address) in addresses.iter().enumerate() {
+        let is_last = index + 1 == addresses.len();
+        let patience = match is_safe && !is_last {
+            true => RELAY_PATIENCE.min(limit),
+            false => limit,
+        };
+        match relay_to(state, address, &request, patience).await {
+            Ok(response) => return Ok(response),
+            Err(error) if error.is_ambiguous() && !is_safe => return Err(error),
+            Err(error) => failure = error,
+        }
+    }
+    Err(failure)
+}
+
+/// Returns the addresses of some VMs that follow the store, in a random order.
+fn followers(state: &FleetState) -> Vec<CompactString> {
+    let now = Instant::now();
+    let draw: u64 = rand::random();
+    let members = lock(&state.members);
+    let following = members.heard(now).filter(|member| member.facts.follows);
+    let mut following: Vec<_> = following
+        .map(|member| (score(draw, member.hash), member.facts.address.clone()))
+        .collect();
+    following.sort();
+    following.truncate(RELAYS);
+    following.into_iter().map(|entry| entry.1).collect()
+}
+
+async fn relay_to(
+    state: &FleetState,
+    address: &str,
+    request: &ApiRequest,
+    limit: Duration,
+) -> Result<ApiResponse, ServeError> {
     let call = Body::StoreCall(StoreCall {
         method: request.method.to_string(),
-        target: request.target,
-        body: request.body.unwrap_or_default().to_vec(),
+        target: request.target.clone(),
+        body: request.body.clone().unwrap_or_default().to_vec(),
         timeout_ms: u32::try_from(limit.as_millis()).unwrap_or(u32::MAX),
     });
-    let answer = state
-        .links
-        .ask(&address, call, limit + TELL_TIMEOUT)
-        .await?;
+    let answer = state.links.ask(address, call, limit).await?;
     let Body::StoreAnswer(answer) = answer else {
-        return Err(ServeError::Malformed(
-            Step::Receive,
-            address,
-            "another answer".into(),
-        ));
+        let cause = "another answer".into();
+        return Err(ServeError::Malformed(Step::Receive, address.into(), cause));
     };
     match u16::try_from(answer.status) {
+        Ok(status @ (429 | 503)) => {
+            let cause = format_compact!("the platform answered {status}");
+            Err(ServeError::Rejected(Step::Send, address.into(), cause))
+        }
         Ok(status) if status > 0 => Ok(ApiResponse {
             status,
             body: answer.body.into(),
         }),
-        _ if answer.ambiguous => Err(ServeError::Timeout(Step::Receive, address)),
-        _ => Err(ServeError::Rejected(
-            Step::Send,
-            address,
-            "platform not reached".into(),
-        )),
+        _ if answer.ambiguous => Err(ServeError::Timeout(Step::Receive, address.into())),
+        _ => {
+            let cause = "platform not reached".into();
+            Err(ServeError::Rejected(Step::Send, address.into(), cause))
+        }
     }
 }
 
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -142,7 +142,11 @@
         return named;
     }
     if runner.is_heard(now) {
-        return named.saturating_sub(NAME_PERIOD);
+        // It names its jobs again once it is back.
+        let since = notice.noted.max(runner.since);
+        return now
+            .saturating_duration_since(since)
+            .saturating_sub(NAME_PERIOD);
     }
     let heard = runner.heard.unwrap_or(notice.noted);
     now.saturating_duration_since(heard).min(named)
