Count only the last change of a backend server in a batch of the store

Cause: when the store comes back from an outage in which entries lapsed, one batch of a watch holds the lapse and the new registration of each server. A deletion carries the revision of the whole batch, so the registration before it in revision (but after it in order) was passed over, and 2.2 s later every VM took all servers as gone: every request was refused for up to 9 s. Ruled out: the grace after the store's return (entries were back within 1.2 s).

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -112,10 +112,10 @@
         }
     }
 
-    /// Takes over changes from the store that complete the table to `through`.
+    /// Takes over changes from the store, in their order, that complete the table to `through`.
     pub fn apply(&mut self, changes: Vec<BackendChange>, through: Revision, now: Instant) {
         let holds = self.holds_missing(now);
-        self.apply_all(changes, through, holds, now);
+        self.apply_all(last_changes(changes), through, holds, now);
     }
 
     /// Takes over changes that another VM has told; it knows by itself which entries may come back.
@@ -268,3 +268,12 @@
             .retain(|entry| entry.server.is_some() || entry.revision >= oldest);
     }
 }
+
+/// Returns the last change of each entry; the store names deletions by the revision of their batch, so
+/// that only the order tells which change of an entry is the last.
+fn last_changes(mut changes: Vec<BackendChange>) -> Vec<BackendChange> {
+    changes.reverse();
+    changes.sort_by(|one, other| one.id.cmp(&other.id));
+    changes.dedup_by(|later, first| later.id == first.id);
+    changes
+}
--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -184,3 +184,22 @@
     assert_eq!(ids(&other), ids(&table));
     assert_eq!(other.through(), 4);
 }
+
+#[test]
+fn server_that_lapsed_and_registered_again_within_one_batch_stays() {
+    // arrange: the store names a deletion with the revision of the whole batch.
+    let now = Instant::now();
+    let mut table = table_of(vec![ready("a", 1), ready("b", 2)], 2, now);
+    table.note_away();
+    table.note_back(now);
+
+    // act
+    let batch = vec![gone("a", 7), gone("b", 7), ready("a", 5), ready("b", 6)];
+    table.apply(batch, 7, now);
+    let told = table.changes_since(2);
+    table.expire(now + RETURN_GRACE * 2);
+
+    // assert
+    assert_eq!(ids(&table), ["a", "b"]);
+    assert!(told.iter().all(|change| !change.missing));
+}
