Hold servers when half of them vanish at once

Cause: a watch that was silent through an outage doesn't fail; when the store is back, it returns the lapse of all entries, and a VM that didn't know of the outage dropped all servers and told the others so. Ruled out: noting the outage from other calls (not every VM makes one in time).

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -24,6 +24,9 @@
 /// Time after the store's return in which servers register again.
 pub const RETURN_GRACE: Duration = Duration::from_millis(2200);
 
+/// Fewest servers of which half may be taken for lapsed by an outage.
+const MASS_LAPSE_SERVERS: usize = 3;
+
 /// Removed entries that are remembered for VMs that lag behind.
 const REMOVED_KEPT: usize = 512;
 
@@ -114,8 +117,25 @@
 
     /// Takes over changes from the store, in their order, that complete the table to `through`.
     pub fn apply(&mut self, changes: Vec<BackendChange>, through: Revision, now: Instant) {
+        let changes = last_changes(changes);
+        if self.is_mass_lapse(&changes) {
+            self.returned = Some(now);
+        }
         let holds = self.holds_missing(now);
-        self.apply_all(last_changes(changes), through, holds, now);
+        self.apply_all(changes, through, holds, now);
+    }
+
+    /// Returns whether so many entries vanish at once that the store must have been away: a watch that
+    /// was silent through an outage doesn't fail.
+    fn is_mass_lapse(&self, changes: &[BackendChange]) -> bool {
+        let in_use = self
+            .servers()
+            .filter(|server| !server.leaving)
+            .collect::<Vec<_>>();
+        let lapses = changes.iter().filter(|change| {
+            change.server.is_none() && in_use.iter().any(|server| server.id == change.id)
+        });
+        in_use.len() >= MASS_LAPSE_SERVERS && lapses.count() * 2 >= in_use.len()
     }
 
     /// Takes over changes that another VM has told; it knows by itself which entries may come back.
--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -203,3 +203,24 @@
     assert_eq!(ids(&table), ["a", "b"]);
     assert!(told.iter().all(|change| !change.missing));
 }
+
+#[test]
+fn half_of_the_servers_do_not_vanish_at_once_without_an_outage_of_the_store() {
+    // arrange: a watch that was silent through the outage never failed.
+    let now = Instant::now();
+    let four = ["a", "b", "c", "d"].map(|id| ready(id, 1)).to_vec();
+    let mut table = table_of(four.clone(), 1, now);
+    let mut other = table_of(four, 1, now);
+
+    // act
+    table.apply(vec![gone("a", 2), gone("b", 2)], 2, now);
+    let held = ids(&table);
+    other.apply(vec![gone("a", 2)], 2, now);
+    let removed = ids(&other);
+    table.expire(now + RETURN_GRACE);
+
+    // assert
+    assert_eq!(held, ["a", "b", "c", "d"]);
+    assert_eq!(removed, ["b", "c", "d"]);
+    assert_eq!(ids(&table), ["c", "d"]);
+}
