Write up to four times on two ways while the store's answers are lost

Cause: with answers of writes lost, a submission was written straight and once by another VM; with both answers lost it waited for the whole time-out, so that callers learned of their job after seconds. Ruled out: shorter time-outs (a slow store would never be heard out).

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod error;
 pub mod feed;
 pub mod frame;
+pub mod hedge;
 pub mod job;
 pub mod keys;
 pub mod kinds;
--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -1,8 +1,6 @@
 //! Client of the platform's object API.
 
 use std::{
-    future::Future,
-    pin::Pin,
     sync::{
         Arc,
         Mutex, //
@@ -22,7 +20,6 @@
 use reqwest::Client;
 use serde::Deserialize;
 use serde_json::Value;
-use tokio::time::timeout;
 
 use crate::{
     api::{
@@ -38,6 +35,12 @@
         ServeError,
         Step, //
     },
+    hedge::{
+        first_good,
+        is_refusal,
+        HedgedTry,
+        TryCall, //
+    },
     sync::lock, //
 };
 
@@ -55,8 +58,19 @@
 /// Longest time for opening a connection to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time without an answer after which a call also goes the other way.
-const HEDGE_AFTER: Duration = Duration::from_millis(150);
+/// Times without an answer after which a call is made again, on the two ways in turn.
+const TRY_TIMES: [Duration; WRITE_TRIES] = [
+    Duration::ZERO,
+    Duration::from_millis(150),
+    Duration::from_millis(350),
+    Duration::from_millis(700),
+];
+
+/// Tries of a write at most; the answer of a write that was carried out may be lost.
+const WRITE_TRIES: usize = 4;
+
+/// Tries of a read at most.
+const READ_TRIES: usize = 2;
 
 /// Time for which calls go the other way first after the straight one has failed.
 const AVOID_PERIOD: Duration = Duration::from_secs(2);
@@ -403,7 +417,15 @@
         let relay = self.options.relay.as_ref();
         let response = match (relay.filter(|_| is_relayed(&call)), is_safe(&call)) {
             (None, _) => self.send_straight(step, request, limit).await?,
-            (Some(relay), true) => self.send_safely(step, request, limit, relay).await?,
+            (Some(relay), true) => {
+                let tries = if matches!(call, ApiCall::Get { .. }) {
+                    READ_TRIES
+                } else {
+                    WRITE_TRIES
+                };
+                self.send_safely(step, request, limit, (relay, tries))
+                    .await?
+            }
             (Some(relay), false) => self.send_once(step, request, limit, relay).await?,
         };
         let body = self.check_status(step, response)?;
@@ -434,22 +456,27 @@
         }
     }
 
-    /// Sends a request that may be carried out twice on both ways, if the first one doesn't answer soon.
+    /// Sends a request that may be carried out twice on both ways in turn, until one answers.
     async fn send_safely(
         &self,
         step: Step,
         request: ApiRequest,
         timeout: Duration,
-        relay: &ApiRelay,
+        (relay, tries): (&ApiRelay, usize),
     ) -> Result<ApiResponse, ServeError> {
-        let straight = self.send_straight(step, request.clone(), timeout);
-        let other = relay(request, timeout);
-        let (first, second): (ApiFuture<'_>, ApiFuture<'_>) = if self.avoids_straight() {
-            (other, Box::pin(straight))
-        } else {
-            (Box::pin(straight), other)
-        };
-        hedge(first, second).await
+        let straight_first = !self.avoids_straight();
+        let ways = TRY_TIMES.iter().take(tries).enumerate();
+        let tries = ways.map(|(index, after)| {
+            let call: TryCall<'_> = match (index % 2 == 0) == straight_first {
+                true => Box::pin(self.send_straight(step, request.clone(), timeout)),
+                false => relay(request.clone(), timeout),
+            };
+            HedgedTry {
+                after: *after,
+                call,
+            }
+        });
+        first_good(tries.collect()).await
     }
 
     fn avoids_straight(&self) -> bool {
@@ -526,46 +553,6 @@
     }
 }
 
-type ApiFuture<'a> = Pin<Box<dyn Future<Output = Result<ApiResponse, ServeError>> + Send + 'a>>;
-
-/// Waits for the first good answer; the second way is taken when the first one fails or is slow.
-async fn hedge(
-    mut first: ApiFuture<'_>,
-    mut second: ApiFuture<'_>,
-) -> Result<ApiResponse, ServeError> {
-    let failed = match timeout(HEDGE_AFTER, &mut first).await {
-        Ok(result) if is_good(&result) => return result,
-        Ok(result) => result,
-        Err(_) => {
-            tokio::select! {
-                result = &mut first => if is_good(&result) { return result } else { result },
-                result = &mut second => {
-                    return if is_good(&result) { result } else { first.await };
-                }
-            }
-        }
-    };
-    let result = second.await;
-    if is_good(&result) {
-        return result;
-    }
-    // An ambiguous failure of either way is what the caller has to know.
-    match &failed {
-        Err(error) if error.is_ambiguous() => failed,
-        _ if result.is_err() => failed,
-        _ => result,
-    }
-}
-
-fn is_good(result: &Result<ApiResponse, ServeError>) -> bool {
-    result.as_ref().is_ok_and(|response| !is_refusal(response))
-}
-
-/// Returns whether the platform has turned a call away without carrying it out.
-fn is_refusal(response: &ApiResponse) -> bool {
-    response.status == 503 || response.status == 429
-}
-
 /// Returns whether a call may go another way than straight: one that waits or lists is taken up again
 /// by whoever reaches the platform.
 fn is_relayed(call: &ApiCall<'_>) -> bool {
