Refuse late streams before their callers leave

Cause: callers leave a stream after a silence of 2 s, four objectives or eight pauses, whichever is longest.

--- a/boragerill/src/catalog.rs
+++ b/boragerill/src/catalog.rs
@@ -39,6 +39,8 @@
     pub resumable: bool,
     /// Longest pause between events for which an answer is in time.
     pub longest_pause: Duration,
+    /// Time without an event after which callers leave; zero when they don't.
+    pub silence_limit: Duration,
 }
 
 /// Terms of a route that takes batch jobs.
--- a/boragerill/src/patience.rs
+++ b/boragerill/src/patience.rs
@@ -28,6 +28,9 @@
 /// Time that a late request needs once it has a place.
 const LATE_RUN: Duration = Duration::from_millis(1300);
 
+/// Time before callers leave at which a late request is told that it won't be served.
+const LEAVE_MARGIN: Duration = Duration::from_millis(1100);
+
 /// A request that waits for a place.
 #[derive(Clone, Copy, Debug)]
 pub struct PlaceWait {
@@ -37,8 +40,10 @@
     pub held: Duration,
     /// Time within which an answer is in time.
     pub target: Duration,
-    /// Time until the caller gives up.
+    /// Time until the caller's deadline.
     pub remaining: Duration,
+    /// Time until the caller leaves unless an event comes.
+    pub silence: Duration,
     /// Requests that could still be served in time and wait here too.
     pub fresh_waiting: usize,
 }
@@ -54,6 +59,8 @@
     Last(u32),
     /// A free one that others will hardly need.
     Spare,
+    /// As `Spare`; if there is none, the request is refused.
+    LastSpare,
     /// None; it waits.
     Wait,
 }
@@ -82,6 +89,9 @@
         if self.remaining < LATE_RUN {
             return PlaceRule::Last(0);
         }
+        if self.silence < LEAVE_MARGIN {
+            return PlaceRule::LastSpare;
+        }
         if self.fresh_waiting > 0 {
             return PlaceRule::Wait;
         }
--- a/boragerill/tests/patience.rs
+++ b/boragerill/tests/patience.rs
@@ -17,6 +17,7 @@
         held: Duration::ZERO,
         target: Duration::from_millis(300),
         remaining: Duration::from_secs(5),
+        silence: Duration::from_secs(2),
         fresh_waiting: 0,
     }
 }
@@ -109,3 +110,21 @@
         Duration::ZERO
     );
 }
+
+#[test]
+fn servers_that_leave_without_replacement_let_no_caller_wait_without_an_answer() {
+    // arrange: half of the servers are gone, so late requests find no spare place.
+    let late = |silence| PlaceWait {
+        age: Duration::from_millis(1400),
+        remaining: Duration::from_millis(3500),
+        silence: Duration::from_millis(silence),
+        fresh_waiting: 2,
+        ..wait()
+    };
+
+    // act
+    let rules = [1100, 1099].map(|silence| late(silence).rule());
+
+    // assert
+    assert_eq!(rules, [PlaceRule::Wait, PlaceRule::LastSpare]);
+}
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -451,6 +451,7 @@
             held,
             target: request.route.target,
             remaining: request.outgoing.deadline.saturating_duration_since(now),
+            silence: silence_limit(&request.route).saturating_sub(held),
             fresh_waiting: state.fresh_waiting.load(Ordering::Relaxed) - usize::from(fresh),
         };
         let rule = wait.rule();
@@ -461,7 +462,8 @@
             return Ok(servers[index].clone());
         }
         let exhausted = !history.tried.is_empty() && history.tried.len() >= servers.len();
-        if matches!(rule, PlaceRule::Last(_)) || exhausted || servers.is_empty() {
+        let is_last = matches!(rule, PlaceRule::Last(_) | PlaceRule::LastSpare);
+        if is_last || exhausted || servers.is_empty() {
             return Err(no_place(history, servers.len()));
         }
         waiting.get_or_insert_with(|| FreshGuard::new(state, !wait.is_late()));
@@ -470,6 +472,14 @@
     }
 }
 
+/// Returns the time without an event after which callers of a route leave.
+fn silence_limit(route: &CatalogRoute) -> Duration {
+    match &route.kind {
+        RouteKind::Stream(terms) if !terms.silence_limit.is_zero() => terms.silence_limit,
+        _ => Duration::MAX,
+    }
+}
+
 fn choose(
     views: &[PlaceView],
     request: &AdmittedRequest,
@@ -486,7 +496,9 @@
         PlaceRule::Queue(waiting) | PlaceRule::Last(waiting) => {
             choose_place(views, &history.tried, query(waiting))
         }
-        PlaceRule::Spare => choose_batch_place(views, &history.tried, SPARE_PLACES),
+        PlaceRule::Spare | PlaceRule::LastSpare => {
+            choose_batch_place(views, &history.tried, SPARE_PLACES)
+        }
         PlaceRule::Wait => None,
     }
 }
