Read a finished job from the store once after a loss of all VMs

Cause: after a restart every VM looked, one after the other by rank, whether each job in the store was finished, and read all its results for that. Ruled out: callers' reads (they ask the VM that reads for all, and no ask failed), calls repeated while the store rejects a part of the VMs (about 700). Before: three VMs read a finished job three times (test). After: once; the VM that reads it keeps it as finished and the others hear of it.

--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -220,6 +220,11 @@
             if state.jobs.insert(entry.clone()).is_some() {
                 return;
             }
+            if lock(&entry.progress).is_closed() {
+                counter!("jobs_found_finished_total").increment(1);
+                info!(job = id; "job found finished");
+                return;
+            }
             counter!("jobs_taken_over_total").increment(1);
             let (listed, total) = {
                 let progress = lock(&entry.progress);
@@ -242,8 +247,8 @@
     }
 }
 
-/// Loads a job and makes this process its runner, unless nothing of it is left to do or another VM has
-/// just taken it over.
+/// Loads a job and makes this process its runner, unless its client ended it or another VM has just taken
+/// it over. A finished job is kept as it is: the others hear of it and needn't read it from the store.
 async fn claim_job(
     state: &Arc<FleetState>,
     id: &str,
@@ -252,6 +257,9 @@
     let Some(entry) = load_job(state, id, submitted).await? else {
         return Ok(None);
     };
+    if lock(&entry.progress).is_closed() {
+        return Ok(Some(entry));
+    }
     let mark = ResultChunk {
         runner: state.runner.clone(),
         results: Vec::new(),
@@ -274,7 +282,7 @@
     state.backends.changed.notify_one();
 }
 
-/// Loads a job that isn't closed.
+/// Loads a job that its client hasn't ended.
 async fn load_job(
     state: &FleetState,
     id: &str,
@@ -283,11 +291,15 @@
     let head = load_head(state, id).await?;
     let chunks = load_results(state, id).await?;
     let listed: usize = chunks.iter().map(|chunk| chunk.results.len()).sum();
-    if listed >= head.items || is_ended(state, id).await? {
+    let is_finished = listed >= head.items;
+    if !is_finished && is_ended(state, id).await? {
         return Ok(None);
     }
     let items = load_items(state, &head).await?;
-    let checkpoint = load_checkpoint(state, id).await?;
+    let checkpoint = match is_finished {
+        true => Default::default(),
+        false => load_checkpoint(state, id).await?,
+    };
     // The time of day is close enough for a job whose first runner can't be asked.
     let age = Duration::from_millis(wall_ms().saturating_sub(head.submitted_ms)).min(ORPHAN_AGE);
     let by_clock = Instant::now().checked_sub(age).unwrap_or(submitted);
