Break off silent streams that can't be resumed; log callers that leave

Cause: a stream over a link that is cut falls silent without an end. Ruled out: the engine (it ended the run in time), the first event's time-out (the stream had begun).

--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -155,7 +155,9 @@
         Err(refused) => return refusal(names, &refused, ""),
     };
     let id = caller.id.clone();
+    let mut leaving = LeaveNote::new(&id, arrived);
     let result = dispatch(state, caller, &parts, body).await;
+    leaving.answered = true;
     histogram!("answer_head_seconds").record(arrived.elapsed().as_secs_f64());
     result.unwrap_or_else(|refused| {
         info!(
@@ -171,6 +173,33 @@
     })
 }
 
+/// Logs, when it is dropped, that a caller left before its answer began.
+struct LeaveNote<'a> {
+    request: &'a str,
+    arrived: Instant,
+    answered: bool,
+}
+
+impl<'a> LeaveNote<'a> {
+    fn new(request: &'a str, arrived: Instant) -> LeaveNote<'a> {
+        LeaveNote {
+            request,
+            arrived,
+            answered: false,
+        }
+    }
+}
+
+impl Drop for LeaveNote<'_> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        counter!("callers_left_total").increment(1);
+        info!(request = self.request, age_ms = millis(self.arrived.elapsed()); "caller left before its answer");
+    }
+}
+
 async fn dispatch(
     state: &Arc<FleetState>,
     caller: CallerRequest,
--- a/fleet/src/relay_stream.rs
+++ b/fleet/src/relay_stream.rs
@@ -55,6 +55,10 @@
 /// Share of the longest pause in time after which a stream is resumed elsewhere.
 const STALL_SHARE: f64 = 0.7;
 
+/// Longest pauses in time after which a stream that can't be resumed is broken off. Its server is cut off
+/// or hangs, and the caller may still have time to ask again.
+const SILENT_PAUSES: u32 = 3;
+
 /// Requests that may wait at a server to which a stream is moved.
 const RESUME_QUEUE: u32 = 2;
 
@@ -153,9 +157,11 @@
     ) -> CallerAnswer {
         let head = opened.answer.head.clone();
         let stall = match &request.route.kind {
+            RouteKind::Stream(terms) if terms.longest_pause.is_zero() => None,
             RouteKind::Stream(terms) if terms.resumable => {
                 Some(terms.longest_pause.mul_f64(STALL_SHARE))
             }
+            RouteKind::Stream(terms) => Some(terms.longest_pause * SILENT_PAUSES),
             _ => None,
         };
         let names = state.format.names.clone();
@@ -277,3 +283,19 @@
         Some(servers[index].clone())
     }
 }
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        let Some(answer) = &self.answer else {
+            return;
+        };
+        counter!("callers_left_total").increment(1);
+        info!(
+            request = self.outgoing.id.as_str(),
+            server = answer.server.server.id.as_str(),
+            event = self.cutter.last(),
+            age_ms = millis(self.arrived.elapsed());
+            "caller left within a stream"
+        );
+    }
+}
