Serve metrics by a recorder of our own; answer streams without an event before callers leave

Cause: the metrics address had no port in the deployment. Requests in flight to a server that was just cut off waited for 2.4 s and got no answer.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod links;
 pub mod logger;
 pub mod member;
+pub mod meter;
 pub mod online;
 pub mod patience;
 pub mod place;
--- a/boragerill/src/process.rs
+++ b/boragerill/src/process.rs
@@ -15,10 +15,6 @@
 
 use compact_str::CompactString;
 use log::error;
-use metrics_exporter_prometheus::{
-    PrometheusBuilder,
-    PrometheusHandle, //
-};
 use rocket::{
     config::{
         LogLevel,
@@ -44,6 +40,7 @@
         Step, //
     },
     logger,
+    meter::MeterRecorder,
     settings, //
 };
 
@@ -171,7 +168,7 @@
 #[derive(Clone, Debug)]
 pub struct HealthState {
     ready: Arc<AtomicBool>,
-    metrics: PrometheusHandle,
+    meters: MeterRecorder,
 }
 
 impl HealthState {
@@ -181,12 +178,11 @@
     ///
     /// Panics when a recorder is already installed.
     pub fn install() -> HealthState {
-        let metrics = PrometheusBuilder::new()
-            .install_recorder()
-            .expect("first recorder of the process");
+        let meters = MeterRecorder::default();
+        meters.install().expect("first recorder of the process");
         HealthState {
             ready: Arc::default(),
-            metrics,
+            meters,
         }
     }
 
@@ -217,8 +213,7 @@
 
 #[get("/metrics")]
 fn render_metrics(health: &State<HealthState>) -> String {
-    health.metrics.run_upkeep();
-    health.metrics.render()
+    health.meters.render()
 }
 
 /// Makes an HTTP server with the health and metrics routes.
--- a/fleet/src/listener.rs
+++ b/fleet/src/listener.rs
@@ -12,9 +12,12 @@
     time::Duration,
 };
 
-use boragerill::error::{
-    ServeError,
-    Step, //
+use boragerill::{
+    error::{
+        ServeError,
+        Step, //
+    },
+    meter::MeterRecorder, //
 };
 use bytes::Bytes;
 use compact_str::ToCompactString;
@@ -29,7 +32,6 @@
     TokioTimer, //
 };
 use log::warn;
-use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
     net::{
         TcpListener,
@@ -169,12 +171,8 @@
 }
 
 /// Answers readers of metrics.
-pub(crate) async fn serve_metrics(metrics: PrometheusHandle, listener: TcpListener) {
-    serve_plain(listener, move || {
-        metrics.run_upkeep();
-        (200, metrics.render().into())
-    })
-    .await;
+pub(crate) async fn serve_metrics(meters: MeterRecorder, listener: TcpListener) {
+    serve_plain(listener, move || (200, meters.render().into())).await;
 }
 
 async fn serve_plain(
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -124,6 +124,9 @@
 /// Largest whole answer that is kept here until it is complete, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
+/// Time before a caller leaves at which its request gets a final answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
 /// Longest wait for a freed place before servers are looked at again.
 const PLACE_POLL: Duration = Duration::from_millis(10);
 
@@ -398,16 +401,21 @@
     let mut history = RunHistory::default();
     loop {
         let server = find_place(state, &request, &history).await?;
-        let failure = match attempt(state, &server, &request.outgoing).await {
-            Ok(answer) => match accept(state, &request, answer, &mut history).await {
-                Ok(answer) => return Ok(answer),
-                Err(failure) => failure,
-            },
-            Err(failure) => failure,
+        let left = time_to_answer(&request);
+        let limit = left - ANSWER_MARGIN.min(left / 8);
+        let tried = timeout(limit, try_server(state, &server, &request, &mut history)).await;
+        let timed_out = tried.is_err();
+        let failure = match tried {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(failure)) => failure,
+            Err(_) => {
+                state.backends.note_silence(&server, Instant::now());
+                AttemptFailure::Unknown("no answer before the caller leaves".into())
+            }
         };
         note_failure(&request, &server, &failure, &mut history);
         history.tried.push(server.key);
-        let out_of_time = Instant::now() >= request.outgoing.deadline;
+        let out_of_time = timed_out || time_to_answer(&request).is_zero();
         match &failure {
             AttemptFailure::NotRun(..) if history.refusals < REFUSALS && !out_of_time => {}
             AttemptFailure::Unknown(_) if may_repeat(&request, &history) && !out_of_time => {}
@@ -416,6 +424,24 @@
     }
 }
 
+async fn try_server(
+    state: &Arc<FleetState>,
+    server: &Arc<BackendState>,
+    request: &AdmittedRequest,
+    history: &mut RunHistory,
+) -> Result<CallerAnswer, AttemptFailure> {
+    let answer = attempt(state, server, &request.outgoing).await?;
+    accept(state, request, answer, history).await
+}
+
+/// Returns the time until the caller leaves without an answer.
+fn time_to_answer(request: &AdmittedRequest) -> Duration {
+    let now = Instant::now();
+    let held = now.saturating_duration_since(request.arrived);
+    let remaining = request.outgoing.deadline.saturating_duration_since(now);
+    remaining.min(silence_limit(&request.route).saturating_sub(held))
+}
+
 fn may_repeat(request: &AdmittedRequest, history: &RunHistory) -> bool {
     request.outgoing.repeatable && history.runs < request.route.attempts
 }
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -23,6 +23,7 @@
         Step, //
     },
     member::MemberFacts,
+    meter::MeterRecorder,
     platform::{
         ClientOptions,
         PlatformClient, //
@@ -39,7 +40,6 @@
     info,
     warn, //
 };
-use metrics_exporter_prometheus::PrometheusBuilder;
 use serde::{
     Deserialize,
     Serialize, //
@@ -175,12 +175,11 @@
     if settings.metrics_port > 0 {
         let address = format!("{}:{}", settings.address, settings.metrics_port);
         let metrics_listener = listener::bind(&address).await?;
-        let metrics = PrometheusBuilder::new()
-            .install_recorder()
-            .map_err(|error| {
-                ServeError::Unreachable(Step::Listen, address.into(), error.to_compact_string())
-            })?;
-        tokio::spawn(listener::serve_metrics(metrics, metrics_listener));
+        let meters = MeterRecorder::default();
+        meters.install().map_err(|error| {
+            ServeError::Unreachable(Step::Listen, address.into(), error.to_compact_string())
+        })?;
+        tokio::spawn(listener::serve_metrics(meters, metrics_listener));
     }
     if !settings.ready.is_empty() {
         let ready_listener = listener::bind(&settings.ready).await?;
