--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -163,10 +163,12 @@
     leaving.answered = true;
     histogram!("answer_head_seconds").record(arrived.elapsed().as_secs_f64());
     result.unwrap_or_else(|refused| {
+        let (reason, outcome) = (refused.reason.name(), refused.state.name());
+        counter!("refusals_total", "reason" => reason, "outcome" => outcome).increment(1);
         info!(
             request = id.as_str(),
-            reason = refused.reason.name(),
-            outcome = refused.state.name(),
+            reason,
+            outcome,
             detail = refused.detail.as_str(),
             catalog = state.catalog.version(),
             age_ms = millis(arrived.elapsed());
@@ -401,6 +403,7 @@
     let mut history = RunHistory::default();
     loop {
         let server = find_place(state, &request, &history).await?;
+        log_choice(state, &request, &server);
         let left = time_to_answer(&request);
         let limit = left - ANSWER_MARGIN.min(left / 8);
         let tried = timeout(limit, try_server(state, &server, &request, &mut history)).await;
@@ -424,6 +427,21 @@
     }
 }
 
+/// Notes which server a request goes to, and what spoke for it.
+fn log_choice(state: &FleetState, request: &AdmittedRequest, server: &BackendState) {
+    let used = server.used();
+    info!(
+        request = request.outgoing.id.as_str(),
+        server = server.server.id.as_str(),
+        domain = server.server.domain.as_str(),
+        own_online = used.online,
+        own_batch = used.batch,
+        servers = state.backends.read(boragerill::backend::BackendTable::through),
+        age_ms = millis(request.arrived.elapsed());
+        "request routed"
+    );
+}
+
 async fn try_server(
     state: &Arc<FleetState>,
     server: &Arc<BackendState>,
