Queue one request at a server at most

Three requests waited at each server in order of arrival, a turn of 90 ms each, so that nearly everyone was served 50 ms late and few in time. Ruled out: late tries that take places (they wait for spare ones), batch (pauses).

--- a/boragerill/src/patience.rs
+++ b/boragerill/src/patience.rs
@@ -23,7 +23,7 @@
 const REFUSE_SHARE: f64 = 0.25;
 
 /// Requests that may wait at one server beyond its places.
-const SERVER_QUEUE: u32 = 3;
+const SERVER_QUEUE: u32 = 1;
 
 /// Time that a late request needs once it has a place.
 const LATE_RUN: Duration = Duration::from_millis(1300);
