Start test processes and try their ports one at a time

A child between fork and exec holds copies of its parent's sockets, so a port that another test tries at that moment is still listened on. Ruled out: processes left over (none listens), ports given twice (counted up).

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -11,9 +11,12 @@
         Command,
         Stdio, //
     },
-    sync::atomic::{
-        AtomicU16,
-        Ordering, //
+    sync::{
+        atomic::{
+            AtomicU16,
+            Ordering, //
+        },
+        Mutex, //
     },
     time::{
         Duration,
@@ -21,6 +24,7 @@
     },
 };
 
+use boragerill::sync::lock;
 use compact_str::CompactString;
 use reqwest::Client;
 use serde_json::{
@@ -422,9 +426,14 @@
     }
 }
 
+/// Held while a port is tried and while a process is started: a child that hasn't begun its program yet
+/// has copies of all sockets, and a port that was tried meanwhile would still be in use.
+static STARTING: Mutex<()> = Mutex::new(());
+
 /// Returns a port that nothing listens on.
 pub fn free_port() -> u16 {
     static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let _starting = lock(&STARTING);
     loop {
         let port = NEXT.fetch_add(1, Ordering::Relaxed);
         if TcpListener::bind(("127.0.0.1", port)).is_ok() {
@@ -439,6 +448,7 @@
         .append(true)
         .open(log)
         .expect("log file");
+    let _starting = lock(&STARTING);
     let command = Command::new(program)
         .args(arguments)
         .stdout(Stdio::null())
