--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -102,12 +102,10 @@
     leaving.answered = true;
     histogram!("answer_head_seconds").record(arrived.elapsed().as_secs_f64());
     result.unwrap_or_else(|refused| {
-        let (reason, outcome) = (refused.reason.name(), refused.state.name());
-        counter!("refusals_total", "reason" => reason, "outcome" => outcome).increment(1);
         info!(
             request = id.as_str(),
-            reason,
-            outcome,
+            reason = refused.reason.name(),
+            outcome = refused.state.name(),
             detail = refused.detail.as_str(),
             catalog = state.catalog.version(),
             age_ms = millis(arrived.elapsed());
