--- a/boragerill/src/batch.rs
+++ b/boragerill/src/batch.rs
@@ -19,7 +19,10 @@
 };
 use serde_json::Value;
 
-use crate::config::Version;
+use crate::{
+    config::Version,
+    timer::millis, //
+};
 
 /// Kind of the objects that hold items.
 pub const INPUT_KIND: &str = "batchinput";
@@ -246,7 +249,7 @@
         let late = self.age.saturating_sub(self.due).as_millis();
         let lateness = u64::MAX - u64::try_from(late).unwrap_or(u64::MAX);
         let served = u64::from(self.held) * 1000 / u64::from(self.weight.max(1));
-        let left = u64::try_from(self.due.saturating_sub(self.age).as_millis()).unwrap_or(u64::MAX);
+        let left = millis(self.due.saturating_sub(self.age));
         (lateness, served, left)
     }
 }
--- a/boragerill/src/catalog.rs
+++ b/boragerill/src/catalog.rs
@@ -272,6 +272,14 @@
         self.services.first().map(|entry| &entry.0)
     }
 
+    /// Returns the time without an event after which callers leave.
+    pub fn silence_limit(&self) -> Duration {
+        match &self.kind {
+            RouteKind::Stream(terms) if !terms.silence_limit.is_zero() => terms.silence_limit,
+            _ => Duration::MAX,
+        }
+    }
+
     /// Returns whether a request may run at more than one backend server.
     pub fn is_repeatable(&self) -> bool {
         match &self.kind {
--- a/boragerill/src/feed.rs
+++ b/boragerill/src/feed.rs
@@ -51,7 +51,8 @@
         LoadShare,
         Subscribe, //
     },
-    snapshot::Snapshot, //
+    snapshot::Snapshot,
+    timer::millis, //
 };
 
 /// Period at which a control process confirms its version to subscribers.
@@ -126,7 +127,7 @@
     /// Notes that the platform confirmed the configuration `age` ago.
     pub fn confirm(&self, age: Duration) {
         let at = self.started.elapsed().saturating_sub(age);
-        let at_ms = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+        let at_ms = millis(at);
         self.confirmed_ms.fetch_max(at_ms.max(1), Ordering::Relaxed);
     }
 
--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -37,6 +37,7 @@
     },
     hedge::{
         first_good,
+        is_good,
         is_refusal,
         HedgedTry,
         TryCall, //
@@ -485,8 +486,7 @@
 
     /// Notes whether the straight way works.
     fn note_straight(&self, result: &Result<ApiResponse, ServeError>) {
-        let works = result.as_ref().is_ok_and(|response| !is_refusal(response));
-        let until = (!works).then(|| Instant::now() + AVOID_PERIOD);
+        let until = (!is_good(result)).then(|| Instant::now() + AVOID_PERIOD);
         *lock(&self.avoid_until) = until;
     }
 
--- a/boragerill/src/refusal.rs
+++ b/boragerill/src/refusal.rs
@@ -9,6 +9,8 @@
     Value, //
 };
 
+use crate::timer::millis;
+
 /// Why a request was refused or failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RefusalReason {
@@ -124,7 +126,7 @@
             "outcome": self.state.name(),
             "detail": self.detail,
             "request_id": request_id,
-            "retry_after_ms": self.retry_after.map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)),
+            "retry_after_ms": self.retry_after.map(millis),
         }})
     }
 
--- a/boragerill/src/timer.rs
+++ b/boragerill/src/timer.rs
@@ -57,3 +57,8 @@
         Some(*self.receiver.borrow_and_update())
     }
 }
+
+/// Returns a time in whole milliseconds.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/entry/src/loads.rs
+++ b/entry/src/loads.rs
@@ -26,7 +26,8 @@
     snapshot::{
         ServerRecord,
         ServiceRecord, //
-    }, //
+    },
+    timer::millis, //
 };
 use compact_str::CompactString;
 use tokio::sync::Notify;
@@ -186,7 +187,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        millis(self.started.elapsed())
     }
 }
 
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -8,6 +8,7 @@
     },
 };
 
+use boragerill::timer::millis;
 use bytes::Bytes;
 use compact_str::{
     format_compact,
@@ -249,7 +250,7 @@
     *headers = request.headers.clone();
     headers.insert(
         names.remaining_ms.clone(),
-        HeaderValue::from(u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)),
+        HeaderValue::from(millis(remaining)),
     );
     if let Ok(id) = HeaderValue::from_str(&server.server.id) {
         headers.insert(names.expected_server.clone(), id);
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -30,7 +30,8 @@
     },
     reach::ReachTable,
     route::ServerHealth,
-    sync::lock, //
+    sync::lock,
+    timer::millis, //
 };
 use log::info;
 use tokio::{
@@ -256,7 +257,7 @@
     pub(crate) fn note_failure(&self, state: &BackendState, now: Instant) {
         lock(&state.shared.health)
             .failures
-            .note_failure(self.millis(now));
+            .note_failure(self.age_ms(now));
     }
 
     /// Notes that a server stayed silent, or refused connections.
@@ -287,13 +288,13 @@
             slots: state.server.slots,
             local: state.server.domain == domain,
             leaving: state.server.leaving,
-            suspect: silent || health.unreachable || health.failures.is_ejected(self.millis(now)),
+            suspect: silent || health.unreachable || health.failures.is_ejected(self.age_ms(now)),
         }
     }
 
-    fn millis(&self, now: Instant) -> u64 {
-        let age = now.saturating_duration_since(self.started).as_millis();
-        u64::try_from(age).unwrap_or(u64::MAX)
+    /// Returns the time since the start, by which failures are judged.
+    fn age_ms(&self, now: Instant) -> u64 {
+        millis(now.saturating_duration_since(self.started))
     }
 }
 
--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -23,7 +23,8 @@
     },
     error::ServeError,
     rank::hash_name,
-    sync::lock, //
+    sync::lock,
+    timer::millis, //
 };
 use bytes::Bytes;
 use log::{
@@ -147,7 +148,7 @@
             }
             Err(error) => {
                 counter!("platform_failures_total").increment(1);
-                warn!(kind = kind_name(&state, kind), error = error.to_string().as_str(), pause_ms = crate::relay::millis(pause); "store not followed");
+                warn!(kind = kind_name(&state, kind), error = error.to_string().as_str(), pause_ms = millis(pause); "store not followed");
                 note_store(&state, false);
                 sleep(pause).await;
                 pause = (pause * 2).min(FAILED_LIMIT);
--- a/fleet/src/hear.rs
+++ b/fleet/src/hear.rs
@@ -31,7 +31,8 @@
         PlaceDemand,
         PlaceUse, //
     },
-    sync::lock, //
+    sync::lock,
+    timer::millis, //
 };
 use log::info;
 use metrics::gauge;
@@ -39,7 +40,6 @@
 use crate::{
     jobs::JobNotice,
     peers,
-    relay::millis,
     state::FleetState,
     takeover, //
 };
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -35,7 +35,8 @@
         RefusalAnswer,
         RefusalReason, //
     },
-    sync::lock, //
+    sync::lock,
+    timer::millis, //
 };
 use bytes::Bytes;
 use compact_str::{
@@ -64,7 +65,6 @@
     caller::CallerRequest,
     job_reads,
     relay::{
-        millis,
         CallerResult, //
     },
     state::{
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -39,6 +39,7 @@
         StoreAnswer,
         StoreCall, //
     },
+    hedge::is_refusal,
     rank::score,
     sync::lock, //
 };
@@ -278,14 +279,17 @@
         return Err(ServeError::Malformed(Step::Receive, address.into(), cause));
     };
     match u16::try_from(answer.status) {
-        Ok(status @ (429 | 503)) => {
-            let cause = format_compact!("the platform answered {status}");
-            Err(ServeError::Rejected(Step::Send, address.into(), cause))
+        Ok(status) if status > 0 => {
+            let response = ApiResponse {
+                status,
+                body: answer.body.into(),
+            };
+            if is_refusal(&response) {
+                let cause = format_compact!("the platform answered {status}");
+                return Err(ServeError::Rejected(Step::Send, address.into(), cause));
+            }
+            Ok(response)
         }
-        Ok(status) if status > 0 => Ok(ApiResponse {
-            status,
-            body: answer.body.into(),
-        }),
         _ if answer.ambiguous => Err(ServeError::Timeout(Step::Receive, address.into())),
         _ => {
             let cause = "platform not reached".into();
--- a/fleet/src/relay.rs
+++ b/fleet/src/relay.rs
@@ -22,7 +22,8 @@
         RefusalReason,
         RunState, //
     },
-    sync::lock, //
+    sync::lock,
+    timer::millis, //
 };
 use bytes::Bytes;
 use compact_str::{
@@ -277,8 +278,3 @@
         route: route.clone(),
     })
 }
-
-/// Returns a time in whole milliseconds.
-pub(crate) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/fleet/src/relay_stream.rs
+++ b/fleet/src/relay_stream.rs
@@ -15,7 +15,8 @@
         choose_place,
         PlaceQuery, //
     },
-    stream::EventCutter, //
+    stream::EventCutter,
+    timer::millis, //
 };
 use bytes::Bytes;
 use compact_str::{
@@ -43,7 +44,6 @@
     },
     backends::BackendState,
     relay::{
-        millis,
         AdmittedRequest, //
     },
     state::FleetState, //
@@ -72,18 +72,18 @@
     first: Bytes,
 }
 
-/// Waits for the first complete event of an answer.
+/// Waits for the first complete event of an answer; who asks bounds the time of a stream that can't be
+/// started elsewhere.
 pub(crate) async fn open_stream(
     state: &FleetState,
     request: &AdmittedRequest,
     mut answer: ServerAnswer,
 ) -> Result<OpenedStream, AttemptFailure> {
     let unknown = |cause: CompactString| AttemptFailure::Unknown(cause);
-    let now = Instant::now();
-    let mut limit = request.outgoing.deadline.saturating_duration_since(now);
-    if request.outgoing.repeatable {
-        limit = limit.min(FIRST_EVENT_STALL);
-    }
+    let limit = match request.outgoing.repeatable {
+        true => FIRST_EVENT_STALL,
+        false => Duration::MAX,
+    };
     let mut cutter = EventCutter::default();
     let read = timeout(limit, read_events(&mut answer, &mut cutter)).await;
     match read {
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -27,11 +27,11 @@
         PlaceUse, //
     },
     sync::lock,
+    timer::millis, //
 };
 
 use crate::{
     jobs::JobEntry,
-    relay::millis,
     state::FleetState, //
 };
 
--- a/fleet/src/run.rs
+++ b/fleet/src/run.rs
@@ -14,6 +14,7 @@
         RefusalAnswer,
         RefusalReason, //
     },
+    timer::millis, //
 };
 use compact_str::{
     format_compact,
@@ -41,7 +42,6 @@
     },
     backends::BackendState,
     relay::{
-        millis,
         AdmittedRequest,
         CallerResult, //
     },
@@ -50,10 +50,7 @@
         StreamRelay, //
     },
     state::FleetState,
-    waiting::{
-        find_place,
-        silence_limit, //
-    },
+    waiting::find_place,
 };
 
 /// When a caller may come back while no server can take its request.
@@ -138,7 +135,7 @@
     let now = Instant::now();
     let held = now.saturating_duration_since(request.arrived);
     let remaining = request.outgoing.deadline.saturating_duration_since(now);
-    remaining.min(silence_limit(&request.route).saturating_sub(held))
+    remaining.min(request.route.silence_limit().saturating_sub(held))
 }
 
 fn may_repeat(request: &AdmittedRequest, history: &RunHistory) -> bool {
@@ -174,6 +171,7 @@
     history.cause = format_compact!("{}: {cause}", server.server.address);
 }
 
+/// Returns what a caller is told whose request isn't tried any more.
 pub(crate) fn final_refusal(history: &RunHistory, out_of_time: bool) -> RefusalAnswer {
     let cause = history.cause.clone();
     if history.runs == 0 {
@@ -214,26 +212,17 @@
             return Err(AttemptFailure::Unknown(cause));
         }
     }
-    pass_whole(state, request, answer).await
+    pass_whole(state, answer).await
 }
 
-/// Reads an answer to its end before any of it is passed on.
+/// Reads an answer to its end before any of it is passed on; [`run`] bounds the time.
 async fn pass_whole(
     state: &FleetState,
-    request: &AdmittedRequest,
     mut answer: ServerAnswer,
 ) -> Result<CallerAnswer, AttemptFailure> {
-    let remaining = request
-        .outgoing
-        .deadline
-        .saturating_duration_since(Instant::now());
     let reading = Limited::new(&mut answer.body, ANSWER_LIMIT_BYTES).collect();
-    let unknown = |cause: CompactString| AttemptFailure::Unknown(cause);
-    let body = match timeout(remaining, reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => return Err(unknown(format_compact!("answer broke off: {error}"))),
-        Err(_) => return Err(unknown("deadline passed within the answer".into())),
-    };
+    let broken = |error| AttemptFailure::Unknown(format_compact!("answer broke off: {error}"));
+    let body = reading.await.map_err(broken)?.to_bytes();
     let passed = pass_on(&state.format.names, &answer.head, whole(body));
     answer.finish();
     Ok(passed)
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -41,7 +41,8 @@
     platform::PlatformClient,
     rank::hash_name,
     settings::VmSettings,
-    sync::lock, //
+    sync::lock,
+    timer::millis, //
 };
 use bytes::Bytes;
 use compact_str::{
@@ -286,5 +287,5 @@
     let age = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    millis(age)
 }
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -28,7 +28,10 @@
     member::MemberTable,
     rank::hash_name,
     sync::lock,
-    timer::TimerService, //
+    timer::{
+        millis,
+        TimerService, //
+    },
 };
 use log::{
     info,
@@ -57,7 +60,6 @@
         JOB_KIND, //
     },
     peers,
-    relay::millis,
     state::{
         wall_ms,
         FleetState, //
@@ -154,10 +156,15 @@
 
 /// Takes a job over when nobody says that it runs it.
 pub(crate) fn watch_orphan(state: &Arc<FleetState>, id: &str) {
+    take_over_by_rank(state, id, RUNNER_SILENCE);
+}
+
+/// Takes a job over after a wait and this VM's turn, unless somebody says by then that it runs it.
+fn take_over_by_rank(state: &Arc<FleetState>, id: &str, wait: Duration) {
     let (state, id) = (state.clone(), compact_str::CompactString::from(id));
     tokio::spawn(async move {
         let rank = lock(&state.members).own_rank(hash_name(&id), Instant::now());
-        sleep(RUNNER_SILENCE + RANK_WAIT * u32::try_from(rank).unwrap_or(0)).await;
+        sleep(wait + RANK_WAIT * u32::try_from(rank).unwrap_or(0)).await;
         if state.jobs.notice(&id).is_none() && state.jobs.find(&id).is_none() {
             take_over(&state, &id, Instant::now()).await;
         }
@@ -184,14 +191,7 @@
         if age > ORPHAN_AGE || known || state.ends.contains(&id) {
             continue;
         }
-        let state = state.clone();
-        tokio::spawn(async move {
-            let rank = lock(&state.members).own_rank(hash_name(&id), Instant::now());
-            sleep(RANK_WAIT * u32::try_from(rank).unwrap_or(0)).await;
-            if state.jobs.notice(&id).is_none() && state.jobs.find(&id).is_none() {
-                take_over(&state, &id, Instant::now()).await;
-            }
-        });
+        take_over_by_rank(&state, &id, Duration::ZERO);
     }
 }
 
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -33,7 +33,8 @@
         ReloadSignal, //
     },
     settings::VmSettings,
-    sync::lock, //
+    sync::lock,
+    timer::millis, //
 };
 use compact_str::ToCompactString;
 use log::{
@@ -280,7 +281,7 @@
     while state.catalog.version() == 0 || state.backends.read(|table| table.through()) == 0 {
         sleep(READY_PERIOD).await;
     }
-    info!(after_ms = crate::relay::millis(started.elapsed()); "able to serve");
+    info!(after_ms = millis(started.elapsed()); "able to serve");
     state.set_ready(true);
 }
 
@@ -302,5 +303,5 @@
     if ended.is_err() {
         warn!("connections were still open at the end of the grace period");
     }
-    info!(after_ms = crate::relay::millis(started.elapsed()); "stopped");
+    info!(after_ms = millis(started.elapsed()); "stopped");
 }
--- a/fleet/src/waiting.rs
+++ b/fleet/src/waiting.rs
@@ -12,10 +12,6 @@
 };
 
 use boragerill::{
-    catalog::{
-        CatalogRoute,
-        RouteKind, //
-    },
     patience::{
         PlaceRule,
         PlaceWait, //
@@ -68,7 +64,7 @@
             held,
             target: request.route.target,
             remaining: request.outgoing.deadline.saturating_duration_since(now),
-            silence: silence_limit(&request.route).saturating_sub(held),
+            silence: request.route.silence_limit().saturating_sub(held),
             fresh_waiting: state.fresh_waiting.load(Ordering::Relaxed) - usize::from(fresh),
         };
         let rule = wait.rule();
@@ -89,14 +85,6 @@
     }
 }
 
-/// Returns the time without an event after which callers of a route leave.
-pub(crate) fn silence_limit(route: &CatalogRoute) -> Duration {
-    match &route.kind {
-        RouteKind::Stream(terms) if !terms.silence_limit.is_zero() => terms.silence_limit,
-        _ => Duration::MAX,
-    }
-}
-
 fn choose(
     views: &[PlaceView],
     request: &AdmittedRequest,
