Let the reader of logs stand still before the lines come

Cause: the writer thread started late. It took its first line when 418 had been dropped; the line that then found room reported these, and dropped() counts what isn't reported yet. The test now waits until the output has stalled; its bound stays.

--- a/boragerill/tests/logger.rs
+++ b/boragerill/tests/logger.rs
@@ -2,6 +2,10 @@
 
 use std::{
     io::Write,
+    sync::mpsc::{
+        channel,
+        Sender, //
+    },
     time::Duration, //
 };
 
@@ -79,11 +83,14 @@
     assert_eq!(lines[50]["lines_dropped"], 450);
 }
 
-/// Output that nobody reads.
-struct StalledOutput;
+/// Output that nobody reads; says when a line has come to stand still.
+struct StalledOutput {
+    stalled: Sender<()>,
+}
 
 impl Write for StalledOutput {
     fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+        self.stalled.send(()).expect("test runs");
         loop {
             std::thread::sleep(Duration::from_secs(3600));
         }
@@ -102,7 +109,10 @@
         per_second: 1_000_000,
     };
     let (logger, queue) = LineLogger::new(limits, LevelFilter::Info);
-    std::thread::spawn(move || write_lines(&queue, &mut StalledOutput));
+    let (stalled, is_stalled) = channel();
+    std::thread::spawn(move || write_lines(&queue, &mut StalledOutput { stalled }));
+    log_line(&logger, Level::Info, "first");
+    is_stalled.recv().expect("writer runs");
 
     // act: this would never end if a line waited for the reader
     for _ in 0..1000 {
