Take servers at their word that they leave, and end answers that never end

Servers that leave say so in every answer. That is now a fact of its own (leaving.rs): which process said it, to which VM and when; in force on the VM that got the answer at once, told to the others in heartbeats, with or without the store, kept while the entry lapses, and not valid for the next process under the same id.

Answers without end: a stream's cutter took blocks that are no events, so noise with blank lines ran on for as long as a server sent it; an item's output grew without bound; a stream that sent faster than its deadline came was never cut; an item whose server stayed mute waited for the head until it was abandoned; answers of the store were read whole. Each has a limit now, the server comes under suspicion, and the request goes elsewhere where it may.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 
 mod case;
 mod load;
+mod pairs;
 mod report;
 mod run;
 mod slopes;
@@ -13,6 +14,8 @@
 bench: measures variants of the system in one run
 
 Usage: bench run CASE.json [--json FILE]   open-loop load on real processes, each variant in turn
+       bench pairs BASE OTHER              two policies on the same days and seeds, from two folders of
+                                           journal entries: mean difference of worth with its interval
        bench ways                          ways to hold a rate over all VMs, on decision code alone
        bench slopes [PART]                 cost of control against VMs and workspaces, and of a request;
                                            PART is controls, workspaces, changes or requests
@@ -35,6 +38,7 @@
     };
     let result = match arguments.subcommand().ok().flatten().as_deref() {
         Some("run") => runtime.block_on(run::run_case(arguments)),
+        Some("pairs") => compare_pairs(&mut arguments),
         Some("ways") => ways::compare(),
         Some("slopes") => {
             let only: Option<String> = arguments.opt_free_from_str().ok().flatten();
@@ -50,3 +54,12 @@
         }
     }
 }
+
+fn compare_pairs(arguments: &mut pico_args::Arguments) -> Result<(), String> {
+    let mut folder = |name: &str| {
+        let given: Result<String, _> = arguments.free_from_str();
+        given.map_err(|error| format!("{name}: {error}"))
+    };
+    let (base, other) = (folder("BASE")?, folder("OTHER")?);
+    pairs::compare(&base, &other)
+}
--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -380,10 +380,18 @@
             return;
         }
         // A failed run may have spoiled what came of it.
-        item.phase = ItemPhase::Waiting;
-        item.pause_until = Some(until);
-        item.text.clear();
-        item.last = None;
+        self.discard(index, until);
+    }
+
+    /// Drops what came of a running item whose server sent more than can be its output.
+    pub fn discard(&mut self, index: usize, until: Instant) {
+        let item = &mut self.items[index];
+        if item.phase == ItemPhase::Running {
+            item.phase = ItemPhase::Waiting;
+            item.pause_until = Some(until);
+            item.text.clear();
+            item.last = None;
+        }
     }
 
     /// Gives an item up.
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod keys;
 pub mod kinds;
 mod lease;
+pub mod leaving;
 pub mod links;
 pub mod logger;
 pub mod member;
--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -11,7 +11,10 @@
     },
 };
 
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use compact_str::{
     CompactString,
     ToCompactString, //
@@ -56,6 +59,9 @@
 /// Time that the platform may take beyond a watch's own wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Largest answer of the platform, in bytes: a page holds about a megabyte.
+const ANSWER_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
 /// Longest time for opening a connection to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -519,10 +525,21 @@
                 .body(body);
         }
         let sent = outgoing.send().await;
-        let response = sent.map_err(|error| self.transport_error(step, &error))?;
+        let mut response = sent.map_err(|error| self.transport_error(step, &error))?;
         let status = response.status().as_u16();
-        let body = response.bytes().await;
-        let body: Bytes = body.map_err(|error| self.transport_error(step, &error))?;
+        let mut body = BytesMut::new();
+        loop {
+            let piece = response.chunk().await;
+            let Some(piece) = piece.map_err(|error| self.transport_error(step, &error))? else {
+                break;
+            };
+            if body.len() + piece.len() > ANSWER_LIMIT_BYTES {
+                let cause = CompactString::const_new("answer too large");
+                return Err(ServeError::Malformed(step, self.base.clone(), cause));
+            }
+            body.extend_from_slice(&piece);
+        }
+        let body = body.freeze();
         Ok(ApiResponse { status, body })
     }
 
--- a/boragerill/src/stream.rs
+++ b/boragerill/src/stream.rs
@@ -9,7 +9,7 @@
 pub type EventId = u64;
 
 /// Largest event, in bytes.
-const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
+pub const EVENT_LIMIT_BYTES: usize = 256 * 1024;
 
 /// Cuts the bytes of one or more runs of the same request into complete events.
 #[derive(Debug, Default)]
@@ -27,6 +27,8 @@
     Oversized,
     /// The events' numbers have a gap or repeat.
     Disordered,
+    /// What arrived is no event.
+    Malformed,
     /// The stream ended within an event.
     Truncated,
 }
@@ -57,11 +59,7 @@
         while let Some(length) = self.find_end(end) {
             let event = &self.buffer[end..end + length];
             let id = event_id(event);
-            if let (Some(id), Some(last)) = (id, self.last) {
-                if id != last + 1 {
-                    return Err(StreamFault::Disordered);
-                }
-            }
+            check_event(event, id, self.last)?;
             self.last = id.or(self.last);
             end += length;
             count += 1;
@@ -128,6 +126,27 @@
     }
 }
 
+/// Checks that bytes are an event, or a comment, that can follow the event numbered `last`.
+fn check_event(event: &[u8], id: Option<EventId>, last: Option<EventId>) -> Result<(), StreamFault> {
+    match (id, last) {
+        (Some(id), Some(last)) if id != last + 1 => Err(StreamFault::Disordered),
+        (Some(_), _) => Ok(()),
+        (None, _) if is_comment(event) => Ok(()),
+        (None, None) if has_field(event, b"data") => Ok(()),
+        (None, _) => Err(StreamFault::Malformed),
+    }
+}
+
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|&byte| byte == b'\n');
+    event.first() == Some(&b':')
+        && lines.all(|line| line.first().is_none_or(|&byte| byte == b':' || byte == b'\r'))
+}
+
+fn has_field(event: &[u8], name: &[u8]) -> bool {
+    field_lines(event, name).next().is_some()
+}
+
 /// Returns the number that an event carries.
 pub fn event_id(event: &[u8]) -> Option<EventId> {
     let value = field_lines(event, b"id").next()?;
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -8,7 +8,10 @@
     },
 };
 
-use boragerill::timer::millis;
+use boragerill::{
+    leaving::LeavingFact,
+    timer::millis, //
+};
 use bytes::Bytes;
 use compact_str::{
     format_compact,
@@ -276,6 +279,9 @@
         let cause = CompactString::const_new("answer belongs to another request");
         return Err(AttemptFailure::Unknown(cause));
     }
+    if status != 421 && headers.get(&names.leaving).is_some_and(|value| value == "1") {
+        note_leaving(state, &answer.server, now);
+    }
     if status == 421 || headers.contains_key(&names.not_run) {
         let cause = if status == 421 {
             NotRunCause::Misdirected
@@ -299,6 +305,18 @@
     Ok(answer)
 }
 
+/// Takes a server at its word that it leaves.
+fn note_leaving(state: &FleetState, server: &BackendState, now: Instant) {
+    state.backends.note_leaving(LeavingFact {
+        server: server.key,
+        start: server.server.start,
+        source: state.vm_hash,
+        heard: now,
+    });
+    // Items move on to other servers.
+    state.jobs.work.notify_one();
+}
+
 /// Reads the rest of a refusal in the background, so that its connection can be kept.
 fn drain_refusal(answer: ServerAnswer) {
     let ServerAnswer {
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -3,6 +3,7 @@
 use std::{
     sync::{
         atomic::{
+            AtomicBool,
             AtomicU32,
             Ordering, //
         },
@@ -21,6 +22,10 @@
         BackendServer,
         BackendTable, //
     },
+    leaving::{
+        LeavingFact,
+        LeavingTable, //
+    },
     place::{
         DemandTable,
         PlaceDemand,
@@ -66,6 +71,7 @@
     pool: ConnectionPool,
     online: AtomicU32,
     batch: AtomicU32,
+    said_leaving: AtomicBool,
     health: Mutex<BackendHealth>,
 }
 
@@ -95,6 +101,7 @@
     demands: Mutex<DemandTable>,
     own_demands: Mutex<Vec<PlaceDemand>>,
     reach: Mutex<ReachTable>,
+    leaving: Mutex<LeavingTable>,
     /// Signals that requests at servers have changed and others have to be told.
     pub(crate) changed: Notify,
     /// Signals that a place may have become free.
@@ -111,6 +118,7 @@
             demands: Mutex::default(),
             own_demands: Mutex::default(),
             reach: Mutex::default(),
+            leaving: Mutex::default(),
             changed: Notify::new(),
             freed: Notify::new(),
             started: Instant::now(),
@@ -128,7 +136,12 @@
             .servers()
             .map(|server| keep_state(&known, server))
             .collect();
+        let leaving = lock(&self.leaving);
+        for state in &servers {
+            state.recall_leaving(&leaving);
+        }
         self.servers.store(Arc::new(servers));
+        drop(leaving);
         self.freed.notify_waiters();
         result
     }
@@ -163,6 +176,38 @@
         (members, views)
     }
 
+    /// Notes that a server's process said that it leaves; other VMs are told what is new.
+    pub(crate) fn note_leaving(&self, fact: LeavingFact) {
+        let mut leaving = lock(&self.leaving);
+        if !leaving.note(fact) {
+            return;
+        }
+        let servers = self.servers.load();
+        for state in servers.iter() {
+            state.recall_leaving(&leaving);
+        }
+        drop(leaving);
+        let named = servers.iter().find(|state| state.key == fact.server);
+        let id = named.map_or("unknown", |state| state.server.id.as_str());
+        info!(server = id, start = fact.start, source = fact.source, age_ms = millis(fact.heard.elapsed()); "backend server says that it leaves");
+        self.changed.notify_one();
+    }
+
+    /// Returns the servers' processes that said that they leave.
+    pub(crate) fn leaving_facts(&self) -> Vec<LeavingFact> {
+        lock(&self.leaving).facts().to_vec()
+    }
+
+    /// Forgets processes of servers that have left.
+    pub(crate) fn forget_left(&self, now: Instant) {
+        let servers = self.servers.load();
+        let is_listed = |key: u32, start: u64| {
+            let mut servers = servers.iter();
+            servers.any(|state| state.key == key && state.server.start == start)
+        };
+        lock(&self.leaving).forget_unlisted(is_listed, now);
+    }
+
     /// Changes the reports of other VMs.
     pub(crate) fn update_places(&self, change: impl FnOnce(&mut PlaceTable)) {
         change(&mut lock(&self.places));
@@ -287,7 +332,7 @@
             },
             slots: state.server.slots,
             local: state.server.domain == domain,
-            leaving: state.server.leaving,
+            leaving: state.is_leaving(),
             suspect: silent || health.unreachable || health.failures.is_ejected(self.age_ms(now)),
         }
     }
@@ -307,6 +352,18 @@
         }
     }
 
+    /// Returns whether the server gets no new work: by its entry or by its own word.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.server.leaving || self.shared.said_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Puts in force what the server's process said before.
+    fn recall_leaving(&self, table: &LeavingTable) {
+        if table.find(self.key, self.server.start).is_some() {
+            self.shared.said_leaving.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Returns the idle connections.
     pub(crate) fn pool(&self) -> &ConnectionPool {
         &self.shared.pool
--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -201,6 +201,7 @@
         for server in state.backends.all().iter() {
             server.pool().prune(now);
         }
+        state.backends.forget_left(now);
         let kept = Duration::from_secs_f64(state.settings.results_kept_s);
         state.jobs.forget_old(kept, now);
     }
--- a/fleet/src/hear.rs
+++ b/fleet/src/hear.rs
@@ -21,8 +21,10 @@
     generated::messages::{
         Beat,
         JobNote,
+        LeavingNote,
         MemberNote, //
     },
+    leaving::LeavingFact,
     member::{
         BeatVerdict,
         MemberFacts, //
@@ -78,6 +80,9 @@
         for note in &beat.jobs {
             self.take_job(note, beat, now);
         }
+        for note in &beat.leaving {
+            self.state.backends.note_leaving(fact_of(note, now));
+        }
         self.fetch_newer(beat, from);
         beat.joins || silence.is_some()
     }
@@ -268,3 +273,14 @@
         follows: note.follows,
     }
 }
+
+/// Reads what a server said to another VM.
+fn fact_of(note: &LeavingNote, now: Instant) -> LeavingFact {
+    let age = Duration::from_millis(note.age_ms.into());
+    LeavingFact {
+        server: note.server,
+        start: note.start,
+        source: note.source,
+        heard: now.checked_sub(age).unwrap_or(now),
+    }
+}
--- a/fleet/src/relay_stream.rs
+++ b/fleet/src/relay_stream.rs
@@ -59,6 +59,9 @@
 /// or hangs, and the caller may still have time to ask again.
 const SILENT_PAUSES: u32 = 3;
 
+/// Time beyond a request's deadline in which events that have arrived are still passed on.
+const LATE_EVENTS: Duration = Duration::from_millis(250);
+
 /// Requests that may wait at a server to which a stream is moved.
 const RESUME_QUEUE: u32 = 2;
 
@@ -196,7 +199,10 @@
                 .deadline
                 .saturating_duration_since(Instant::now());
             let limit = self.stall.map_or(remaining, |stall| stall.min(remaining));
+            // A server may send faster than time runs out for its next event.
+            let too_late = Instant::now() >= self.outgoing.deadline + LATE_EVENTS;
             let cause = match timeout(limit, read_events(answer, &mut self.cutter)).await {
+                Ok(Ok(Some(_))) if too_late => CompactString::const_new("deadline passed"),
                 Ok(Ok(Some(events))) => return Some(Ok(events)),
                 Ok(Ok(None)) => {
                     self.answer.take()?.finish();
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -17,10 +17,12 @@
         Beat,
         DemandNote,
         JobNote,
+        LeavingNote,
         MemberNote,
         PlaceNote,
         UseNote, //
     },
+    leaving::LeavingFact,
     member::MemberFacts,
     place::{
         PlaceDemand,
@@ -50,6 +52,7 @@
     places: Vec<(u32, PlaceUse)>, // Sorted by the server's key.
     demands: Vec<PlaceDemand>,
     jobs: Vec<JobNote>, // Sorted by id.
+    leaving: Vec<LeavingFact>,
     facts: MemberFacts,
 }
 
@@ -92,6 +95,7 @@
         let mut told = lock(&self.told);
         told.places = self.places();
         told.jobs = self.jobs();
+        told.leaving = self.state.backends.leaving_facts();
         told.facts = facts.clone();
         Beat {
             member: Some(member_note(&facts)),
@@ -99,6 +103,7 @@
             places: told.places.iter().map(place_note).collect(),
             uses: use_notes(lock(&self.state.allowances).recent_uses(Instant::now())),
             jobs: told.jobs.clone(),
+            leaving: told.leaving.iter().map(leaving_note).collect(),
             ..self.sign_of_life()
         }
     }
@@ -111,16 +116,19 @@
         }
         let places = self.changed_places();
         let jobs = self.changed_jobs();
+        let leaving = self.new_leaving();
         let uses = use_notes(lock(&self.state.allowances).take_changes());
         let demands = self.state.backends.own_demands();
         let before = std::mem::replace(&mut lock(&self.told).demands, demands.clone());
-        if places.is_empty() && jobs.is_empty() && uses.is_empty() && before == demands {
+        let same = places.is_empty() && jobs.is_empty() && uses.is_empty() && leaving.is_empty();
+        if same && before == demands {
             return None;
         }
         Some(Beat {
             places,
             uses,
             jobs,
+            leaving,
             ..self.sign_of_life()
         })
     }
@@ -177,6 +185,13 @@
             .collect()
     }
 
+    fn new_leaving(&self) -> Vec<LeavingNote> {
+        let facts = self.state.backends.leaving_facts();
+        let before = std::mem::replace(&mut lock(&self.told).leaving, facts.clone());
+        let new = facts.iter().filter(|fact| !before.contains(fact));
+        new.map(leaving_note).collect()
+    }
+
     /// Returns the jobs that this VM runs or keeps, sorted by id.
     fn jobs(&self) -> Vec<JobNote> {
         let now = Instant::now();
@@ -232,6 +247,15 @@
     }
 }
 
+fn leaving_note(fact: &LeavingFact) -> LeavingNote {
+    LeavingNote {
+        server: fact.server,
+        start: fact.start,
+        source: fact.source,
+        age_ms: u32::try_from(millis(fact.heard.elapsed())).unwrap_or(u32::MAX),
+    }
+}
+
 fn demand_note(demand: PlaceDemand) -> DemandNote {
     DemandNote {
         service: demand.service,
--- a/fleet/src/run.rs
+++ b/fleet/src/run.rs
@@ -62,6 +62,9 @@
 /// Largest whole answer that is kept here until it is complete, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
+/// Largest answer that tells of a failure, in bytes.
+const FAILURE_LIMIT_BYTES: usize = 64 * 1024;
+
 /// Time before a caller leaves at which its request gets a final answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
@@ -220,9 +223,16 @@
     state: &FleetState,
     mut answer: ServerAnswer,
 ) -> Result<CallerAnswer, AttemptFailure> {
-    let reading = Limited::new(&mut answer.body, ANSWER_LIMIT_BYTES).collect();
-    let broken = |error| AttemptFailure::Unknown(format_compact!("answer broke off: {error}"));
-    let body = reading.await.map_err(broken)?.to_bytes();
+    let limit = match answer.head.status.is_success() {
+        true => ANSWER_LIMIT_BYTES,
+        false => FAILURE_LIMIT_BYTES,
+    };
+    let reading = Limited::new(&mut answer.body, limit).collect();
+    let body = reading.await.map_err(|error| {
+        state.backends.note_failure(&answer.server, Instant::now());
+        AttemptFailure::Unknown(format_compact!("answer broke off: {error}"))
+    })?;
+    let body = body.to_bytes();
     let passed = pass_on(&state.format.names, &answer.head, whole(body));
     answer.finish();
     Ok(passed)
--- a/fleet/src/runner.rs
+++ b/fleet/src/runner.rs
@@ -51,7 +51,10 @@
 use metrics::counter;
 use tokio::{
     sync::oneshot,
-    time::timeout, //
+    time::{
+        timeout,
+        timeout_at, //
+    },
 };
 
 use crate::{
@@ -83,9 +86,12 @@
 /// Pause before an item that failed is started again.
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
 
-/// Longest wait for an item's next event.
+/// Longest wait for the head of an item's answer and for each of its next events.
 const ITEM_STALL: Duration = Duration::from_millis(1500);
 
+/// Share of the platform's limit on values that an item's output may fill; as JSON it may be longer.
+const OUTPUT_SHARE: u64 = 2;
+
 /// Status of a server that will never be able to run an item.
 const NEVER_STATUS: u16 = 422;
 
@@ -140,7 +146,7 @@
             let count = state
                 .backends
                 .read_places(|places| places.pauses(server.key, own, slots, now));
-            let all = if server.server.leaving { used.batch } else { 0 };
+            let all = if server.is_leaving() { used.batch } else { 0 };
             if count.max(all) > 0 {
                 self.pause_at(server.key, count.max(all));
             }
@@ -279,6 +285,7 @@
                 index,
                 server: &server,
                 attempts,
+                deadline: outgoing.deadline,
             };
             tokio::select! {
                 () = run.run(&outgoing) => {}
@@ -300,23 +307,27 @@
     index: usize,
     server: &'a Arc<BackendState>,
     attempts: u32,
+    deadline: Instant,
 }
 
 impl ItemRun<'_> {
     async fn run(&self, outgoing: &OutgoingRequest) {
         let now = Instant::now();
-        match attempt(self.state, self.server, outgoing).await {
-            Ok(answer) => self.read(answer).await,
-            Err(failure) => {
-                let pause = if is_unreachable(&failure) {
-                    Duration::ZERO
-                } else {
-                    REFUSED_PAUSE
-                };
-                self.note(&failure);
-                lock(&self.entry.progress).pause(self.index, Some(now + pause));
+        let answered = timeout(ITEM_STALL, attempt(self.state, self.server, outgoing)).await;
+        let failure = match answered {
+            Ok(Ok(answer)) => return self.read(answer).await,
+            Ok(Err(failure)) => failure,
+            Err(_) => {
+                self.state.backends.note_silence(self.server, Instant::now());
+                AttemptFailure::Unknown("no answer in time".into())
             }
-        }
+        };
+        let pause = match is_unreachable(&failure) {
+            true => Duration::ZERO,
+            false => REFUSED_PAUSE,
+        };
+        self.note(&failure);
+        lock(&self.entry.progress).pause(self.index, Some(now + pause));
     }
 
     async fn read(&self, mut answer: ServerAnswer) {
@@ -329,7 +340,9 @@
             }
             return;
         }
-        match self.read_events(&mut answer).await {
+        let deadline = tokio::time::Instant::from_std(self.deadline);
+        let read = timeout_at(deadline, self.read_events(&mut answer)).await;
+        match read.unwrap_or(Err("deadline passed before the end".into())) {
             Ok(()) => {
                 lock(&self.entry.progress).complete(self.index);
                 counter!("items_completed_total").increment(1);
@@ -364,11 +377,23 @@
                 .take()
                 .map_err(|fault| format_compact!("{fault:?}"))?;
             if let Some(chunk) = chunk {
-                lock(&self.entry.progress).extend(self.index, &chunk.bytes);
+                self.extend(&chunk.bytes)?;
             }
         }
     }
 
+    /// Adds events to the item's output as long as it can be stored.
+    fn extend(&self, events: &[u8]) -> Result<(), CompactString> {
+        let limit = usize::try_from(self.state.settings.value_bytes / OUTPUT_SHARE);
+        let mut progress = lock(&self.entry.progress);
+        if progress.progress(self.index) + events.len() > limit.unwrap_or(usize::MAX) {
+            progress.discard(self.index, Instant::now() + FAILED_PAUSE);
+            return Err("more output than can be stored".into());
+        }
+        progress.extend(self.index, events);
+        Ok(())
+    }
+
     fn fail(&self, status: u16) {
         let mut progress = lock(&self.entry.progress);
         if status == NEVER_STATUS {
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -36,6 +36,8 @@
     pub signature: HeaderName,
     /// Says that a server didn't run a request.
     pub not_run: HeaderName,
+    /// Says in any answer of a server that it gets no new work any more.
+    pub leaving: HeaderName,
     /// Running and waiting requests and places of a server, separated by commas.
     pub load: HeaderName,
     /// Number of the event after which a stream goes on.
--- a/standins/src/standard_server.rs
+++ b/standins/src/standard_server.rs
@@ -4,6 +4,10 @@
 use std::{
     net::SocketAddr,
     sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
         Arc,
         Mutex, //
     },
@@ -59,6 +63,8 @@
     Write(String),
     /// Waits.
     Wait(Duration),
+    /// Writes bytes again and again until the caller closes.
+    Endless(String),
     /// Closes the connection.
     Close,
 }
@@ -72,6 +78,7 @@
     address: SocketAddr,
     seen: Arc<Mutex<Vec<SeenRequest>>>,
     broken: Arc<Mutex<u32>>, // Connections that were closed while an answer was on its way.
+    endless: Arc<AtomicU64>, // Bytes written by endless steps.
     script: Arc<Mutex<AnswerScript>>,
 }
 
@@ -90,6 +97,7 @@
             address: listener.local_addr().expect("address"),
             seen: Arc::default(),
             broken: Arc::default(),
+            endless: Arc::default(),
             script: Arc::new(Mutex::new(script)),
         };
         let serving = server.clone();
@@ -117,6 +125,11 @@
         *lock(&self.broken)
     }
 
+    /// Returns how many bytes endless steps have written.
+    pub fn endless_bytes(&self) -> u64 {
+        self.endless.load(Ordering::Relaxed)
+    }
+
     /// Replaces the script.
     pub fn set_script(
         &self,
@@ -133,7 +146,7 @@
             let script = lock(&self.script).clone();
             let steps = script(&request);
             let finished = tokio::select! {
-                finished = answer(&mut writer, &request, steps) => finished,
+                finished = self.answer(&mut writer, &request, steps) => finished,
                 _ = reader.fill_buf() => {
                     *lock(&self.broken) += 1;
                     false
@@ -144,28 +157,36 @@
             }
         }
     }
-}
 
-/// Carries out the steps of an answer; returns whether the connection stays open.
-async fn answer(
-    writer: &mut OwnedWriteHalf,
-    request: &SeenRequest,
-    steps: Vec<AnswerStep>,
-) -> bool {
-    let id = request.header("attempt-id").unwrap_or_default();
-    for step in steps {
-        match step {
-            AnswerStep::Write(text) => {
-                let text = text.replace("{id}", id);
-                if writer.write_all(text.as_bytes()).await.is_err() {
+    /// Carries out the steps of an answer; returns whether the connection stays open.
+    async fn answer(
+        &self,
+        writer: &mut OwnedWriteHalf,
+        request: &SeenRequest,
+        steps: Vec<AnswerStep>,
+    ) -> bool {
+        let id = request.header("attempt-id").unwrap_or_default();
+        for step in steps {
+            match step {
+                AnswerStep::Write(text) => {
+                    let text = text.replace("{id}", id);
+                    if writer.write_all(text.as_bytes()).await.is_err() {
+                        return false;
+                    }
+                }
+                AnswerStep::Endless(text) => {
+                    while writer.write_all(text.as_bytes()).await.is_ok() {
+                        self.endless.fetch_add(text.len() as u64, Ordering::Relaxed);
+                    }
+                    *lock(&self.broken) += 1;
                     return false;
                 }
+                AnswerStep::Wait(time) => sleep(time).await,
+                AnswerStep::Close => return false,
             }
-            AnswerStep::Wait(time) => sleep(time).await,
-            AnswerStep::Close => return false,
         }
+        true
     }
-    true
 }
 
 async fn read_request(reader: &mut BufReader<OwnedReadHalf>) -> Option<SeenRequest> {
