Stop a job that ended while it was taken over

Cause: a taker reads whether the job ended, then its items and the checkpoint, and only then keeps the job. Ruled out: an end that wasn't told; the watch brought it before the job was kept. Test: standard::jobs::job_that_ends_while_it_is_taken_over_runs_no_further, which failed first.

--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -53,6 +53,7 @@
         parse_object, //
     },
     jobs::{
+        stop_job,
         JobEntry,
         JobNotice,
         CHECKPOINT_KIND,
@@ -274,8 +275,13 @@
     Ok(Some(entry))
 }
 
-/// Starts what a job needs while this VM runs it.
+/// Starts what a job needs while this VM runs it, unless its client has ended it since it was read.
 pub(crate) fn start_job(state: &Arc<FleetState>, entry: Arc<JobEntry>) {
+    if state.ends.contains(&entry.id) {
+        info!(job = entry.id.as_str(); "job ended while it was taken over");
+        stop_job(state, &entry.id);
+        return;
+    }
     tokio::spawn(store_checkpoints(state.clone(), entry.clone()));
     tokio::spawn(commit_results(state.clone(), entry));
     state.jobs.work.notify_one();
