Count failed requests at their server for a while

Hypothesis: a server that fails requests at once looks empty, so all VMs send it their next ones. Each of 68 VMs ejects a server after three failures of its own, so nobody's word spares the others. Change: a failed attempt, or an answer that broke off, keeps counting at its server for 1.5 s in the places that VMs tell each other. No message is added. Ruled out: ejecting after one failure, told to all: lost answers of sound servers would cost them a second each.

--- a/boragerill/src/stream.rs
+++ b/boragerill/src/stream.rs
@@ -127,7 +127,11 @@
 }
 
 /// Checks that bytes are an event, or a comment, that can follow the event numbered `last`.
-fn check_event(event: &[u8], id: Option<EventId>, last: Option<EventId>) -> Result<(), StreamFault> {
+fn check_event(
+    event: &[u8],
+    id: Option<EventId>,
+    last: Option<EventId>,
+) -> Result<(), StreamFault> {
     match (id, last) {
         (Some(id), Some(last)) if id != last + 1 => Err(StreamFault::Disordered),
         (Some(_), _) => Ok(()),
@@ -140,7 +144,10 @@
 fn is_comment(event: &[u8]) -> bool {
     let mut lines = event.split(|&byte| byte == b'\n');
     event.first() == Some(&b':')
-        && lines.all(|line| line.first().is_none_or(|&byte| byte == b':' || byte == b'\r'))
+        && lines.all(|line| {
+            line.first()
+                .is_none_or(|&byte| byte == b':' || byte == b'\r')
+        })
 }
 
 fn has_field(event: &[u8], name: &[u8]) -> bool {
--- a/boragerill/tests/leaving.rs
+++ b/boragerill/tests/leaving.rs
@@ -268,7 +268,11 @@
                 let key = u32::try_from(server).expect("small");
                 let found = table.find(key, reference.starts[server]).is_some();
                 if reference.listed[server] {
-                    assert_eq!(found, reference.told[vm][server].is_some(), "VM {vm}, server {server}");
+                    assert_eq!(
+                        found,
+                        reference.told[vm][server].is_some(),
+                        "VM {vm}, server {server}"
+                    );
                 }
             }
         }
--- a/boragerill/tests/place.rs
+++ b/boragerill/tests/place.rs
@@ -17,6 +17,7 @@
     PlaceUse,
     PlaceView,
     DUE_LATE,
+    FAILED_HOLD,
     REPORT_LIFETIME, //
 };
 
@@ -272,3 +273,47 @@
     assert_eq!(table.allowed_starts(7, demand(3, 500), 4, now), 0);
     assert_eq!(table.allowed_starts(7, demand(3, 500), 4, later), 3);
 }
+
+/// Requests that fail when they come in a steady stream and the first servers fail theirs at once.
+fn count_failures(servers: u32, failing: u32, length: Duration, hold: Duration) -> usize {
+    let run = Duration::from_millis(500);
+    let step = Duration::from_millis(5);
+    let mut ends: Vec<Vec<Duration>> = vec![Vec::new(); servers as usize];
+    let mut failures = 0;
+    let mut now = Duration::ZERO;
+    while now < length {
+        let views: Vec<PlaceView> = (0..servers)
+            .map(|key| {
+                let places = &mut ends[key as usize];
+                places.retain(|end| *end > now);
+                view(key, used(u32::try_from(places.len()).expect("few"), 0))
+            })
+            .collect();
+        let drawn = PlaceQuery {
+            draw: now.as_micros() as u64,
+            ..query(0)
+        };
+        if let Some(index) = choose_place(&views, &[], drawn) {
+            let fails = views[index].key < failing;
+            failures += usize::from(fails);
+            ends[index].push(now + if fails { hold } else { run });
+        }
+        now += step;
+    }
+    failures
+}
+
+#[test]
+fn flapping_servers_that_fail_at_once_draw_no_more_than_their_places() {
+    // arrange: two of twenty servers fail whatever they get for three seconds
+    let (servers, failing, length) = (20, 2, Duration::from_secs(3));
+
+    // act
+    let held = count_failures(servers, failing, length, FAILED_HOLD);
+    let not_held = count_failures(servers, failing, length, Duration::ZERO);
+
+    // assert: an empty server would draw nearly all of the 600 requests
+    let most = (failing * SLOTS) as usize * 2;
+    assert!(held <= most, "{held} failed");
+    assert!(not_held > 10 * most, "{not_held} failed");
+}
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -134,6 +134,14 @@
     }
 }
 
+impl ServerAnswer {
+    /// Gives up an answer that broke off; the connection closes, so that the server stops working on it.
+    pub(crate) fn give_up(self) {
+        drop((self.body, self.connection));
+        self.flight.hold();
+    }
+}
+
 /// Sends a request to a server and waits for the head of its answer.
 pub(crate) async fn attempt(
     state: &FleetState,
@@ -160,7 +168,10 @@
                 AttemptFailure::NotRun(NotRunCause::Unreachable, _) => {
                     state.backends.note_unreachable(server, now);
                 }
-                _ => state.backends.note_failure(server, now),
+                _ => {
+                    state.backends.note_failure(server, now);
+                    flight.hold();
+                }
             }
             Err(failure)
         }
@@ -279,7 +290,11 @@
         let cause = CompactString::const_new("answer belongs to another request");
         return Err(AttemptFailure::Unknown(cause));
     }
-    if status != 421 && headers.get(&names.leaving).is_some_and(|value| value == "1") {
+    if status != 421
+        && headers
+            .get(&names.leaving)
+            .is_some_and(|value| value == "1")
+    {
         note_leaving(state, &answer.server, now);
     }
     if status == 421 || headers.contains_key(&names.not_run) {
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -31,7 +31,8 @@
         PlaceDemand,
         PlaceTable,
         PlaceUse,
-        PlaceView, //
+        PlaceView,
+        FAILED_HOLD, //
     },
     reach::ReachTable,
     route::ServerHealth,
@@ -442,6 +443,22 @@
     kind: FlightKind,
 }
 
+impl FlightGuard {
+    /// Keeps the place counted for a while after a request failed.
+    pub(crate) fn hold(mut self) {
+        if self.kind == FlightKind::Batch {
+            // Nothing is left that could be paused.
+            self.shared.online.fetch_add(1, Ordering::Relaxed);
+            self.shared.batch.fetch_sub(1, Ordering::Relaxed);
+            self.kind = FlightKind::Online;
+        }
+        tokio::spawn(async move {
+            sleep(FAILED_HOLD).await;
+            drop(self);
+        });
+    }
+}
+
 impl Drop for FlightGuard {
     fn drop(&mut self) {
         self.shared
--- a/fleet/src/relay_stream.rs
+++ b/fleet/src/relay_stream.rs
@@ -98,10 +98,12 @@
         Ok(Ok(None)) => Err(unknown("stream without an event".into())),
         Ok(Err(cause)) => {
             state.backends.note_failure(&answer.server, Instant::now());
+            answer.give_up();
             Err(unknown(cause))
         }
         Err(_) => {
             state.backends.note_silence(&answer.server, Instant::now());
+            answer.give_up();
             Err(unknown("no event in time".into()))
         }
     }
@@ -225,8 +227,7 @@
             return false;
         };
         let server = broken.server.clone();
-        // The connection closes, so that the server stops working on the request.
-        drop(broken);
+        broken.give_up();
         self.state.backends.note_silence(&server, Instant::now());
         let last = self.cutter.last();
         info!(
--- a/fleet/src/runner.rs
+++ b/fleet/src/runner.rs
@@ -318,7 +318,9 @@
             Ok(Ok(answer)) => return self.read(answer).await,
             Ok(Err(failure)) => failure,
             Err(_) => {
-                self.state.backends.note_silence(self.server, Instant::now());
+                self.state
+                    .backends
+                    .note_silence(self.server, Instant::now());
                 AttemptFailure::Unknown("no answer in time".into())
             }
         };
@@ -352,6 +354,7 @@
                 self.state
                     .backends
                     .note_failure(self.server, Instant::now());
+                answer.give_up();
                 self.note(&AttemptFailure::Unknown(cause));
                 let until = Instant::now() + REFUSED_PAUSE;
                 lock(&self.entry.progress).pause(self.index, Some(until));
