Ask the store less while it is away, and read fixed objects from old answers

Cause: the VMs that were cut off counted 6.5 s of silence of all others, and called silent VMs only with whole heartbeats, once a second. Tests: member::vm_that_was_cut_off_itself_hears_the_others_before_it_takes_their_jobs, member::part_of_a_fleet_knows_whether_it_is_the_smaller_one.

--- a/boragerill/src/api.rs
+++ b/boragerill/src/api.rs
@@ -95,6 +95,8 @@
         kind: &'a str,
         /// Name of the object.
         name: &'a str,
+        /// Whether the answer may be some seconds old, where the platform makes that cheaper.
+        stale: bool,
     },
     /// Reads one page of a listing.
     List {
@@ -261,7 +263,7 @@
 
 fn encode_own(call: &ApiCall<'_>) -> ApiRequest {
     match *call {
-        ApiCall::Get { kind, name } => {
+        ApiCall::Get { kind, name, .. } => {
             ApiRequest::new(Method::GET, format!("/objects/{kind}/{name}"))
         }
         ApiCall::List {
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -21,6 +21,9 @@
 /// Silence after which a VM no longer counts as a part of the fleet.
 pub const FORGET: Duration = Duration::from_secs(60);
 
+/// Silence of others that doesn't count for a VM that hears less than half of the fleet.
+pub const APART_SILENCE: Duration = Duration::from_millis(13_000);
+
 /// Messages that a VM sends within a few seconds of its start; it sends at least six a second.
 const YOUNG_SEQUENCE: u64 = 40;
 
@@ -185,6 +188,11 @@
             .count()
     }
 
+    /// Returns whether at least half of the fleet was heard lately, the own VM included.
+    pub fn hears_half(&self, now: Instant) -> bool {
+        2 * self.heard_size(now) >= self.fleet_size()
+    }
+
     /// Returns the number of VMs, the own one included, whose use of rates is known.
     pub fn earning_size(&self, now: Instant) -> usize {
         let known = self.members.iter().filter(|member| {
@@ -289,3 +297,11 @@
         self.heard.is_some_and(|heard| now < heard + SILENCE)
     }
 }
+
+/// Returns which part of the silence of another VM counts for one that heard less than half of the fleet
+/// `since_apart` ago: it was cut off itself, and the others are heard again before long. While it still is,
+/// it leaves their duties to those that hear more.
+pub fn counted_silence(silence: Duration, since_apart: Duration) -> Duration {
+    let beyond = silence.saturating_sub(APART_SILENCE);
+    silence.min(since_apart.max(beyond))
+}
--- a/boragerill/src/place.rs
+++ b/boragerill/src/place.rs
@@ -14,9 +14,9 @@
 /// Silence of a VM after which its reports count for nothing.
 pub const REPORT_LIFETIME: Duration = Duration::from_millis(700);
 
-/// Time for which a failed request counts at its server. A server that fails requests at once would else
-/// look empty to all VMs and draw the next ones.
-pub const FAILED_HOLD: Duration = Duration::from_millis(1500);
+/// Time from its start for which a failed request counts at its server. A server that fails requests at once
+/// would else look empty to all VMs and draw the next ones.
+pub const FAILED_HOLD: Duration = Duration::from_millis(1000);
 
 /// Requests that one VM has at one server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -179,7 +179,29 @@
     ///
     /// Returns `ServeError::Missing` when the object doesn't exist.
     pub async fn get(&self, kind: &str, name: &str) -> Result<PlatformObject, ServeError> {
-        let call = ApiCall::Get { kind, name };
+        self.read(kind, name, false).await
+    }
+
+    /// Reads one object that never changes once it exists: an old answer that holds it is good enough.
+    ///
+    /// # Errors
+    ///
+    /// As [`PlatformClient::get`].
+    pub async fn get_fixed(&self, kind: &str, name: &str) -> Result<PlatformObject, ServeError> {
+        match self.read(kind, name, true).await {
+            // It may have been created since.
+            Err(ServeError::Missing(..)) => self.get(kind, name).await,
+            result => result,
+        }
+    }
+
+    async fn read(
+        &self,
+        kind: &str,
+        name: &str,
+        stale: bool,
+    ) -> Result<PlatformObject, ServeError> {
+        let call = ApiCall::Get { kind, name, stale };
         self.call(Step::PlatformRead, call, self.options.codec.decode_object)
             .await
     }
--- a/boragerill/tests/member.rs
+++ b/boragerill/tests/member.rs
@@ -7,9 +7,11 @@
 
 use boragerill::{
     member::{
+        counted_silence,
         BeatVerdict,
         MemberFacts,
         MemberTable,
+        APART_SILENCE,
         EARNING_SILENCE,
         FORGET,
         SILENCE, //
@@ -219,3 +221,38 @@
     assert_eq!(next, BeatVerdict::Current);
     assert_eq!(table.find(hash).map(|member| member.since), Some(healed));
 }
+
+#[test]
+fn vm_that_was_cut_off_itself_hears_the_others_before_it_takes_their_jobs() {
+    // arrange: a cut of seven seconds that has just ended
+    let silence = Duration::from_secs(7);
+
+    // act
+    let still_apart = counted_silence(silence, Duration::ZERO);
+    let just_back = counted_silence(silence, Duration::from_millis(300));
+    let never_apart = counted_silence(silence, Duration::MAX);
+    let alone_for_long = counted_silence(APART_SILENCE + silence, Duration::ZERO);
+
+    // assert
+    assert_eq!(still_apart, Duration::ZERO);
+    assert_eq!(just_back, Duration::from_millis(300));
+    assert_eq!(never_apart, silence);
+    assert_eq!(alone_for_long, silence);
+}
+
+#[test]
+fn part_of_a_fleet_knows_whether_it_is_the_smaller_one() {
+    // arrange: three other VMs, of which one is heard on
+    let now = Instant::now();
+    let mut table = table(now);
+    let cut = now + SILENCE + BEAT;
+    table.note_beat(facts("a", "x"), 2, cut);
+    let half = table.hears_half(cut);
+
+    // act
+    let alone = table.hears_half(cut + SILENCE + BEAT);
+
+    // assert
+    assert!(half);
+    assert!(!alone);
+}
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -261,6 +261,7 @@
             book: self.clone(),
             shared: state.shared.clone(),
             kind,
+            begun: Instant::now(),
         }
     }
 
@@ -441,11 +442,13 @@
     book: Arc<BackendBook>,
     shared: Arc<BackendShared>,
     kind: FlightKind,
+    begun: Instant,
 }
 
 impl FlightGuard {
-    /// Keeps the place counted for a while after a request failed.
+    /// Keeps the place of a request that failed counted for as long as a sound server takes.
     pub(crate) fn hold(mut self) {
+        let rest = FAILED_HOLD.saturating_sub(self.begun.elapsed());
         if self.kind == FlightKind::Batch {
             // Nothing is left that could be paused.
             self.shared.online.fetch_add(1, Ordering::Relaxed);
@@ -453,7 +456,7 @@
             self.kind = FlightKind::Online;
         }
         tokio::spawn(async move {
-            sleep(FAILED_HOLD).await;
+            sleep(rest).await;
             drop(self);
         });
     }
--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -62,6 +62,9 @@
 /// Period of looking whether others still follow the store.
 const COVER_PERIOD: Duration = Duration::from_millis(250);
 
+/// Time that each further VM waits before it follows the store in place of others; they may be back.
+const STAND_IN_WAIT: Duration = Duration::from_millis(50);
+
 /// Period of looking for backend servers that didn't come back.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(100);
 
@@ -129,6 +132,9 @@
             sleep(COVER_PERIOD).await;
             continue;
         }
+        if through.is_none() && !stands_in(&state).await {
+            continue;
+        }
         let result = match through {
             None => list(&state, kind).await,
             Some(after) => watch(&state, kind, after).await,
@@ -169,6 +175,18 @@
     followers_before(state) >= FOLLOWERS
 }
 
+/// Waits for this VM's turn to follow the store in place of VMs that rank before it, and returns whether it
+/// still has to. A VM without a configuration doesn't wait.
+async fn stands_in(state: &FleetState) -> bool {
+    if state.catalog.version() == 0 {
+        return true;
+    }
+    let rank = lock(&state.members).own_rank(hash_name("follow"), Instant::now());
+    let turn = rank.saturating_sub(FOLLOWERS - 1);
+    sleep(STAND_IN_WAIT * u32::try_from(turn).unwrap_or(u32::MAX)).await;
+    !is_covered(state)
+}
+
 fn followers_before(state: &FleetState) -> usize {
     lock(&state.members).followers_before(hash_name("follow"), Instant::now())
 }
--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -262,7 +262,7 @@
     let mut chunks = Vec::new();
     for index in first.. {
         let name = chunk_object(id, index);
-        let object = match state.platform.get(RESULT_KIND, &name).await {
+        let object = match state.platform.get_fixed(RESULT_KIND, &name).await {
             Ok(object) => object,
             Err(ServeError::Missing(..)) => break,
             Err(error) => return Err(error),
@@ -284,7 +284,7 @@
 
 /// Reads the head of a job from the store.
 pub(crate) async fn load_head(state: &FleetState, id: &str) -> Result<JobHead, ServeError> {
-    let object = state.platform.get(JOB_KIND, id).await?;
+    let object = state.platform.get_fixed(JOB_KIND, id).await?;
     parse_object(id, object.spec)
 }
 
@@ -309,7 +309,7 @@
     let mut items = Vec::new();
     for index in 0..head.parts {
         let name = part_object(&head.input, index);
-        let object = state.platform.get(INPUT_KIND, &name).await?;
+        let object = state.platform.get_fixed(INPUT_KIND, &name).await?;
         let part: InputPart = parse_object(&name, object.spec)?;
         items.extend(part.items);
     }
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -105,9 +105,12 @@
 /// Longest time for which a submission is tried again at the store.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(3000);
 
-/// Pause before a call to the store is tried again.
+/// First pause before a call to the store is tried again; doubles up to the longest.
 const STORE_PAUSE: Duration = Duration::from_millis(60);
 
+/// Longest pause before a call to the store is tried again.
+const STORE_PAUSE_LIMIT: Duration = Duration::from_millis(480);
+
 /// Time for which what a VM has said of a job goes before what one says that has stored less.
 const RIVAL_PERIOD: Duration = Duration::from_millis(2500);
 
@@ -440,6 +443,7 @@
     until: Instant,
 ) -> Result<(), ServeError> {
     let mut ambiguous = None;
+    let mut pause = STORE_PAUSE;
     loop {
         let remaining = until.saturating_duration_since(Instant::now());
         let writing = state
@@ -458,11 +462,12 @@
         if error.is_ambiguous() {
             ambiguous = Some(error.clone());
         }
-        if Instant::now() + STORE_PAUSE >= until {
+        if Instant::now() + pause >= until {
             // An earlier try may still take effect.
             return Err(ambiguous.unwrap_or(error));
         }
-        sleep(STORE_PAUSE).await;
+        sleep(pause).await;
+        pause = (pause * 2).min(STORE_PAUSE_LIMIT);
     }
 }
 
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -25,7 +25,10 @@
         PartialOutput,
         ResultChunk, //
     },
-    member::MemberTable,
+    member::{
+        counted_silence,
+        MemberTable, //
+    },
     rank::hash_name,
     sync::lock,
     timer::{
@@ -99,13 +102,17 @@
 pub(crate) async fn watch_runners(state: Arc<FleetState>) {
     let mut timer = TimerService::default();
     let mut ticks = timer.subscribe(LOOK_PERIOD);
+    let mut apart = None;
     while ticks.next().await.is_some() {
         if state.is_leaving() {
             return;
         }
         let now = Instant::now();
+        if !lock(&state.members).hears_half(now) {
+            apart = Some(now);
+        }
         for notice in state.jobs.notices() {
-            if !is_orphaned(&state, &notice, now) {
+            if !is_orphaned(&state, &notice, apart, now) {
                 continue;
             }
             let state = state.clone();
@@ -115,13 +122,20 @@
     }
 }
 
-/// Returns whether this VM is the one that takes a job over now.
-fn is_orphaned(state: &FleetState, notice: &JobNotice, now: Instant) -> bool {
+/// Returns whether this VM is the one that takes a job over now. `apart` is when this VM last heard less
+/// than half of the fleet.
+fn is_orphaned(
+    state: &FleetState,
+    notice: &JobNotice,
+    apart: Option<Instant>,
+    now: Instant,
+) -> bool {
     if notice.closed || state.jobs.find(&notice.id).is_some() || state.ends.contains(&notice.id) {
         return false;
     }
     let members = lock(&state.members);
-    let silent = runner_silence(&members, notice, now);
+    let since_apart = apart.map_or(Duration::MAX, |apart| now.saturating_duration_since(apart));
+    let silent = counted_silence(runner_silence(&members, notice, now), since_apart);
     if silent < RUNNER_SILENCE {
         return false;
     }
