Refuse late requests at once that no place can be free for, and spread callers' returns

Hypothesis: late requests wait for a spare place until 1.1 s before their caller leaves, though the queue before them already tells that none comes; and all are told to come back after the same 400 ms. Change: the time until a place can be free is known from the runs of this VM's requests, the places that they hold and the late requests that wait before (outlook.rs). One whose caller leaves sooner is refused as it comes, or as soon as that is so. Retry-After says when a place is expected, within a third of the caller's time, spread by a fifth each way. Tests: outlook (a power loss, a crest), patience::late_request_is_refused_at_once_when_no_place_comes_before_its_caller_leaves.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod member;
 pub mod meter;
 pub mod online;
+pub mod outlook;
 pub mod patience;
 pub mod place;
 pub mod platform;
--- a/boragerill/src/patience.rs
+++ b/boragerill/src/patience.rs
@@ -46,6 +46,8 @@
     pub silence: Duration,
     /// Requests that could still be served in time and wait here too.
     pub fresh_waiting: usize,
+    /// Least time until a place can be free for a request that is late.
+    pub expected: Duration,
 }
 
 /// Which places a request may take now.
@@ -89,7 +91,8 @@
         if self.remaining < LATE_RUN {
             return PlaceRule::Last(0);
         }
-        if self.silence < LEAVE_MARGIN {
+        let patience = self.silence.saturating_sub(LEAVE_MARGIN);
+        if self.silence < LEAVE_MARGIN || self.expected > patience {
             return PlaceRule::LastSpare;
         }
         if self.fresh_waiting > 0 {
--- a/boragerill/tests/patience.rs
+++ b/boragerill/tests/patience.rs
@@ -19,6 +19,7 @@
         remaining: Duration::from_secs(5),
         silence: Duration::from_secs(2),
         fresh_waiting: 0,
+        expected: Duration::ZERO,
     }
 }
 
@@ -129,6 +130,23 @@
     assert_eq!(rules, [PlaceRule::Wait, PlaceRule::LastSpare]);
 }
 
+#[test]
+fn late_request_is_refused_at_once_when_no_place_comes_before_its_caller_leaves() {
+    // arrange
+    let late = |expected| PlaceWait {
+        age: Duration::from_millis(1400),
+        silence: Duration::from_millis(2000),
+        expected,
+        ..wait()
+    };
+
+    // act
+    let rules = [901, 900].map(|millis| late(Duration::from_millis(millis)).rule());
+
+    // assert
+    assert_eq!(rules, [PlaceRule::LastSpare, PlaceRule::Spare]);
+}
+
 /// What has become of the requests of a crest.
 #[derive(Debug, Default)]
 struct CrestCount {
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -448,7 +448,7 @@
 impl FlightGuard {
     /// Keeps the place of a request that failed counted for as long as a sound server takes.
     pub(crate) fn hold(mut self) {
-        let rest = FAILED_HOLD.saturating_sub(self.begun.elapsed());
+        let rest = FAILED_HOLD.saturating_sub(self.age());
         if self.kind == FlightKind::Batch {
             // Nothing is left that could be paused.
             self.shared.online.fetch_add(1, Ordering::Relaxed);
@@ -460,6 +460,11 @@
             drop(self);
         });
     }
+
+    /// Returns for how long the request has held its place.
+    pub(crate) fn age(&self) -> Duration {
+        self.begun.elapsed()
+    }
 }
 
 impl Drop for FlightGuard {
--- a/fleet/src/relay_stream.rs
+++ b/fleet/src/relay_stream.rs
@@ -15,6 +15,7 @@
         choose_place,
         PlaceQuery, //
     },
+    rank::hash_name,
     stream::EventCutter,
     timer::millis, //
 };
@@ -207,7 +208,10 @@
                 Ok(Ok(Some(_))) if too_late => CompactString::const_new("deadline passed"),
                 Ok(Ok(Some(events))) => return Some(Ok(events)),
                 Ok(Ok(None)) => {
-                    self.answer.take()?.finish();
+                    let answer = self.answer.take()?;
+                    let service = hash_name(&self.service);
+                    self.state.outlook.note_run(service, answer.flight.age());
+                    answer.finish();
                     return None;
                 }
                 Ok(Err(cause)) => cause,
--- a/fleet/src/run.rs
+++ b/fleet/src/run.rs
@@ -53,8 +53,8 @@
     waiting::find_place,
 };
 
-/// When a caller may come back while no server can take its request.
-pub(crate) const CAPACITY_RETRY: Duration = Duration::from_millis(400);
+/// When a caller may come back whose request no server took.
+const CAPACITY_RETRY: Duration = Duration::from_millis(400);
 
 /// Servers that may refuse a request before it is refused to its caller.
 const REFUSALS: usize = 6;
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -37,6 +37,7 @@
         MemberFacts,
         MemberTable, //
     },
+    outlook::OutlookTable,
     patience::PatienceTable,
     platform::PlatformClient,
     rank::hash_name,
@@ -146,6 +147,10 @@
     pub(crate) patience: PatienceTable,
     /// Requests that could be served in time and wait for a place.
     pub(crate) fresh_waiting: AtomicUsize,
+    /// Requests that can't be served in time any more and wait for a place.
+    pub(crate) late_waiting: AtomicUsize,
+    /// How soon places become free.
+    pub(crate) outlook: OutlookTable,
     /// Connections to other VMs.
     pub(crate) links: PeerLinks,
     /// Batch jobs.
@@ -200,6 +205,8 @@
             allowances: Mutex::new(AllowanceTable::new(first, tolerance, now)),
             patience: PatienceTable::default(),
             fresh_waiting: AtomicUsize::new(0),
+            late_waiting: AtomicUsize::new(0),
+            outlook: OutlookTable::default(),
             links: PeerLinks::default(),
             jobs: JobBook::default(),
             ends: EndBook::default(),
--- a/fleet/src/waiting.rs
+++ b/fleet/src/waiting.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::{
-        atomic::Ordering,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
         Arc, //
     },
     time::{
@@ -12,6 +15,10 @@
 };
 
 use boragerill::{
+    outlook::{
+        retry_time,
+        PlaceLoad, //
+    },
     patience::{
         PlaceRule,
         PlaceWait, //
@@ -22,6 +29,7 @@
         PlaceQuery,
         PlaceView, //
     },
+    rank::hash_name,
     refusal::{
         RefusalAnswer,
         RefusalReason, //
@@ -35,8 +43,7 @@
     relay::AdmittedRequest,
     run::{
         final_refusal,
-        RunHistory,
-        CAPACITY_RETRY, //
+        RunHistory, //
     },
     state::FleetState, //
 };
@@ -53,38 +60,60 @@
     request: &AdmittedRequest,
     history: &RunHistory,
 ) -> Result<Arc<BackendState>, RefusalAnswer> {
-    let mut waiting = None;
+    let mut waiting: Option<WaitGuard<'_>> = None;
     loop {
         let freed = state.backends.freed.notified();
         let now = Instant::now();
-        let held = now.saturating_duration_since(request.arrived);
-        let fresh = waiting.as_ref().is_some_and(FreshGuard::is_set);
-        let wait = PlaceWait {
-            age: request.age + held,
-            held,
-            target: request.route.target,
-            remaining: request.outgoing.deadline.saturating_duration_since(now),
-            silence: request.route.silence_limit().saturating_sub(held),
-            fresh_waiting: state.fresh_waiting.load(Ordering::Relaxed) - usize::from(fresh),
-        };
-        let rule = wait.rule();
         let (servers, views) = state
             .backends
             .views(&request.service, &state.settings.domain, now);
+        let wait = place_wait(state, request, &servers, waiting.as_ref(), now);
+        let rule = wait.rule();
         if let Some(index) = choose(&views, request, history, rule) {
             return Ok(servers[index].clone());
         }
         let exhausted = !history.tried.is_empty() && history.tried.len() >= servers.len();
         let is_last = matches!(rule, PlaceRule::Last(_) | PlaceRule::LastSpare);
         if is_last || exhausted || servers.is_empty() {
-            return Err(no_place(history, servers.len()));
+            return Err(no_place(history, servers.len(), &wait));
         }
-        waiting.get_or_insert_with(|| FreshGuard::new(state, !wait.is_late()));
+        waiting.get_or_insert_with(|| WaitGuard::new(state, wait.is_late()));
         // Running out of time here only means to look again.
         let _ = timeout(PLACE_POLL, freed).await;
     }
 }
 
+/// Returns how a request stands that has waited until `now`.
+fn place_wait(
+    state: &FleetState,
+    request: &AdmittedRequest,
+    servers: &[Arc<BackendState>],
+    waiting: Option<&WaitGuard<'_>>,
+    now: Instant,
+) -> PlaceWait {
+    let held = now.saturating_duration_since(request.arrived);
+    let fresh = waiting.is_some_and(|guard| !guard.late);
+    let late_waiting = state.late_waiting.load(Ordering::Relaxed);
+    let ahead = match waiting {
+        Some(guard) if guard.late => guard.ahead.min(late_waiting.saturating_sub(1)),
+        _ => late_waiting,
+    };
+    let load = PlaceLoad {
+        running: servers.iter().map(|server| server.used().online).sum(),
+        ahead: u32::try_from(ahead).unwrap_or(u32::MAX),
+    };
+    let service = hash_name(&request.service);
+    PlaceWait {
+        age: request.age + held,
+        held,
+        target: request.route.target,
+        remaining: request.outgoing.deadline.saturating_duration_since(now),
+        silence: request.route.silence_limit().saturating_sub(held),
+        fresh_waiting: state.fresh_waiting.load(Ordering::Relaxed) - usize::from(fresh),
+        expected: state.outlook.expected_wait(service, load),
+    }
+}
+
 fn choose(
     views: &[PlaceView],
     request: &AdmittedRequest,
@@ -108,37 +137,46 @@
     }
 }
 
-fn no_place(history: &RunHistory, servers: usize) -> RefusalAnswer {
+fn no_place(history: &RunHistory, servers: usize, wait: &PlaceWait) -> RefusalAnswer {
     if history.runs > 0 {
         return final_refusal(history, false);
     }
-    let detail = format_compact!("{servers} servers, none with a place");
-    RefusalAnswer::not_run(RefusalReason::CapacityShort, detail).retry_after(CAPACITY_RETRY)
+    let detail = format_compact!(
+        "{servers} servers, none with a place, next in {} ms at least",
+        wait.expected.as_millis()
+    );
+    let retry = retry_time(wait.expected, wait.remaining, rand::random());
+    RefusalAnswer::not_run(RefusalReason::CapacityShort, detail).retry_after(retry)
 }
 
-/// Counts a request that could be served in time and waits, until dropped.
-struct FreshGuard<'a> {
+/// Counts a request that waits, until dropped: those that could be served in time, and late ones.
+struct WaitGuard<'a> {
     state: &'a FleetState,
-    fresh: bool,
+    late: bool,
+    ahead: usize, // Late requests that waited before this one.
 }
 
-impl<'a> FreshGuard<'a> {
-    fn new(state: &'a FleetState, fresh: bool) -> FreshGuard<'a> {
-        if fresh {
-            state.fresh_waiting.fetch_add(1, Ordering::Relaxed);
-        }
-        FreshGuard { state, fresh }
+impl<'a> WaitGuard<'a> {
+    fn new(state: &'a FleetState, late: bool) -> WaitGuard<'a> {
+        let guard = WaitGuard {
+            state,
+            late,
+            ahead: state.late_waiting.load(Ordering::Relaxed),
+        };
+        guard.counter().fetch_add(1, Ordering::Relaxed);
+        guard
     }
 
-    fn is_set(&self) -> bool {
-        self.fresh
+    fn counter(&self) -> &AtomicUsize {
+        match self.late {
+            true => &self.state.late_waiting,
+            false => &self.state.fresh_waiting,
+        }
     }
 }
 
-impl Drop for FreshGuard<'_> {
+impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
-        if self.fresh {
-            self.state.fresh_waiting.fetch_sub(1, Ordering::Relaxed);
-        }
+        self.counter().fetch_sub(1, Ordering::Relaxed);
     }
 }
