--- a/boragerill/src/place.rs
+++ b/boragerill/src/place.rs
@@ -225,22 +225,20 @@
     pub waiting: u32,
 }
 
-/// Places by which a server in the own failure domain may be fuller than one elsewhere.
-const LOCAL_BIAS: u32 = 1;
-
 /// Chooses the server for an online request, or none when all servers are full: one with a free place
-/// first, else one whose batch items will give up theirs.
+/// first, else one whose batch items will give up theirs. Among these, one of the own failure domain goes
+/// first: its streams survive when the domain is cut off.
 pub fn choose_place(views: &[PlaceView], tried: &[u32], query: PlaceQuery) -> Option<usize> {
     let usable = |view: &PlaceView| !view.leaving && !tried.contains(&view.key);
     let fits = |view: &PlaceView| view.used.online < view.slots + query.waiting;
     let rank = |view: &PlaceView| {
         let waits = view.used.total() >= view.slots;
-        let load = view.used.total() + if view.local { 0 } else { LOCAL_BIAS };
         let affinity = query
             .prefix
             .map_or(0, |prefix| u64::MAX - score(prefix, u64::from(view.key)));
         let spread = score(query.draw, u64::from(view.key));
-        (view.suspect, waits, load, affinity, spread)
+        let load = view.used.total();
+        (view.suspect, waits, !view.local, load, affinity, spread)
     };
     let candidates = views.iter().enumerate();
     let candidates = candidates.filter(|(_, view)| usable(view) && fits(view));
@@ -249,7 +247,7 @@
 }
 
 /// Chooses the server for a batch item: the emptiest one that keeps `reserve` places free for online
-/// requests.
+/// requests, in the own failure domain if there is one.
 pub fn choose_batch_place(views: &[PlaceView], tried: &[u32], reserve: u32) -> Option<usize> {
     let fits = |view: &PlaceView| {
         !view.leaving
@@ -257,10 +255,7 @@
             && !tried.contains(&view.key)
             && view.used.total() + reserve < view.slots
     };
-    let rank = |view: &PlaceView| {
-        let load = view.used.total() + if view.local { 0 } else { LOCAL_BIAS };
-        (load, view.key)
-    };
+    let rank = |view: &PlaceView| (!view.local, view.used.total(), view.key);
     let candidates = views.iter().enumerate().filter(|(_, view)| fits(view));
     let best = candidates.min_by_key(|(_, view)| rank(view));
     best.map(|(index, _)| index)
--- a/boragerill/tests/place.rs
+++ b/boragerill/tests/place.rs
@@ -62,6 +62,26 @@
     assert_eq!(chosen, Some(1));
 }
 
+#[test]
+fn requests_before_a_cut_of_their_domain_run_in_it_while_it_has_a_free_place() {
+    // arrange
+    let elsewhere = |key, used| PlaceView {
+        local: false,
+        ..view(key, used)
+    };
+    let roomy = [elsewhere(1, used(0, 0)), view(2, used(7, 0))];
+    let full = [elsewhere(1, used(0, 0)), view(2, used(8, 0))];
+    let batch_only = [elsewhere(1, used(7, 0)), view(2, used(1, 7))];
+
+    // act
+    let online = [&roomy, &full, &batch_only].map(|views| choose_place(views, &[], query(0)));
+    let batch = [&roomy, &full].map(|views| choose_batch_place(views, &[], 0));
+
+    // assert
+    assert_eq!(online, [Some(1), Some(0), Some(0)]);
+    assert_eq!(batch, [Some(1), Some(0)]);
+}
+
 #[test]
 fn places_of_batch_are_taken_when_no_other_is_free() {
     // arrange
