Call silent VMs with whole heartbeats only, as before; count places of the whole fleet in the outlook

The outlook counted only this VM's running requests: after a restart there are few of them, and late requests were refused although other VMs' places became free. It now counts this VM's part of all.

--- a/fleet/src/beat.rs
+++ b/fleet/src/beat.rs
@@ -70,13 +70,13 @@
                         return;
                     }
                     self.listener.note_silence(Instant::now());
-                    self.send_all(&self.report.next_beat(), true).await;
+                    self.send_all(&self.report.next_beat()).await;
                 }
                 () = self.state.backends.changed.notified() => {
                     // Changes that come together go out together.
                     sleep(COLLECT_TIME).await;
                     if let Some(beat) = self.report.changes() {
-                        self.send_all(&beat, false).await;
+                        self.send_all(&beat).await;
                     }
                 }
             }
@@ -135,23 +135,23 @@
         self.send_to(&beat.encode_to_vec(), address).await;
     }
 
-    async fn send_all(&self, beat: &Beat, periodic: bool) {
+    async fn send_all(&self, beat: &Beat) {
         let bytes = beat.encode_to_vec();
-        let addresses = self.targets(periodic);
+        let addresses = self.targets(beat.full);
         counter!("beat_bytes_sent_total").increment((bytes.len() * addresses.len()) as u64);
         for address in addresses {
             self.send_to(&bytes, address).await;
         }
     }
 
-    /// Returns the VMs that get a heartbeat: silent ones only periodic ones, by which they are found again.
-    fn targets(&self, periodic: bool) -> Vec<SocketAddr> {
+    /// Returns the VMs that get a heartbeat: silent ones only whole ones, by which they are found again.
+    fn targets(&self, whole: bool) -> Vec<SocketAddr> {
         let now = Instant::now();
         let members = lock(&self.state.members);
         let targets = members
             .members()
             .iter()
-            .filter(|member| periodic || member.is_heard(now));
+            .filter(|member| whole || member.is_heard(now));
         targets
             .filter_map(|member| member.facts.address.parse().ok())
             .collect()
--- a/fleet/src/waiting.rs
+++ b/fleet/src/waiting.rs
@@ -34,6 +34,7 @@
         RefusalAnswer,
         RefusalReason, //
     },
+    sync::lock,
 };
 use compact_str::format_compact;
 use tokio::time::timeout;
@@ -67,7 +68,7 @@
         let (servers, views) = state
             .backends
             .views(&request.service, &state.settings.domain, now);
-        let wait = place_wait(state, request, &servers, waiting.as_ref(), now);
+        let wait = place_wait(state, request, &views, waiting.as_ref(), now);
         let rule = wait.rule();
         if let Some(index) = choose(&views, request, history, rule) {
             return Ok(servers[index].clone());
@@ -87,7 +88,7 @@
 fn place_wait(
     state: &FleetState,
     request: &AdmittedRequest,
-    servers: &[Arc<BackendState>],
+    views: &[PlaceView],
     waiting: Option<&WaitGuard<'_>>,
     now: Instant,
 ) -> PlaceWait {
@@ -99,7 +100,7 @@
         _ => late_waiting,
     };
     let load = PlaceLoad {
-        running: servers.iter().map(|server| server.used().online).sum(),
+        running: own_part(state, views, now),
         ahead: u32::try_from(ahead).unwrap_or(u32::MAX),
     };
     let service = hash_name(&request.service);
@@ -114,6 +115,14 @@
     }
 }
 
+/// Returns this VM's part of the requests that hold places: each VM gets about as many of those that become
+/// free.
+fn own_part(state: &FleetState, views: &[PlaceView], now: Instant) -> u32 {
+    let running: u32 = views.iter().map(|view| view.used.online).sum();
+    let vms = lock(&state.members).heard_size(now);
+    running.div_ceil(u32::try_from(vms).unwrap_or(u32::MAX).max(1))
+}
+
 fn choose(
     views: &[PlaceView],
     request: &AdmittedRequest,
