--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -22,7 +22,7 @@
 pub const FORGET: Duration = Duration::from_secs(60);
 
 /// Silence of others that doesn't count for a VM that hears less than half of the fleet.
-pub const APART_SILENCE: Duration = Duration::from_millis(13_000);
+pub const APART_SILENCE: Duration = Duration::from_millis(6500);
 
 /// Messages that a VM sends within a few seconds of its start; it sends at least six a second.
 const YOUNG_SEQUENCE: u64 = 40;
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod ends;
 mod follow;
 mod hear;
+mod item_run;
 mod job_reads;
 mod jobs;
 mod links;
