--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -39,7 +39,7 @@
         exit 1
     fi
 done
-(cd "$copy" && git init --quiet . && RUSTFLAGS="-Awarnings" cargo build --quiet --release -p boragerill-platform) || exit 1
+(cd "$copy" && git init --quiet . && cargo build --quiet --release -p boragerill-platform) || exit 1
 play() {
     read -r site day seed <<<"$1"
     if ! (cd "$copy" && "$bench" run "$site" "$day" --seed "$seed" --no-cpu --jobs 1 --why "$why" >"play-$(basename "$site" .toml)-$day-$seed.log" 2>&1); then
