--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod commit;
 mod ends;
 mod follow;
+mod handover;
 mod hear;
 mod item_run;
 mod job_reads;
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -55,11 +55,11 @@
 use tokio::net::TcpListener;
 
 use crate::{
+    handover,
     job_reads,
     jobs,
     pool::watch_stream,
-    state::FleetState,
-    takeover, //
+    state::FleetState, //
 };
 
 /// Longest time for telling a VM that a job ended.
@@ -126,7 +126,7 @@
         Body::JobBodyAsk(ask) => Body::JobBody(answer_body(state, &ask)),
         Body::JobEnd(ask) => Body::JobDone(answer_end(state, &ask)),
         Body::JobHandover(ask) => Body::JobDone(JobDone {
-            done: takeover::take_handover(state, ask).await,
+            done: handover::take_handover(state, ask).await,
         }),
         Body::StoreCall(call) => Body::StoreAnswer(answer_store(state, call).await),
         _ => return,
--- a/fleet/src/retire.rs
+++ b/fleet/src/retire.rs
@@ -16,8 +16,8 @@
 use tokio::time::sleep;
 
 use crate::{
-    state::FleetState,
-    takeover, //
+    handover,
+    state::FleetState, //
 };
 
 /// Longest wait of one watch.
@@ -71,7 +71,7 @@
 async fn empty(state: &Arc<FleetState>) {
     info!("told to become empty");
     write_status(state, false).await;
-    takeover::hand_over_all(state).await;
+    handover::hand_over_all(state).await;
     write_status(state, true).await;
     info!("empty");
 }
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -1,4 +1,4 @@
-//! Who runs a job whose runner is gone, and how a leaving VM hands its jobs over.
+//! Who runs a job whose runner is gone.
 
 use std::{
     sync::{
@@ -13,16 +13,10 @@
 
 use boragerill::{
     error::ServeError,
-    generated::messages::{
-        envelope::Body,
-        JobHandover,
-        PartialNote, //
-    },
     job::{
         JobCheckpoint,
         JobHead,
         JobProgress,
-        PartialOutput,
         ResultChunk, //
     },
     member::{
@@ -63,7 +57,6 @@
         END_KIND,
         JOB_KIND, //
     },
-    peers,
     state::{
         wall_ms,
         FleetState, //
@@ -92,9 +85,6 @@
 /// Time that each further VM waits in which those that rank before it can take a job over.
 const RANK_WAIT: Duration = Duration::from_millis(400);
 
-/// Longest time for handing one job over.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Age beyond which a job found in the store is left alone.
 const ORPHAN_AGE: Duration = Duration::from_secs(600);
 
@@ -303,7 +293,7 @@
 }
 
 /// Loads a job that its client hasn't ended.
-async fn load_job(
+pub(crate) async fn load_job(
     state: &FleetState,
     id: &str,
     submitted: Instant,
@@ -384,93 +374,3 @@
     state.jobs.remove(&entry.id);
     state.jobs.work.notify_one();
 }
-
-/// Hands all running jobs over to other VMs, before this one ends.
-pub(crate) async fn hand_over_all(state: &Arc<FleetState>) {
-    for entry in state.jobs.all() {
-        if lock(&entry.progress).is_closed() {
-            continue;
-        }
-        hand_over(state, &entry).await;
-    }
-}
-
-async fn hand_over(state: &Arc<FleetState>, entry: &Arc<JobEntry>) {
-    let now = Instant::now();
-    let target = {
-        let members = lock(&state.members);
-        let staying = members.heard(now).filter(|member| !member.facts.leaving);
-        let duty = hash_name(&entry.id);
-        let best = staying.max_by_key(|member| boragerill::rank::score(duty, member.hash));
-        best.map(|member| member.hash)
-    };
-    let Some(target) = target else {
-        return;
-    };
-    let body = Body::JobHandover(JobHandover {
-        id: entry.id.to_string(),
-        age_ms: u32::try_from(millis(entry.submitted.elapsed())).unwrap_or(u32::MAX),
-        partials: partials(entry),
-    });
-    match peers::ask(state, target, body, HANDOVER_TIMEOUT).await {
-        Ok(Body::JobDone(done)) if done.done => {
-            info!(job = entry.id.as_str(); "job handed over");
-            release(state, entry);
-        }
-        Ok(_) => warn!(job = entry.id.as_str(); "job not taken by another VM"),
-        Err(error) => {
-            warn!(job = entry.id.as_str(), error = error.to_string().as_str(); "job not handed over");
-        }
-    }
-}
-
-fn partials(entry: &JobEntry) -> Vec<PartialNote> {
-    let checkpoint = lock(&entry.progress).checkpoint();
-    let notes = checkpoint.outputs.into_iter().map(|output| PartialNote {
-        item: u32::try_from(output.item).unwrap_or(u32::MAX),
-        last_event: output.last,
-        text: output.text.to_string(),
-        whole: output.whole,
-    });
-    notes.collect()
-}
-
-fn checkpoint_of(partials: Vec<PartialNote>) -> JobCheckpoint {
-    let outputs = partials.into_iter().map(|note| PartialOutput {
-        item: usize::try_from(note.item).unwrap_or(usize::MAX),
-        last: note.last_event,
-        text: note.text.into(),
-        whole: note.whole,
-    });
-    JobCheckpoint {
-        outputs: outputs.collect(),
-    }
-}
-
-/// Takes a job over from a leaving VM; returns whether this VM runs it now.
-pub(crate) async fn take_handover(state: &Arc<FleetState>, handover: JobHandover) -> bool {
-    if state.is_leaving() {
-        return false;
-    }
-    if state.jobs.find(&handover.id).is_some() {
-        return true;
-    }
-    let age = Duration::from_millis(handover.age_ms.into());
-    let submitted = Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
-    let entry = match load_job(state, &handover.id, submitted).await {
-        Ok(Some(entry)) => entry,
-        // Nothing of it is left to run.
-        Ok(None) => return true,
-        Err(error) => {
-            warn!(job = handover.id.as_str(), error = error.to_string().as_str(); "job not taken over");
-            return false;
-        }
-    };
-    let checkpoint = checkpoint_of(handover.partials);
-    lock(&entry.progress).adopt_checkpoint(checkpoint);
-    if state.jobs.insert(entry.clone()).is_none() {
-        info!(job = entry.id.as_str(); "job taken from a leaving VM");
-        start_job(state, entry);
-    }
-    true
-}
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -56,6 +56,7 @@
 use crate::{
     beat::BeatSocket,
     follow,
+    handover,
     listener::{
         self,
         CallerConnections, //
@@ -290,7 +291,7 @@
     info!("stopping");
     let started = Instant::now();
     state.leave();
-    takeover::hand_over_all(state).await;
+    handover::hand_over_all(state).await;
     let grace = Duration::from_secs_f64(state.settings.grace_s).saturating_sub(END_MARGIN);
     if !state.settings.callers.is_empty() {
         sleep(LEAVE_TIME.saturating_sub(started.elapsed())).await;
