--- a/boragerill/src/outlook.rs
+++ b/boragerill/src/outlook.rs
@@ -25,10 +25,10 @@
 /// Returns of callers are spread over this part of the wait, around it.
 const RETRY_SPREAD: f64 = 0.4;
 
-/// What waits for and holds places of a service on this VM.
+/// What waits for and holds places of a service, as far as it concerns this VM.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlaceLoad {
-    /// Requests that hold places.
+    /// This VM's part of the requests that hold places.
     pub running: u32,
     /// Late requests that get places before the one that asks.
     pub ahead: u32,
@@ -53,8 +53,7 @@
         }
     }
 
-    /// Returns how long a late request waits at least until one of the places that this VM's requests hold
-    /// is free for it.
+    /// Returns how long a late request waits at least until a place of this VM's part is free for it.
     pub fn expected_wait(&self, service: u64, load: PlaceLoad) -> Duration {
         let runs = lock(&self.runs);
         let found = runs.binary_search_by_key(&service, |entry| entry.0);
--- a/boragerill/src/patience.rs
+++ b/boragerill/src/patience.rs
@@ -91,8 +91,7 @@
         if self.remaining < LATE_RUN {
             return PlaceRule::Last(0);
         }
-        let patience = self.silence.saturating_sub(LEAVE_MARGIN);
-        if self.silence < LEAVE_MARGIN || self.expected > patience {
+        if self.expected.saturating_add(LEAVE_MARGIN) > self.silence {
             return PlaceRule::LastSpare;
         }
         if self.fresh_waiting > 0 {
--- a/boragerill/src/stream.rs
+++ b/boragerill/src/stream.rs
@@ -9,7 +9,7 @@
 pub type EventId = u64;
 
 /// Largest event, in bytes.
-pub const EVENT_LIMIT_BYTES: usize = 256 * 1024;
+const EVENT_LIMIT_BYTES: usize = 256 * 1024;
 
 /// Cuts the bytes of one or more runs of the same request into complete events.
 #[derive(Debug, Default)]
