Log crashes of backend servers and the prompts of requests lost in them

The logs couldn't tell whether servers crash by themselves, under a caller or under a part of the prompt: a crash was no event, and no line named the workspace, the route or the parts of a prompt.

- `backend server crashed` and `request lost in a crash`: when a connection breaks off before a request's second event, the server is connected to again; a refusal shows that its process is gone.
`backend_crashes_total` counts them.
- `request routed` names workspace, route and prompt, `item interrupted` workspace and prompt.
- `stream interrupted` had the key `event` twice; the last event is now `last_event`.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod online;
 pub mod platform;
 pub mod process;
+pub mod prompt;
 pub mod queue;
 pub mod rank;
 pub mod rate_limiter;
--- /dev/null
+++ b/boragerill/src/prompt.rs
@@ -0,0 +1,51 @@
+//! Parts of a request's prompt, as its caller names them.
+
+use compact_str::CompactString;
+
+use crate::rank::hash_name;
+
+/// Identifies a part of prompts. Requests whose prompts share a part have the same key at the same or another
+/// position.
+pub type PartKey = u64;
+
+/// Parts of one prompt in their order. The last part belongs to the request or its session; the others may be
+/// shared with other requests.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PromptParts {
+    text: CompactString,
+    keys: Vec<PartKey>,
+    shared_hash: Option<u64>,
+}
+
+impl PromptParts {
+    /// Parses a comma-separated list of `id:tokens` entries.
+    pub fn parse(text: &str) -> PromptParts {
+        let entries = text.split(',').map(str::trim);
+        let ids = entries.map(|entry| entry.split(':').next().unwrap_or(entry));
+        PromptParts {
+            text: text.into(),
+            keys: ids.filter(|id| !id.is_empty()).map(part_key).collect(),
+            shared_hash: text.rsplit_once(',').map(|(shared, _)| hash_name(shared)),
+        }
+    }
+
+    /// Returns the parts as the caller named them.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Returns the keys of the parts in the order of the prompt.
+    pub fn keys(&self) -> &[PartKey] {
+        &self.keys
+    }
+
+    /// Returns the hash of all parts but the last, or `None` if there is only one.
+    pub fn shared_hash(&self) -> Option<u64> {
+        self.shared_hash
+    }
+}
+
+/// Returns the key of a part: its id if that is a hexadecimal number of up to 64 bits, otherwise the id's hash.
+fn part_key(id: &str) -> PartKey {
+    u64::from_str_radix(id, 16).unwrap_or_else(|_| hash_name(id))
+}
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -81,8 +81,8 @@
     pub(crate) arrived: Instant,
     /// Time that the caller spent on earlier attempts, estimated from the timeout that it has left.
     pub(crate) age: Duration,
-    /// Hash of the prompt's shared prefix, for cache affinity.
-    pub(crate) prefix: Option<u64>,
+    /// Workspace of the caller's key; empty on routes that are open to all.
+    pub(crate) workspace: CompactString,
 }
 
 /// Response to a caller, or the refusal to send to it.
@@ -280,7 +280,8 @@
             caller.deadline.saturating_duration_since(caller.arrived),
             caller.arrived,
         ),
-        prefix: caller.prefix,
+        workspace: workspace
+            .map_or_else(CompactString::default, |workspace| workspace.name.clone()),
         outgoing: OutgoingRequest {
             id: caller.id,
             method: caller.method,
@@ -290,6 +291,7 @@
             deadline,
             repeatable: route.is_repeatable(),
             kind: RequestClass::Online,
+            prompt: caller.prompt,
         },
         route: route.clone(),
     })
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -10,6 +10,7 @@
 
 use boragerill::{
     drain::DrainAnnouncement,
+    prompt::PromptParts,
     timer::millis, //
 };
 use bytes::Bytes;
@@ -42,6 +43,10 @@
         InFlightGuard,
         RequestClass, //
     },
+    crash_watch::{
+        record_lost_request,
+        LostRequest, //
+    },
     pool::BackendConnection,
     state::FleetState,
     wire::HeaderNames, //
@@ -77,6 +82,8 @@
     pub(crate) repeatable: bool,
     /// Whether it is an online request or an item of a batch job.
     pub(crate) kind: RequestClass,
+    /// Parts of the prompt.
+    pub(crate) prompt: PromptParts,
 }
 
 /// A server's response whose head has been received.
@@ -174,6 +181,8 @@
                 }
                 _ => {
                     state.backends.record_failure(server, now);
+                    let lost = LostRequest::new(request, in_flight.age());
+                    record_lost_request(state, server, lost);
                     in_flight.hold_slot();
                 }
             }
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -45,9 +45,12 @@
     time::sleep, //
 };
 
-use crate::pool::{
-    BackendConnection,
-    ConnectionPool, //
+use crate::{
+    crash_watch::LostRequest,
+    pool::{
+        BackendConnection,
+        ConnectionPool, //
+    }, //
 };
 
 /// Time for which a server is ejected after a timeout.
@@ -74,6 +77,7 @@
     batch: AtomicU32,
     drain_announced: AtomicBool,
     health: Mutex<BackendHealth>,
+    lost: Mutex<Vec<LostRequest>>, // Until it is known whether the process has crashed.
 }
 
 /// Health checks of a server process.
@@ -379,6 +383,18 @@
         &self.shared.pool
     }
 
+    /// Adds a lost request, and returns whether it is the first one of a new check of the process.
+    pub(crate) fn add_lost_request(&self, request: LostRequest) -> bool {
+        let mut lost = lock(&self.shared.lost);
+        lost.push(request);
+        lost.len() == 1
+    }
+
+    /// Ends a check of the process and returns the lost requests.
+    pub(crate) fn take_lost_requests(&self) -> Vec<LostRequest> {
+        std::mem::take(&mut lock(&self.shared.lost))
+    }
+
     /// Records that a response on a reused connection belonged to another request.
     pub(crate) fn record_mismatch(&self, until: Instant) {
         lock(&self.shared.health).mismatched_until = Some(until);
--- a/fleet/src/caller.rs
+++ b/fleet/src/caller.rs
@@ -6,7 +6,7 @@
 };
 
 use boragerill::{
-    rank::hash_name,
+    prompt::PromptParts,
     refusal::{
         RefusalReason,
         RefusalResponse, //
@@ -78,8 +78,8 @@
     pub(crate) deadline: Instant,
     /// Longest time that a read of results may wait.
     pub(crate) wait: Duration,
-    /// Hash of the prompt's shared prefix, for cache affinity.
-    pub(crate) prefix: Option<u64>,
+    /// Parts of the prompt.
+    pub(crate) prompt: PromptParts,
 }
 
 impl CallerRequest {
@@ -112,7 +112,8 @@
             arrived,
             deadline: arrived + remaining.unwrap_or(DEFAULT_TIMEOUT),
             wait: Duration::from_millis(header_number(headers, &names.wait_ms).unwrap_or(0)),
-            prefix: header_text(headers, &names.prefix).and_then(hash_shared_prefix),
+            prompt: header_text(headers, &names.prefix)
+                .map_or_else(PromptParts::default, PromptParts::parse),
             headers: forwardable_headers(names, headers),
         })
     }
@@ -173,9 +174,3 @@
     let key = key.trim();
     (named.eq_ignore_ascii_case(scheme) && !key.is_empty()).then(|| key.into())
 }
-
-/// Returns the hash of all parts of a prompt but the last, which is specific to the request.
-fn hash_shared_prefix(parts: &str) -> Option<u64> {
-    let (shared, _) = parts.rsplit_once(',')?;
-    Some(hash_name(shared))
-}
--- /dev/null
+++ b/fleet/src/crash_watch.rs
@@ -0,0 +1,94 @@
+//! Detects crashes of backend servers: a connection breaks off, and the server refuses the next one.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    error::ServeError,
+    prompt::PromptParts,
+    timer::millis, //
+};
+use compact_str::CompactString;
+use log::info;
+use metrics::counter;
+
+use crate::{
+    attempt::OutgoingRequest,
+    backends::{
+        BackendRegistry,
+        BackendState, //
+    },
+    pool::BackendConnection,
+    state::FleetState, //
+};
+
+/// Number of events from which on a server is taken to be able to run a request. A server that crashes as it
+/// begins to respond may still have sent the first one.
+pub(crate) const PROVEN_EVENTS: u64 = 2;
+
+/// A request whose connection broke off before the server had proved that it can run it.
+#[derive(Clone, Debug)]
+pub(crate) struct LostRequest {
+    /// Request id.
+    pub(crate) id: CompactString,
+    /// Parts of its prompt.
+    pub(crate) prompt: PromptParts,
+    /// When it was sent to the server.
+    pub(crate) sent: Instant,
+}
+
+impl LostRequest {
+    /// Makes the record of a request that was sent `age` ago.
+    pub(crate) fn new(request: &OutgoingRequest, age: Duration) -> LostRequest {
+        let now = Instant::now();
+        LostRequest {
+            id: request.id.clone(),
+            prompt: request.prompt.clone(),
+            sent: now.checked_sub(age).unwrap_or(now),
+        }
+    }
+}
+
+/// Records a lost request, and checks in the background whether its server has crashed. Requests that are lost
+/// during a check take part in it.
+pub(crate) fn record_lost_request(
+    state: &FleetState,
+    server: &Arc<BackendState>,
+    lost: LostRequest,
+) {
+    if server.add_lost_request(lost) {
+        let (backends, server) = (state.backends.clone(), server.clone());
+        tokio::spawn(async move { check_server(&backends, &server).await });
+    }
+}
+
+/// Opens a connection to a server that has lost requests. Only a refusal shows that its process is gone: a
+/// timeout may be due to a partition.
+async fn check_server(backends: &Arc<BackendRegistry>, server: &Arc<BackendState>) {
+    let opened = BackendConnection::open(server.server.address).await;
+    let lost = server.take_lost_requests();
+    let now = Instant::now();
+    match opened {
+        Ok(connection) => server.pool().put(connection, now),
+        Err(ServeError::Rejected(..)) => {
+            log_crash(server, &lost, now);
+            backends.record_unreachable(server, now);
+        }
+        Err(_) => backends.record_unreachable(server, now),
+    }
+}
+
+fn log_crash(server: &BackendState, lost: &[LostRequest], now: Instant) {
+    counter!("backend_crashes_total").increment(1);
+    let id = server.server.id.as_str();
+    info!(server = id, domain = server.server.domain.as_str(), start = server.server.start, lost = lost.len(); "backend server crashed");
+    for request in lost {
+        let age = now.saturating_duration_since(request.sent);
+        info!(request = request.id.as_str(), server = id, prompt = request.prompt.text(), sent_age_ms = millis(age); "request lost in a crash");
+    }
+}
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -40,6 +40,10 @@
         ServerResponse, //
     },
     backends::BackendState,
+    crash_watch::{
+        record_lost_request,
+        LostRequest, //
+    },
     response::{
         forward_response,
         full_body,
@@ -116,6 +120,9 @@
     let used = server.used();
     info!(
         request = request.outgoing.id.as_str(),
+        workspace = request.workspace.as_str(),
+        route = request.route.name.as_str(),
+        prompt = request.outgoing.prompt.text(),
         server = server.server.id.as_str(),
         domain = server.server.domain.as_str(),
         own_online = used.online,
@@ -226,12 +233,13 @@
             return Err(AttemptFailure::Unknown(cause));
         }
     }
-    forward_complete(state, response).await
+    forward_complete(state, request, response).await
 }
 
 /// Buffers a response until it is complete and forwards it; [`dispatch_request`] limits the time.
 async fn forward_complete(
     state: &FleetState,
+    request: &AdmittedRequest,
     mut response: ServerResponse,
 ) -> Result<CallerResponse, AttemptFailure> {
     let limit = match response.head.status.is_success() {
@@ -243,6 +251,8 @@
         state
             .backends
             .record_failure(&response.server, Instant::now());
+        let lost = LostRequest::new(&request.outgoing, response.in_flight.age());
+        record_lost_request(state, &response.server, lost);
         AttemptFailure::Unknown(format_compact!("reading the response failed: {error}"))
     })?;
     let body = body.to_bytes();
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -13,6 +13,8 @@
         CatalogRoute,
         RouteKind, //
     },
+    job::JobItem,
+    prompt::PromptParts,
     stream::EventSplitter,
     sync::lock, //
 };
@@ -52,9 +54,15 @@
         RequestClass, //
     },
     caller::set_workspace,
+    crash_watch::{
+        record_lost_request,
+        LostRequest,
+        PROVEN_EVENTS, //
+    },
     dispatch::is_unreachable,
     jobs::JobEntry,
-    state::FleetState, //
+    state::FleetState,
+    wire::HeaderNames, //
 };
 
 /// Delay before a refused or interrupted item is started again.
@@ -94,7 +102,7 @@
         let now = Instant::now();
         let answered = timeout(RESPONSE_TIMEOUT, attempt(self.state, self.server, outgoing)).await;
         let failure = match answered {
-            Ok(Ok(response)) => return self.read(response).await,
+            Ok(Ok(response)) => return self.read(outgoing, response).await,
             Ok(Err(failure)) => failure,
             Err(_) => {
                 self.state
@@ -107,11 +115,11 @@
             true => Duration::ZERO,
             false => REFUSAL_BACKOFF,
         };
-        self.record_interruption(&failure);
+        self.record_interruption(outgoing, &failure);
         lock(&self.entry.progress).pause(self.index, Some(now + backoff));
     }
 
-    async fn read(&self, mut response: ServerResponse) {
+    async fn read(&self, outgoing: &OutgoingRequest, mut response: ServerResponse) {
         let status = response.head.status;
         if !status.is_success() {
             self.record_item_failure(status.as_u16());
@@ -122,7 +130,9 @@
             return;
         }
         let deadline = tokio::time::Instant::from_std(self.deadline);
-        let read = timeout_at(deadline, self.read_events(&mut response)).await;
+        let mut splitter = EventSplitter::default();
+        let reading = self.read_events(&mut response, &mut splitter);
+        let read = timeout_at(deadline, reading).await;
         match read.unwrap_or(Err("deadline passed before the end of the stream".into())) {
             Ok(()) => {
                 lock(&self.entry.progress).complete(self.index);
@@ -133,8 +143,12 @@
                 self.state
                     .backends
                     .record_failure(self.server, Instant::now());
+                if splitter.event_count() < PROVEN_EVENTS {
+                    let lost = LostRequest::new(outgoing, response.in_flight.age());
+                    record_lost_request(self.state, self.server, lost);
+                }
                 response.abandon();
-                self.record_interruption(&AttemptFailure::Unknown(cause));
+                self.record_interruption(outgoing, &AttemptFailure::Unknown(cause));
                 let until = Instant::now() + REFUSAL_BACKOFF;
                 lock(&self.entry.progress).pause(self.index, Some(until));
             }
@@ -142,8 +156,11 @@
     }
 
     /// Appends events to the item's output until the stream ends.
-    async fn read_events(&self, response: &mut ServerResponse) -> Result<(), CompactString> {
-        let mut splitter = EventSplitter::default();
+    async fn read_events(
+        &self,
+        response: &mut ServerResponse,
+        splitter: &mut EventSplitter,
+    ) -> Result<(), CompactString> {
         loop {
             let frame = timeout(RESPONSE_TIMEOUT, response.body.frame()).await;
             let Some(frame) = frame.map_err(|_| "no event in time")? else {
@@ -195,12 +212,14 @@
         );
     }
 
-    fn record_interruption(&self, failure: &AttemptFailure) {
+    fn record_interruption(&self, outgoing: &OutgoingRequest, failure: &AttemptFailure) {
         let (AttemptFailure::NotRun(_, cause) | AttemptFailure::Unknown(cause)) = failure;
         counter!("item_attempts_failed_total").increment(1);
         info!(
             job = self.entry.id.as_str(),
             item = self.entry.items[self.index].id.as_str(),
+            workspace = self.entry.manifest.workspace.as_str(),
+            prompt = outgoing.prompt.text(),
             server = self.server.server.id.as_str(),
             cause = cause.as_str();
             "item interrupted"
@@ -208,6 +227,13 @@
     }
 }
 
+/// Returns the parts of an item's prompt.
+pub(crate) fn item_prompt(names: &HeaderNames, item: &JobItem) -> PromptParts {
+    let mut headers = item.headers.iter();
+    let found = headers.find(|header| header.0.eq_ignore_ascii_case(names.prefix.as_str()));
+    found.map_or_else(PromptParts::default, |header| PromptParts::parse(&header.1))
+}
+
 /// Returns the request for an item, which resumes after event `last` if any.
 pub(crate) fn item_request(
     state: &FleetState,
@@ -252,5 +278,6 @@
         deadline: (entry.submitted + abandon).max(Instant::now() + RESPONSE_TIMEOUT),
         repeatable: true,
         kind: RequestClass::Batch,
+        prompt: item_prompt(names, item),
     }
 }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod cancellations;
 mod checkpoint;
 mod commit;
+mod crash_watch;
 mod dispatch;
 mod handover;
 mod heartbeat;
--- a/fleet/src/pool.rs
+++ b/fleet/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers and pools of idle ones.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::Mutex,
     time::{
@@ -70,7 +71,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `ServeError::Timeout` or `ServeError::Unreachable` at step `Connect`.
+    /// Returns `ServeError::Rejected` at step `Connect` if no process listens at the address,
+    /// `ServeError::Timeout` or `ServeError::Unreachable` otherwise.
     pub(crate) async fn open(address: SocketAddr) -> Result<BackendConnection, ServeError> {
         let peer = address.to_compact_string();
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
@@ -78,7 +80,12 @@
         let unreachable = |cause: &dyn std::error::Error| {
             ServeError::Unreachable(Step::Connect, peer.clone(), cause.to_compact_string())
         };
-        let stream = connected.map_err(|error| unreachable(&error))?;
+        let stream = connected.map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => {
+                ServeError::Rejected(Step::Connect, peer.clone(), error.to_compact_string())
+            }
+            _ => unreachable(&error),
+        })?;
         set_socket_options(&stream).map_err(|error| unreachable(&error))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| unreachable(&error))?;
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -140,7 +140,7 @@
     rule: SlotRule,
 ) -> Option<usize> {
     let query = |waiting| SlotQuery {
-        prefix: request.prefix,
+        prefix: request.outgoing.prompt.shared_hash(),
         draw: rand::random(),
         waiting,
     };
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -43,6 +43,11 @@
         ServerResponse, //
     },
     backends::BackendState,
+    crash_watch::{
+        record_lost_request,
+        LostRequest,
+        PROVEN_EVENTS, //
+    },
     response::{
         forward_response,
         streamed_body,
@@ -102,6 +107,8 @@
             state
                 .backends
                 .record_failure(&response.server, Instant::now());
+            let lost = LostRequest::new(&request.outgoing, response.in_flight.age());
+            record_lost_request(state, &response.server, lost);
             response.abandon();
             Err(unknown(cause))
         }
@@ -225,7 +232,13 @@
                     response.finish();
                     return None;
                 }
-                Ok(Err(cause)) => cause,
+                Ok(Err(cause)) => {
+                    if self.splitter.event_count() < PROVEN_EVENTS {
+                        let lost = LostRequest::new(&self.outgoing, response.in_flight.age());
+                        record_lost_request(&self.state, &response.server, lost);
+                    }
+                    cause
+                }
                 Err(_) => CompactString::const_new("no event in time"),
             };
             if !self.resume(&cause).await {
@@ -249,7 +262,7 @@
             request = self.outgoing.id.as_str(),
             server = server.server.id.as_str(),
             cause,
-            event = last,
+            last_event = last,
             runs = self.runs,
             age_ms = millis(self.arrived.elapsed());
             "stream interrupted"
@@ -316,7 +329,7 @@
         info!(
             request = self.outgoing.id.as_str(),
             server = response.server.server.id.as_str(),
-            event = self.splitter.last(),
+            last_event = self.splitter.last(),
             age_ms = millis(self.arrived.elapsed());
             "caller disconnected during a stream"
         );
