--- a/standins/src/standard_server.rs
+++ b/standins/src/standard_server.rs
@@ -31,9 +31,12 @@
         TcpListener,
         TcpStream, //
     },
+    sync::watch,
     time::sleep,
 };
 
+use crate::ports::free_port;
+
 /// Value of the `Server-Signature` header in every response.
 pub const SIGNATURE: &str = "3e1b.07.5a2";
 
@@ -68,6 +71,8 @@
     Endless(String),
     /// Closes the connection.
     Close,
+    /// Closes all connections and the listener, and starts again after a time.
+    Crash(Duration),
 }
 
 /// Determines the response to a request.
@@ -81,6 +86,7 @@
     aborted_responses: Arc<Mutex<u32>>, // Connections that the caller closed during a response.
     endless: Arc<AtomicU64>,            // Bytes written by endless steps.
     script: Arc<Mutex<ResponseScript>>,
+    crash: watch::Sender<Option<Duration>>, // Downtime of the last crash.
 }
 
 impl StandardServer {
@@ -92,25 +98,48 @@
     pub async fn start(
         script: impl Fn(&ReceivedRequest) -> Vec<ResponseStep> + Send + Sync + 'static,
     ) -> StandardServer {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        // Not an ephemeral port: another process could take it while the server is down.
+        let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        let listener = TcpListener::bind(address).await.expect("free port");
         let script: ResponseScript = Arc::new(script);
         let server = StandardServer {
-            address: listener.local_addr().expect("address"),
+            address,
             received: Arc::default(),
             aborted_responses: Arc::default(),
             endless: Arc::default(),
             script: Arc::new(Mutex::new(script)),
+            crash: watch::Sender::new(None),
         };
-        let serving = server.clone();
-        tokio::spawn(async move {
-            loop {
-                let (stream, _) = listener.accept().await.expect("connection");
-                tokio::spawn(serving.clone().serve(stream));
-            }
-        });
+        tokio::spawn(server.clone().run(listener));
         server
     }
 
+    /// Accepts connections; after a crash, listens again once the downtime is over.
+    async fn run(self, mut listener: TcpListener) {
+        let mut crash = self.crash.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let (stream, _) = accepted.expect("connection");
+                    let (server, mut crash) = (self.clone(), self.crash.subscribe());
+                    tokio::spawn(async move {
+                        tokio::select! {
+                            () = server.serve(stream) => {}
+                            _ = crash.changed() => {}
+                        }
+                    });
+                }
+                _ = crash.changed() => {
+                    let downtime = crash.borrow_and_update().unwrap_or_default();
+                    drop(listener);
+                    sleep(downtime).await;
+                    listener = TcpListener::bind(self.address).await.expect("same port");
+                    crash.mark_unchanged();
+                }
+            }
+        }
+    }
+
     /// Returns the address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -184,6 +213,10 @@
                 }
                 ResponseStep::Wait(time) => sleep(time).await,
                 ResponseStep::Close => return false,
+                ResponseStep::Crash(downtime) => {
+                    self.crash.send_replace(Some(downtime));
+                    return false;
+                }
             }
         }
         true
