Quarantine prompts that crash backend servers

Cause: a request that takes its server with it is a failure like any other: it is sent to another server where the route allows it, its caller sends it again, the next one comes to another VM, and an item starts again 40 ms later, without an end. Nothing remembers what the lost requests had in common, and VMs tell each other nothing about them.

Each of 57 crashes lost a request with the part and none was served with it, while the same workspace, route and first part were served all the while.

Why this works: the parts that lost requests have in common, after three crashes one after the other and without any output in between, on any VM, are quarantined as a whole; requests with all of them are refused, not run, with the time until the next trial. Sound requests lack one of the parts, and their output clears the rest. VMs share crashes, clearances and quarantines within milliseconds; the store keeps the quarantines over a loss of all VMs.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod platform;
 pub mod process;
 pub mod prompt;
+pub mod quarantine;
 pub mod queue;
 pub mod rank;
 pub mod rate_limiter;
--- a/boragerill/src/refusal.rs
+++ b/boragerill/src/refusal.rs
@@ -44,6 +44,8 @@
     ServerUnavailable,
     /// All servers are full, and the request can't run in time.
     CapacityShort,
+    /// Requests with the prompt crash backend servers.
+    PromptQuarantined,
     /// The process is shutting down.
     ShuttingDown,
     /// An earlier request with the same idempotency key hasn't ended, or its outcome is unknown.
@@ -175,6 +177,7 @@
             RefusalReason::ConfigMissing => ("config_missing", 503),
             RefusalReason::ServerUnavailable => ("server_unavailable", 503),
             RefusalReason::CapacityShort => ("capacity_short", 503),
+            RefusalReason::PromptQuarantined => ("prompt_quarantined", 503),
             RefusalReason::ShuttingDown => ("shutting_down", 503),
             RefusalReason::RunUnknown => ("run_unknown", 409),
             RefusalReason::PlatformUnavailable => ("platform_unavailable", 503),
--- /dev/null
+++ b/boragerill/tests/quarantine.rs
@@ -0,0 +1,580 @@
+//! Tests of the quarantine: prompts that crash servers are recognized after few crashes, and ordinary crashes
+//! quarantine nothing.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use boragerill::{
+    prompt::PartKey,
+    quarantine::{
+        CrashReport,
+        PartClearance,
+        PromptCheck,
+        QuarantineEntry,
+        QuarantineTable, //
+    }, //
+};
+use proptest::{
+    prelude::*,
+    test_runner::RngSeed, //
+};
+use proptest_state_machine::{
+    prop_state_machine,
+    ReferenceStateMachine,
+    StateMachineTest, //
+};
+
+/// The part that crashes servers.
+const DEADLY: PartKey = 99;
+
+/// Parts that deadly requests share with sound ones.
+const SHARED: PartKey = 1;
+const OWN: PartKey = 10;
+
+const VMS: usize = 3;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(23),
+        ..ProptestConfig::default()
+    }
+}
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+fn sorted(parts: &[PartKey]) -> Vec<PartKey> {
+    let mut parts = parts.to_vec();
+    parts.sort_unstable();
+    parts
+}
+
+/// A crash that broke off a request with the given parts, sent 50 ms before.
+fn crash(parts: &[PartKey], crashed: Instant) -> CrashReport {
+    CrashReport {
+        request: parts.iter().sum(),
+        server: 7,
+        start: 1,
+        sent: crashed - ms(50),
+        crashed,
+        parts: sorted(parts),
+    }
+}
+
+/// Records a crash every 400 ms, each of a request with a last part of its own; returns the time of the last one.
+fn record_crashes(table: &mut QuarantineTable, parts: &[PartKey], count: u64) -> Instant {
+    let start = Instant::now();
+    let mut last = start;
+    for number in 0..count {
+        last = start + ms(400 * number);
+        let mut parts = parts.to_vec();
+        parts.push(1000 + number);
+        table.record_crash(crash(&parts, last));
+    }
+    last
+}
+
+fn is_quarantined(table: &QuarantineTable, parts: &[PartKey], now: Instant) -> bool {
+    matches!(table.check(parts, now), PromptCheck::Quarantined { .. })
+}
+
+#[test]
+fn common_parts_of_three_crashes_in_a_row_are_quarantined() {
+    // arrange
+    let mut table = QuarantineTable::default();
+
+    // act
+    let second = record_crashes(&mut table, &[SHARED, OWN, DEADLY], 2);
+    let early = is_quarantined(&table, &[SHARED, OWN, DEADLY, 2000], second);
+    let third = second + ms(400);
+    table.record_crash(crash(&[SHARED, OWN, DEADLY, 1002], third));
+
+    // assert: prompts that lack one of the parts may be sound
+    assert!(!early);
+    assert!(is_quarantined(&table, &[SHARED, OWN, DEADLY, 2000], third));
+    assert!(!is_quarantined(&table, &[SHARED, OWN, 2000], third));
+    assert!(!is_quarantined(&table, &[SHARED, 2000], third));
+}
+
+#[test]
+fn parts_with_output_leave_the_quarantine() {
+    // arrange
+    let mut table = QuarantineTable::default();
+    let last = record_crashes(&mut table, &[SHARED, OWN, DEADLY], 3);
+
+    // act
+    let cleared = table.record_output(&[SHARED, OWN, 2000], last + ms(1));
+
+    // assert
+    let cleared: Vec<PartKey> = cleared.iter().map(|clearance| clearance.part).collect();
+    assert_eq!(cleared, [SHARED, OWN]);
+    assert_eq!(table.entries().len(), 1);
+    assert_eq!(table.entries()[0].parts, [DEADLY]);
+    assert!(is_quarantined(&table, &[5, DEADLY, 2001], last + ms(2)));
+}
+
+/// Records that ten servers crash within 10 ms, each with three requests that have some parts in common.
+fn record_crash_of_many_servers(table: &mut QuarantineTable, now: Instant) {
+    for server in 0..10_u32 {
+        for request in 0..3 {
+            let parts = [SHARED, OWN, 1000 + 10 * u64::from(server) + request];
+            let report = crash(&parts, now + ms(u64::from(server)));
+            table.record_crash(CrashReport { server, ..report });
+        }
+    }
+}
+
+#[test]
+fn crash_of_half_the_servers_at_once_quarantines_nothing() {
+    // arrange
+    let mut table = QuarantineTable::default();
+    let now = Instant::now();
+
+    // act: a popular part has output on the other servers soon afterwards
+    record_crash_of_many_servers(&mut table, now);
+    let at_once = table.check(&[SHARED, OWN, 2000], now + ms(20));
+    table.record_output(&[SHARED, OWN, 2000], now + ms(50));
+    table.review(now + ms(1000));
+
+    // assert
+    assert_eq!(at_once, PromptCheck::Allowed);
+    assert!(table.entries().is_empty());
+}
+
+#[test]
+fn parts_without_output_after_a_crash_of_many_servers_are_tried_by_one_request_first() {
+    // arrange
+    let mut table = QuarantineTable::default();
+    let now = Instant::now();
+    let parts = [SHARED, OWN, 2000];
+
+    // act
+    record_crash_of_many_servers(&mut table, now);
+    table.review(now + ms(200));
+    let early = table.check(&parts, now + ms(200));
+    table.review(now + ms(400));
+    let settled = is_quarantined(&table, &parts, now + ms(400));
+    let due = table.check(&parts, now + ms(600));
+    table.start_trial(&parts, now + ms(600));
+    table.record_crash(crash(&parts, now + ms(700)));
+    let after_trial = table.check(&parts, now + ms(700));
+
+    // assert
+    assert_eq!(early, PromptCheck::Allowed);
+    assert!(settled);
+    assert_eq!(due, PromptCheck::Trial);
+    let PromptCheck::Quarantined { retry_after, .. } = after_trial else {
+        panic!("{after_trial:?}");
+    };
+    assert_eq!(retry_after, Duration::from_secs(60));
+}
+
+#[test]
+fn second_round_of_crashes_suffices_if_many_servers_crashed() {
+    // arrange
+    let mut table = QuarantineTable::default();
+    let now = Instant::now();
+
+    // act
+    record_crash_of_many_servers(&mut table, now);
+    table.record_crash(crash(&[SHARED, OWN, 2000], now + ms(100)));
+
+    // assert
+    assert!(is_quarantined(&table, &[SHARED, OWN, 2001], now + ms(100)));
+}
+
+#[test]
+fn repeated_crashes_of_one_request_quarantine_its_prompt_only() {
+    // arrange: the same request is sent to three servers that crash, one after the other
+    let mut table = QuarantineTable::default();
+    let now = Instant::now();
+
+    // act
+    for attempt in 0..3 {
+        let report = crash(&[SHARED, OWN, DEADLY, 1000], now + ms(100 * attempt));
+        table.record_crash(CrashReport {
+            server: u32::try_from(attempt).expect("small"),
+            ..report
+        });
+    }
+    let last = now + ms(200);
+    let others = [&[SHARED, OWN, DEADLY, 1001][..], &[SHARED, OWN, 1000]];
+    let refused_before = others.map(|parts| is_quarantined(&table, parts, last));
+    table.record_crash(crash(&[SHARED, OWN, DEADLY, 1001], last + ms(400)));
+
+    // assert: a second request shows which parts matter
+    assert_eq!(refused_before, [false, false]);
+    let parts = [SHARED, OWN, DEADLY, 1002];
+    assert!(is_quarantined(&table, &parts, last + ms(400)));
+}
+
+#[test]
+fn trials_become_rare_while_they_crash_servers() {
+    // arrange
+    let mut table = QuarantineTable::default();
+    let mut now = record_crashes(&mut table, &[SHARED, OWN, DEADLY], 3);
+    let parts = [SHARED, OWN, DEADLY, 5000];
+    let mut waits = Vec::new();
+
+    // act
+    for trial in 0..5 {
+        let PromptCheck::Quarantined { retry_after, .. } = table.check(&parts, now) else {
+            panic!("not quarantined");
+        };
+        waits.push(retry_after.as_secs());
+        now += retry_after;
+        assert_eq!(table.check(&parts, now), PromptCheck::Trial);
+        table.start_trial(&parts, now);
+        assert!(is_quarantined(&table, &parts, now));
+        now += ms(60);
+        table.record_crash(crash(&[SHARED, OWN, DEADLY, 6000 + trial], now));
+    }
+
+    // assert
+    assert_eq!(waits, [2, 60, 120, 240, 480]);
+}
+
+#[test]
+fn trial_with_output_ends_the_quarantine() {
+    // arrange
+    let mut table = QuarantineTable::default();
+    let last = record_crashes(&mut table, &[SHARED, OWN], 3);
+    let trial = last + ms(2000);
+
+    // act
+    table.start_trial(&[SHARED, OWN, 5000], trial);
+    table.record_output(&[SHARED, OWN, 5000], trial + ms(30));
+
+    // assert: the last parts of the crashed requests are their own
+    assert!(table.entries().is_empty());
+    assert_eq!(table.suspects(), [1000, 1001, 1002]);
+}
+
+#[test]
+fn quarantine_of_another_vm_applies_unless_its_parts_were_cleared() {
+    // arrange
+    let mut origin = QuarantineTable::default();
+    let last = record_crashes(&mut origin, &[SHARED, OWN, DEADLY], 3);
+    let entry = origin.entries()[0].clone();
+    let mut table = QuarantineTable::default();
+    let part = SHARED;
+    let cleared = last + ms(5);
+
+    // act
+    table.record_clearance(PartClearance { part, cleared });
+    let is_new = table.record_entry(entry.clone());
+    let again = table.record_entry(entry);
+
+    // assert
+    assert!(is_new);
+    assert!(!again);
+    assert_eq!(table.entries()[0].parts, [OWN, DEADLY]);
+}
+
+#[test]
+fn entries_and_reports_expire() {
+    // arrange
+    let mut table = QuarantineTable::default();
+    let last = record_crashes(&mut table, &[SHARED, OWN, DEADLY], 3);
+
+    // act
+    table.remove_expired(last + ms(61_000));
+    let reports = table.reports().len();
+    let entries = table.entries().len();
+    let removed = table.remove_expired(last + ms(2_000 + 600_000));
+
+    // assert
+    assert_eq!((reports, entries), (0, 1));
+    assert!(removed);
+    assert!(table.suspects().is_empty());
+}
+
+/// Events of callers, servers and VMs.
+#[derive(Clone, Debug)]
+enum FleetEvent {
+    /// Requests arrive together, all before the first of them ends.
+    Arrive { requests: Vec<Arrival> },
+    /// A VM tells another one everything that it knows.
+    Tell { from: usize, to: usize },
+    /// The process of a VM restarts.
+    Restart { vm: usize },
+    /// Time passes.
+    Wait { millis: u64 },
+}
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    vm: usize,
+    shared: PartKey,
+    own: PartKey,
+    deadly: bool,
+    /// Whether the server crashes for another reason.
+    crashes: bool,
+}
+
+/// The events depend on nothing but the plan.
+#[derive(Clone, Debug)]
+struct FleetPlan {
+    /// Whether every VM tells all others at once.
+    connected: bool,
+}
+
+impl ReferenceStateMachine for FleetPlan {
+    type State = FleetPlan;
+    type Transition = FleetEvent;
+
+    fn init_state() -> BoxedStrategy<FleetPlan> {
+        any::<bool>()
+            .prop_map(|connected| FleetPlan { connected })
+            .boxed()
+    }
+
+    fn transitions(_: &FleetPlan) -> BoxedStrategy<FleetEvent> {
+        let arrival = (
+            0..VMS,
+            SHARED..SHARED + 2,
+            OWN..OWN + 3,
+            prop::bool::weighted(0.4),
+            prop::bool::weighted(0.2),
+        );
+        let arrival = arrival.prop_map(|(vm, shared, own, deadly, crashes)| Arrival {
+            vm,
+            shared,
+            own,
+            deadly,
+            crashes,
+        });
+        prop_oneof![
+            8 => prop::collection::vec(arrival, 1..4)
+                .prop_map(|requests| FleetEvent::Arrive { requests }),
+            4 => (0..VMS, 0..VMS).prop_map(|(from, to)| FleetEvent::Tell { from, to }),
+            1 => (0..VMS).prop_map(|vm| FleetEvent::Restart { vm }),
+            4 => (1..3000_u64).prop_map(|millis| FleetEvent::Wait { millis }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: FleetPlan, _: &FleetEvent) -> FleetPlan {
+        state
+    }
+}
+
+/// A request that was sent, as the oracle remembers it.
+#[derive(Clone, Debug)]
+struct SentRequest {
+    sent: Instant,
+    ended: Instant,
+    parts: Vec<PartKey>,
+    crashed: bool,
+}
+
+/// Tables of all VMs, and the oracle: all requests that were sent.
+struct FleetModel {
+    connected: bool,
+    tables: Vec<QuarantineTable>,
+    sent: Vec<SentRequest>,
+    now: Instant,
+    requests: u64,
+}
+
+impl FleetModel {
+    /// Returns how many crashes of requests with all of the parts occurred one after the other, since the last
+    /// output of any of the parts, and how many in all.
+    fn crashes_with(&self, parts: &[PartKey]) -> (usize, usize) {
+        let output = |request: &&SentRequest| {
+            !request.crashed && parts.iter().any(|part| request.parts.contains(part))
+        };
+        let since = match self.connected {
+            true => self
+                .sent
+                .iter()
+                .filter(output)
+                .map(|request| request.ended)
+                .max(),
+            false => None,
+        };
+        let has_parts = |request: &SentRequest| {
+            request.crashed && parts.iter().all(|part| request.parts.contains(part))
+        };
+        let all = self.sent.iter().filter(|request| has_parts(request));
+        (self.crash_chain(since, has_parts), all.count())
+    }
+
+    fn crash_chain(&self, since: Option<Instant>, counts: impl Fn(&SentRequest) -> bool) -> usize {
+        let mut last = since;
+        let mut chain = 0;
+        let mut crashes: Vec<&SentRequest> = self
+            .sent
+            .iter()
+            .filter(|request| request.crashed && counts(request))
+            .filter(|request| since.is_none_or(|since| request.ended >= since))
+            .collect();
+        crashes.sort_by_key(|request| request.ended);
+        for request in crashes {
+            if chain == 0 || last.is_none_or(|last| request.sent > last) {
+                chain += 1;
+                last = Some(request.ended);
+            }
+        }
+        chain
+    }
+
+    fn arrive(&mut self, arrivals: &[Arrival]) {
+        let sent = self.now;
+        let mut running = Vec::new();
+        for arrival in arrivals {
+            self.requests += 1;
+            let mut parts = vec![arrival.shared, arrival.own, 1000 + self.requests];
+            if arrival.deadly {
+                parts.insert(1, DEADLY);
+            }
+            match self.tables[arrival.vm].check(&parts, sent) {
+                PromptCheck::Quarantined { .. } => {
+                    self.check_refusal(arrival.vm, &parts);
+                    continue;
+                }
+                PromptCheck::Trial => self.tables[arrival.vm].start_trial(&parts, sent),
+                PromptCheck::Allowed => {}
+            }
+            self.tell_all(arrival.vm);
+            running.push((arrival, parts));
+        }
+        for (arrival, parts) in running {
+            self.now += ms(10);
+            self.end(arrival, parts, sent);
+            self.tell_all(arrival.vm);
+        }
+        self.now += ms(1);
+    }
+
+    fn end(&mut self, arrival: &Arrival, parts: Vec<PartKey>, sent: Instant) {
+        let crashed = arrival.deadly || arrival.crashes;
+        let table = &mut self.tables[arrival.vm];
+        if crashed {
+            table.record_crash(CrashReport {
+                request: self.requests + parts[parts.len() - 1],
+                server: u32::try_from(self.sent.len()).expect("few requests"),
+                start: 1,
+                sent,
+                crashed: self.now,
+                parts: sorted(&parts),
+            });
+        } else {
+            table.record_output(&parts, self.now);
+        }
+        self.sent.push(SentRequest {
+            sent,
+            ended: self.now,
+            parts,
+            crashed,
+        });
+    }
+
+    /// Checks that the crashes seen so far justify a refusal.
+    fn check_refusal(&self, vm: usize, parts: &[PartKey]) {
+        let entries = self.tables[vm].entries().iter();
+        let includes = |entry: &&QuarantineEntry| {
+            let mut quarantined = entry.parts.iter();
+            quarantined.all(|part| parts.contains(part))
+        };
+        for entry in entries.filter(includes) {
+            let (in_a_row, all) = self.crashes_with(&entry.parts);
+            let suffices = in_a_row >= 3 || all >= 5;
+            assert!(suffices, "{entry:?}: {in_a_row} in a row, {all} in all");
+        }
+    }
+
+    fn tell_all(&mut self, from: usize) {
+        if self.connected {
+            (0..VMS).for_each(|to| self.tell(from, to));
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: usize) {
+        let sender = self.tables[from].clone();
+        let table = &mut self.tables[to];
+        for clearance in sender.clearances() {
+            table.record_clearance(*clearance);
+        }
+        for report in sender.reports() {
+            table.record_crash(report.clone());
+        }
+        for entry in sender.entries() {
+            table.record_entry(entry.clone());
+        }
+    }
+}
+
+impl StateMachineTest for FleetModel {
+    type SystemUnderTest = FleetModel;
+    type Reference = FleetPlan;
+
+    fn init_test(plan: &FleetPlan) -> FleetModel {
+        FleetModel {
+            connected: plan.connected,
+            tables: vec![QuarantineTable::default(); VMS],
+            sent: Vec::new(),
+            now: Instant::now(),
+            requests: 0,
+        }
+    }
+
+    fn apply(mut model: FleetModel, _: &FleetPlan, event: FleetEvent) -> FleetModel {
+        match event {
+            FleetEvent::Arrive { requests } => model.arrive(&requests),
+            FleetEvent::Tell { from, to } => model.tell(from, to),
+            FleetEvent::Restart { vm } => {
+                model.tables[vm] = QuarantineTable::default();
+                (0..VMS).for_each(|from| model.tell_all(from));
+            }
+            FleetEvent::Wait { millis } => model.now += ms(millis),
+        }
+        for table in &mut model.tables {
+            table.remove_expired(model.now);
+            table.review(model.now);
+        }
+        model
+    }
+
+    /// Checks the number of deadly requests: three crashes, at most one more for each further part that deadly
+    /// requests may have in common, and the first trial of each of these quarantines.
+    fn check_invariants(model: &FleetModel, _: &FleetPlan) {
+        if !model.connected {
+            return;
+        }
+        let since = model.now.checked_sub(Duration::from_secs(59));
+        let crashes = model.crash_chain(since, |request| request.parts.contains(&DEADLY));
+        assert!(
+            crashes <= 3 + 3 * 2,
+            "{crashes} deadly requests in a minute"
+        );
+        assert_no_sound_part(model);
+    }
+}
+
+/// Checks that no VM quarantines parts of which each had output after its last crash.
+fn assert_no_sound_part(model: &FleetModel) {
+    for entry in model.tables.iter().flat_map(QuarantineTable::entries) {
+        let is_proven = |part: &PartKey| {
+            let with_part = model
+                .sent
+                .iter()
+                .filter(|request| request.parts.contains(part));
+            let last = with_part.max_by_key(|request| request.ended);
+            last.is_some_and(|request| !request.crashed)
+        };
+        assert!(!entry.parts.iter().any(is_proven), "{entry:?}");
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn quarantines_are_justified_and_limit_crashes(sequential 1..80 => FleetModel);
+}
--- a/fleet/src/crash_watch.rs
+++ b/fleet/src/crash_watch.rs
@@ -11,6 +11,8 @@
 use boragerill::{
     error::ServeError,
     prompt::PromptParts,
+    quarantine::CrashReport,
+    rank::hash_name,
     timer::millis, //
 };
 use compact_str::CompactString;
@@ -24,13 +26,10 @@
         BackendState, //
     },
     pool::BackendConnection,
+    quarantine::QuarantineRegistry,
     state::FleetState, //
 };
 
-/// Number of events from which on a server is taken to be able to run a request. A server that crashes as it
-/// begins to respond may still have sent the first one.
-pub(crate) const PROVEN_EVENTS: u64 = 2;
-
 /// A request whose connection broke off before the server had proved that it can run it.
 #[derive(Clone, Debug)]
 pub(crate) struct LostRequest {
@@ -40,6 +39,8 @@
     pub(crate) prompt: PromptParts,
     /// When it was sent to the server.
     pub(crate) sent: Instant,
+    /// When its connection broke off.
+    pub(crate) lost: Instant,
 }
 
 impl LostRequest {
@@ -50,6 +51,7 @@
             id: request.id.clone(),
             prompt: request.prompt.clone(),
             sent: now.checked_sub(age).unwrap_or(now),
+            lost: now,
         }
     }
 }
@@ -62,14 +64,19 @@
     lost: LostRequest,
 ) {
     if server.add_lost_request(lost) {
-        let (backends, server) = (state.backends.clone(), server.clone());
-        tokio::spawn(async move { check_server(&backends, &server).await });
+        let (backends, quarantine) = (state.backends.clone(), state.quarantine.clone());
+        let server = server.clone();
+        tokio::spawn(async move { check_server(&backends, &quarantine, &server).await });
     }
 }
 
 /// Opens a connection to a server that has lost requests. Only a refusal shows that its process is gone: a
 /// timeout may be due to a partition.
-async fn check_server(backends: &Arc<BackendRegistry>, server: &Arc<BackendState>) {
+async fn check_server(
+    backends: &Arc<BackendRegistry>,
+    quarantine: &QuarantineRegistry,
+    server: &Arc<BackendState>,
+) {
     let opened = BackendConnection::open(server.server.address).await;
     let lost = server.take_lost_requests();
     let now = Instant::now();
@@ -78,11 +85,28 @@
         Err(ServeError::Rejected(..)) => {
             log_crash(server, &lost, now);
             backends.record_unreachable(server, now);
+            for request in lost {
+                quarantine.record_crash(crash_report(server, &request));
+            }
+            backends.changed.notify_one();
         }
         Err(_) => backends.record_unreachable(server, now),
     }
 }
 
+fn crash_report(server: &BackendState, request: &LostRequest) -> CrashReport {
+    let mut parts = request.prompt.keys().to_vec();
+    parts.sort_unstable();
+    CrashReport {
+        request: hash_name(&request.id),
+        server: server.key,
+        start: server.server.start,
+        sent: request.sent,
+        crashed: request.lost,
+        parts,
+    }
+}
+
 fn log_crash(server: &BackendState, lost: &[LostRequest], now: Instant) {
     counter!("backend_crashes_total").increment(1);
     let id = server.server.id.as_str();
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -10,6 +10,7 @@
 
 use boragerill::{
     catalog::RouteKind,
+    quarantine::PromptCheck,
     refusal::{
         RefusalReason,
         RefusalResponse, //
@@ -36,7 +37,6 @@
     attempt::{
         attempt,
         AttemptFailure,
-        NotRunCause,
         ServerResponse, //
     },
     backends::BackendState,
@@ -44,6 +44,10 @@
         record_lost_request,
         LostRequest, //
     },
+    quarantine::{
+        RunProgress,
+        RunProof, //
+    },
     response::{
         forward_response,
         full_body,
@@ -80,6 +84,7 @@
     refusals: usize, // Attempts in which the request didn't run.
     /// Number of attempts in which the request may have run.
     pub(crate) runs: u32,
+    is_trial: bool, // Whether it is sent although its prompt is quarantined, until it may have run.
     cause: CompactString,
 }
 
@@ -90,7 +95,18 @@
 ) -> CallerResult {
     let mut history = RunHistory::default();
     loop {
+        let checked = state
+            .quarantine
+            .check(&request.outgoing.prompt, Instant::now());
+        refuse_quarantined(checked, &history)?;
         let server = find_slot(state, &request, &history).await?;
+        if !history.is_trial {
+            let admitted = state
+                .quarantine
+                .admit(&request.outgoing.prompt, Instant::now());
+            refuse_quarantined(admitted, &history)?;
+            history.is_trial = admitted == PromptCheck::Trial;
+        }
         log_routing(state, &request, &server);
         let remaining = time_until_disconnect(&request);
         let limit = remaining - RESPONSE_MARGIN.min(remaining / 8);
@@ -115,6 +131,26 @@
     }
 }
 
+/// Refuses a request whose prompt is quarantined, unless it is sent as a trial.
+fn refuse_quarantined(check: PromptCheck, history: &RunHistory) -> Result<(), RefusalResponse> {
+    let PromptCheck::Quarantined {
+        retry_after,
+        crashes,
+    } = check
+    else {
+        return Ok(());
+    };
+    if history.is_trial {
+        return Ok(());
+    }
+    if history.runs > 0 {
+        return Err(final_refusal(history, false));
+    }
+    let detail = format_compact!("prompt quarantined after {crashes} crashes of backend servers");
+    let refused = RefusalResponse::not_run(RefusalReason::PromptQuarantined, detail);
+    Err(refused.retry_after(retry_after))
+}
+
 /// Logs the server chosen for a request and the load that this VM has placed on it.
 fn log_routing(state: &FleetState, request: &AdmittedRequest, server: &BackendState) {
     let used = server.used();
@@ -170,6 +206,7 @@
         }
         AttemptFailure::Unknown(cause) => {
             history.runs += 1;
+            history.is_trial = false;
             ("server_failed", cause)
         }
     };
@@ -256,12 +293,11 @@
         AttemptFailure::Unknown(format_compact!("reading the response failed: {error}"))
     })?;
     let body = body.to_bytes();
+    if response.head.status.is_success() {
+        let prompt = &request.outgoing.prompt;
+        RunProof::default().record(&state.quarantine, prompt, RunProgress::Complete);
+    }
     let forwarded = forward_response(&state.format.names, &response.head, full_body(body));
     response.finish();
     Ok(forwarded)
 }
-
-/// Returns whether no connection to the server could be opened.
-pub(crate) fn is_unreachable(failure: &AttemptFailure) -> bool {
-    matches!(failure, AttemptFailure::NotRun(NotRunCause::Unreachable, _))
-}
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -34,6 +34,7 @@
 
 use crate::{
     jobs::JobEntry,
+    quarantine_notice::add_news,
     state::FleetState, //
 };
 
@@ -97,7 +98,7 @@
         reported.jobs = self.jobs();
         reported.announcements = self.state.backends.drain_announcements();
         reported.info = info.clone();
-        Heartbeat {
+        let mut heartbeat = Heartbeat {
             member: Some(member_entry(&info)),
             full: true,
             places: reported.slot_usage.iter().map(server_usage).collect(),
@@ -105,7 +106,9 @@
             jobs: reported.jobs.clone(),
             leaving: reported.announcements.iter().map(drain_notice).collect(),
             ..self.minimal_heartbeat()
-        }
+        };
+        add_news(&mut heartbeat, &self.state.quarantine.repeated_news());
+        heartbeat
     }
 
     /// Returns a heartbeat with the changes since the last one, or a full one when the own VM's entry changed;
@@ -121,17 +124,20 @@
         let uses = workspace_usage(lock(&self.state.rate_limiter).take_changes());
         let demands = self.state.backends.own_demands();
         let before = std::mem::replace(&mut lock(&self.reported).demands, demands.clone());
+        let news = self.state.quarantine.take_untold();
         let same = places.is_empty() && jobs.is_empty() && uses.is_empty() && leaving.is_empty();
-        if same && before == demands {
+        if same && news.is_empty() && before == demands {
             return None;
         }
-        Some(Heartbeat {
+        let mut heartbeat = Heartbeat {
             places,
             uses,
             jobs,
             leaving,
             ..self.minimal_heartbeat()
-        })
+        };
+        add_news(&mut heartbeat, &news);
+        Some(heartbeat)
     }
 
     /// Returns the entries of all known VMs.
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -42,6 +42,7 @@
 use crate::{
     jobs::JobReport,
     peers,
+    quarantine_notice::read_news,
     state::FleetState,
     takeover, //
 };
@@ -85,6 +86,7 @@
                 .backends
                 .record_drain_announcement(drain_announcement(notice, now));
         }
+        self.state.quarantine.record_news(read_news(heartbeat, now));
         self.fetch_newer(heartbeat, from);
         heartbeat.joins || silence.is_some()
     }
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -46,6 +46,7 @@
     attempt::{
         attempt,
         AttemptFailure,
+        NotRunCause,
         OutgoingRequest,
         ServerResponse, //
     },
@@ -56,11 +57,13 @@
     caller::set_workspace,
     crash_watch::{
         record_lost_request,
-        LostRequest,
-        PROVEN_EVENTS, //
+        LostRequest, //
     },
-    dispatch::is_unreachable,
     jobs::JobEntry,
+    quarantine::{
+        RunProgress,
+        RunProof, //
+    },
     state::FleetState,
     wire::HeaderNames, //
 };
@@ -68,6 +71,13 @@
 /// Delay before a refused or interrupted item is started again.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(40);
 
+/// Shortest delay before an item is started again after its run broke off before its first output. The server may
+/// have crashed under it.
+const BROKEN_RUN_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Range over which such restarts are spread, so that not all items with a common prompt start at once.
+const BROKEN_RUN_SPREAD: Duration = Duration::from_millis(900);
+
 /// Delay before an item is started again after an error response or excessive output.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(250);
 
@@ -111,9 +121,10 @@
                 AttemptFailure::Unknown("response timed out".into())
             }
         };
-        let backoff = match is_unreachable(&failure) {
-            true => Duration::ZERO,
-            false => REFUSAL_BACKOFF,
+        let backoff = match failure {
+            AttemptFailure::NotRun(NotRunCause::Unreachable, _) => Duration::ZERO,
+            AttemptFailure::NotRun(..) => REFUSAL_BACKOFF,
+            AttemptFailure::Unknown(_) => broken_run_backoff(),
         };
         self.record_interruption(outgoing, &failure);
         lock(&self.entry.progress).pause(self.index, Some(now + backoff));
@@ -130,8 +141,8 @@
             return;
         }
         let deadline = tokio::time::Instant::from_std(self.deadline);
-        let mut splitter = EventSplitter::default();
-        let reading = self.read_events(&mut response, &mut splitter);
+        let mut proof = RunProof::default();
+        let reading = self.read_events(outgoing, &mut response, &mut proof);
         let read = timeout_at(deadline, reading).await;
         match read.unwrap_or(Err("deadline passed before the end of the stream".into())) {
             Ok(()) => {
@@ -143,13 +154,17 @@
                 self.state
                     .backends
                     .record_failure(self.server, Instant::now());
-                if splitter.event_count() < PROVEN_EVENTS {
+                if !proof.is_proven() {
                     let lost = LostRequest::new(outgoing, response.in_flight.age());
                     record_lost_request(self.state, self.server, lost);
                 }
                 response.abandon();
                 self.record_interruption(outgoing, &AttemptFailure::Unknown(cause));
-                let until = Instant::now() + REFUSAL_BACKOFF;
+                let backoff = match proof.is_proven() {
+                    true => REFUSAL_BACKOFF,
+                    false => broken_run_backoff(),
+                };
+                let until = Instant::now() + backoff;
                 lock(&self.entry.progress).pause(self.index, Some(until));
             }
         }
@@ -158,15 +173,20 @@
     /// Appends events to the item's output until the stream ends.
     async fn read_events(
         &self,
+        outgoing: &OutgoingRequest,
         response: &mut ServerResponse,
-        splitter: &mut EventSplitter,
+        proof: &mut RunProof,
     ) -> Result<(), CompactString> {
+        let quarantine = &self.state.quarantine;
+        let mut splitter = EventSplitter::default();
         loop {
             let frame = timeout(RESPONSE_TIMEOUT, response.body.frame()).await;
             let Some(frame) = frame.map_err(|_| "no event in time")? else {
-                return splitter
+                splitter
                     .finish()
-                    .map_err(|fault| format_compact!("{fault:?}"));
+                    .map_err(|fault| format_compact!("{fault:?}"))?;
+                proof.record(quarantine, &outgoing.prompt, RunProgress::Complete);
+                return Ok(());
             };
             let frame = frame.map_err(|error| format_compact!("stream aborted: {error}"))?;
             if let Some(bytes) = frame.data_ref() {
@@ -177,6 +197,8 @@
                 .map_err(|fault| format_compact!("{fault:?}"))?;
             if let Some(chunk) = chunk {
                 self.extend(&chunk.bytes)?;
+                let progress = RunProgress::Events(splitter.event_count());
+                proof.record(quarantine, &outgoing.prompt, progress);
             }
         }
     }
@@ -227,6 +249,11 @@
     }
 }
 
+/// Returns the delay before an item is started again whose run broke off before its first output.
+fn broken_run_backoff() -> Duration {
+    BROKEN_RUN_BACKOFF + BROKEN_RUN_SPREAD.mul_f64(rand::random())
+}
+
 /// Returns the parts of an item's prompt.
 pub(crate) fn item_prompt(names: &HeaderNames, item: &JobItem) -> PromptParts {
     let mut headers = item.headers.iter();
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -2,8 +2,12 @@
 
 use std::{
     sync::{
-        atomic::Ordering,
-        Arc, //
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Arc,
+        Mutex, //
     },
     time::{
         Duration,
@@ -18,7 +22,11 @@
         CatalogRoute,
         RouteKind, //
     },
-    job::JobPriority,
+    job::{
+        JobItem,
+        JobPriority, //
+    },
+    quarantine::PromptCheck,
     rank::hash_name,
     slot::{
         choose_batch_server,
@@ -41,11 +49,13 @@
         RequestClass, //
     },
     item_run::{
+        item_prompt,
         item_request,
         ItemRun, //
     },
     jobs::JobEntry,
-    state::FleetState, //
+    state::FleetState,
+    trial_wait::TrialWait, //
 };
 
 /// Slots of each server that batch leaves free for online requests.
@@ -70,8 +80,9 @@
 /// Schedules the items of this VM's jobs.
 #[derive(Default)]
 pub(crate) struct ItemScheduler {
-    running: std::sync::Mutex<Vec<RunningItem>>,
-    next: std::sync::atomic::AtomicU64,
+    running: Mutex<Vec<RunningItem>>,
+    next: AtomicU64,
+    trial_wait: Mutex<TrialWait>,
 }
 
 impl ItemScheduler {
@@ -169,7 +180,7 @@
             }
         }
         jobs.sort_by_key(|job| job.0.rank());
-        let demands = collect_demands(&catalog, &jobs, now);
+        let demands = collect_demands(state, &catalog, &jobs, now);
         state.backends.set_own_demands(demands.clone());
         for demand in demands {
             self.start_service(state, &catalog, &jobs, demand, now);
@@ -190,8 +201,7 @@
             let Some(route) = catalog.find_route(&entry.manifest.host, &entry.manifest.path) else {
                 continue;
             };
-            let startable = lock(&entry.progress).startable(now);
-            for index in startable {
+            for index in startable_items(state, entry, now) {
                 let service = route.choose_service(&entry.items[index].id);
                 let Some(service) = service.filter(|name| hash_name(name) == demand.service) else {
                     continue;
@@ -209,6 +219,9 @@
                 let Some(chosen) = chosen else {
                     return;
                 };
+                if !self.admit(state, &entry.items[index], now) {
+                    continue;
+                }
                 *remaining -= 1;
                 let server = servers[chosen].clone();
                 self.start(state, entry, route, index, server, priority.time_left);
@@ -216,6 +229,20 @@
         }
     }
 
+    /// Returns whether an item's prompt is not quarantined, or is due for a trial and it is this VM's turn. The VMs
+    /// would otherwise all start a trial when a trial is due and a server is free.
+    fn admit(&self, state: &FleetState, item: &JobItem, now: Instant) -> bool {
+        let prompt = item_prompt(&state.format.names, item);
+        if state.quarantine.check(&prompt, now) == PromptCheck::Trial {
+            let rank = lock(&state.members).own_rank(hash_name("trial"), now);
+            if !lock(&self.trial_wait).is_over(rank, now) {
+                return false;
+            }
+        }
+        let admitted = state.quarantine.admit(&prompt, now);
+        !matches!(admitted, PromptCheck::Quarantined { .. })
+    }
+
     fn start(
         self: &Arc<Self>,
         state: &Arc<FleetState>,
@@ -265,8 +292,22 @@
     }
 }
 
+/// Returns the items of a job that can be started now; those with quarantined prompts can't.
+fn startable_items(state: &FleetState, entry: &JobEntry, now: Instant) -> Vec<usize> {
+    let mut startable = lock(&entry.progress).startable(now);
+    if state.quarantine.is_active() {
+        startable.retain(|&index| {
+            let prompt = item_prompt(&state.format.names, &entry.items[index]);
+            let check = state.quarantine.check(&prompt, now);
+            !matches!(check, PromptCheck::Quarantined { .. })
+        });
+    }
+    startable
+}
+
 /// Returns the number of startable items and the earliest due time by service, in the order of the jobs.
 fn collect_demands(
+    state: &FleetState,
     catalog: &Catalog,
     jobs: &[(JobPriority, Arc<JobEntry>)],
     now: Instant,
@@ -280,7 +321,7 @@
             true => DUE_OVERDUE,
             false => u32::try_from(priority.time_left.as_millis()).unwrap_or(DUE_OVERDUE),
         };
-        for index in lock(&entry.progress).startable(now) {
+        for index in startable_items(state, entry, now) {
             let Some(service) = route.choose_service(&entry.items[index].id) else {
                 break;
             };
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -24,6 +24,9 @@
 mod listener;
 mod peers;
 mod pool;
+mod quarantine;
+mod quarantine_notice;
+mod quarantine_store;
 mod read_cache;
 mod request_body;
 mod response;
@@ -33,6 +36,7 @@
 mod store_watch;
 mod stream_relay;
 mod takeover;
+mod trial_wait;
 mod vm;
 pub mod wire;
 
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -59,6 +59,7 @@
     cancellations::CancellationRegistry,
     jobs::JobRegistry,
     links::PeerLinks,
+    quarantine::QuarantineRegistry,
     read_cache::ReadCache,
     wire::WireFormat, //
 };
@@ -151,6 +152,8 @@
     pub(crate) overdue_waiting: AtomicUsize,
     /// Estimates when slots become free.
     pub(crate) wait_estimator: WaitEstimator,
+    /// Prompts that crash backend servers.
+    pub(crate) quarantine: Arc<QuarantineRegistry>,
     /// Connections to other VMs.
     pub(crate) links: PeerLinks,
     /// Batch jobs.
@@ -207,6 +210,7 @@
             on_time_waiting: AtomicUsize::new(0),
             overdue_waiting: AtomicUsize::new(0),
             wait_estimator: WaitEstimator::default(),
+            quarantine: Arc::default(),
             links: PeerLinks::default(),
             jobs: JobRegistry::default(),
             cancellations: CancellationRegistry::default(),
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -207,8 +207,8 @@
     });
 }
 
-/// Removes backend servers that did not register again in time, idle connections, old drain announcements and
-/// old jobs periodically until the process ends.
+/// Removes backend servers that did not register again in time, idle connections, old drain announcements,
+/// quarantines and jobs periodically until the process ends.
 pub(crate) async fn prune_periodically(state: Arc<FleetState>) {
     loop {
         sleep(EXPIRY_CHECK_INTERVAL).await;
@@ -221,6 +221,7 @@
             server.pool().prune(now);
         }
         state.backends.prune_drain_announcements(now);
+        state.quarantine.review(now);
         let retention = Duration::from_secs_f64(state.settings.results_kept_s);
         state.jobs.remove_expired(retention, now);
     }
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -12,6 +12,7 @@
 
 use boragerill::{
     catalog::RouteKind,
+    quarantine::PromptCheck,
     rank::hash_name,
     slot::{
         choose_online_server,
@@ -45,8 +46,11 @@
     backends::BackendState,
     crash_watch::{
         record_lost_request,
-        LostRequest,
-        PROVEN_EVENTS, //
+        LostRequest, //
+    },
+    quarantine::{
+        RunProgress,
+        RunProof, //
     },
     response::{
         forward_response,
@@ -165,6 +169,7 @@
     stall: Option<Duration>,
     first: Option<Bytes>,
     response: Option<ServerResponse>,
+    proof: RunProof,
     splitter: EventSplitter,
     arrived: Instant,
 }
@@ -195,6 +200,7 @@
             stall,
             first: Some(opened.first),
             response: Some(opened.response),
+            proof: RunProof::default(),
             splitter: opened.splitter,
             arrived: request.arrived,
             state,
@@ -209,6 +215,7 @@
     /// Returns the next events, `None` at the end, or an error that aborts the response.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         if let Some(first) = self.first.take() {
+            self.record_progress(RunProgress::Events(self.splitter.event_count()));
             return Some(Ok(first));
         }
         loop {
@@ -222,8 +229,12 @@
             let too_late = Instant::now() >= self.outgoing.deadline + LATE_EVENT_GRACE;
             let cause = match timeout(limit, read_events(response, &mut self.splitter)).await {
                 Ok(Ok(Some(_))) if too_late => CompactString::const_new("deadline passed"),
-                Ok(Ok(Some(events))) => return Some(Ok(events)),
+                Ok(Ok(Some(events))) => {
+                    self.record_progress(RunProgress::Events(self.splitter.event_count()));
+                    return Some(Ok(events));
+                }
                 Ok(Ok(None)) => {
+                    self.record_progress(RunProgress::Complete);
                     let response = self.response.take()?;
                     let service = hash_name(&self.service);
                     self.state
@@ -233,7 +244,7 @@
                     return None;
                 }
                 Ok(Err(cause)) => {
-                    if self.splitter.event_count() < PROVEN_EVENTS {
+                    if !self.proof.is_proven() {
                         let lost = LostRequest::new(&self.outgoing, response.in_flight.age());
                         record_lost_request(&self.state, &response.server, lost);
                     }
@@ -249,6 +260,11 @@
         }
     }
 
+    fn record_progress(&mut self, progress: RunProgress) {
+        let prompt = &self.outgoing.prompt;
+        self.proof.record(&self.state.quarantine, prompt, progress);
+    }
+
     /// Resumes the stream on another server after its last event, and returns whether that succeeded.
     async fn resume(&mut self, cause: &str) -> bool {
         let Some(broken) = self.response.take() else {
@@ -283,6 +299,13 @@
     /// Sends the request to servers not in `tried` until one responds with success.
     async fn find_server(&mut self, mut tried: Vec<u32>) -> bool {
         for _ in 0..MAX_RESUME_ATTEMPTS {
+            let check = self
+                .state
+                .quarantine
+                .check(&self.outgoing.prompt, Instant::now());
+            if check != PromptCheck::Allowed {
+                return false;
+            }
             let Some(server) = self.choose_server(&tried) else {
                 return false;
             };
--- /dev/null
+++ b/fleet/src/trial_wait.rs
@@ -0,0 +1,30 @@
+//! Turns in which VMs start items with quarantined prompts as trials.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Time between the turns of two VMs to start an item with a quarantined prompt as a trial.
+const TRIAL_TURN: Duration = Duration::from_millis(50);
+
+/// Time without a check after which a wait for a turn is over and the next check begins another one.
+const TRIAL_WAIT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Wait for this VM's turn to start an item as a trial.
+#[derive(Debug, Default)]
+pub(crate) struct TrialWait {
+    checks: Option<(Instant, Instant)>, // The first and the last check of this wait.
+}
+
+impl TrialWait {
+    /// Checks whether the turn of the VM with the given rank has come.
+    pub(crate) fn is_over(&mut self, rank: usize, now: Instant) -> bool {
+        let ongoing = self
+            .checks
+            .filter(|(_, last)| now < *last + TRIAL_WAIT_PAUSE);
+        let first = ongoing.map_or(now, |(first, _)| first);
+        self.checks = Some((first, now));
+        now >= first + TRIAL_TURN * u32::try_from(rank).unwrap_or(u32::MAX)
+    }
+}
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -62,6 +62,7 @@
         CallerConnections, //
     },
     peers,
+    quarantine_store,
     retirement,
     state::FleetState,
     store_watch,
@@ -201,6 +202,7 @@
     tokio::spawn(Arc::new(ItemScheduler::default()).run(state.clone()));
     tokio::spawn(takeover::watch_runners(state.clone()));
     tokio::spawn(takeover::find_orphans(state.clone()));
+    tokio::spawn(quarantine_store::keep_stored(state.clone()));
     tokio::spawn(watch_readiness(state.clone()));
     if !state.settings.first_start {
         tokio::spawn(add_restart_tokens(state.clone()));
--- a/standins/src/standard_server.rs
+++ b/standins/src/standard_server.rs
@@ -160,6 +160,11 @@
         self.endless.load(Ordering::Relaxed)
     }
 
+    /// Closes all connections and the listener, and starts again after a time.
+    pub fn crash(&self, downtime: Duration) {
+        self.crash.send_replace(Some(downtime));
+    }
+
     /// Replaces the script.
     pub fn set_script(
         &self,
@@ -214,7 +219,7 @@
                 ResponseStep::Wait(time) => sleep(time).await,
                 ResponseStep::Close => return false,
                 ResponseStep::Crash(downtime) => {
-                    self.crash.send_replace(Some(downtime));
+                    self.crash(downtime);
                     return false;
                 }
             }
