--- a/standins/src/standard_server.rs
+++ b/standins/src/standard_server.rs
@@ -16,6 +16,7 @@
 };
 
 use boragerill::sync::lock;
+use socket2::SockRef;
 use tokio::{
     io::{
         AsyncBufReadExt,
@@ -71,10 +72,20 @@
     Endless(String),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
     /// Closes all connections and the listener, and starts again after a time.
     Crash(Duration),
 }
 
+/// What happens to the connection after a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ResponseEnd {
+    KeepAlive,
+    Close,
+    Reset,
+}
+
 /// Determines the response to a request.
 pub type ResponseScript = Arc<dyn Fn(&ReceivedRequest) -> Vec<ResponseStep> + Send + Sync>;
 
@@ -180,33 +191,36 @@
             lock(&self.received).push(request.clone());
             let script = lock(&self.script).clone();
             let steps = script(&request);
-            let finished = tokio::select! {
-                finished = self.respond(&mut writer, &request, steps) => finished,
+            let end = tokio::select! {
+                end = self.respond(&mut writer, &request, steps) => end,
                 _ = reader.fill_buf() => {
                     *lock(&self.aborted_responses) += 1;
-                    false
+                    ResponseEnd::Close
                 }
             };
-            if !finished {
-                return;
+            match end {
+                ResponseEnd::KeepAlive => {}
+                ResponseEnd::Close => return,
+                // Dropping the writer would close the connection regularly first.
+                ResponseEnd::Reset => return writer.forget(),
             }
         }
     }
 
-    /// Executes the steps of a response, and returns whether the connection stays open.
+    /// Executes the steps of a response, and returns what happens to the connection.
     async fn respond(
         &self,
         writer: &mut OwnedWriteHalf,
         request: &ReceivedRequest,
         steps: Vec<ResponseStep>,
-    ) -> bool {
+    ) -> ResponseEnd {
         let id = request.header("attempt-id").unwrap_or_default();
         for step in steps {
             match step {
                 ResponseStep::Write(text) => {
                     let text = text.replace("{id}", id);
                     if writer.write_all(text.as_bytes()).await.is_err() {
-                        return false;
+                        return ResponseEnd::Close;
                     }
                 }
                 ResponseStep::Endless(text) => {
@@ -214,17 +228,24 @@
                         self.endless.fetch_add(text.len() as u64, Ordering::Relaxed);
                     }
                     *lock(&self.aborted_responses) += 1;
-                    return false;
+                    return ResponseEnd::Close;
                 }
                 ResponseStep::Wait(time) => sleep(time).await,
-                ResponseStep::Close => return false,
+                ResponseStep::Close => return ResponseEnd::Close,
+                ResponseStep::Reset => {
+                    let socket = SockRef::from(writer.as_ref());
+                    socket
+                        .set_linger(Some(Duration::ZERO))
+                        .expect("open socket");
+                    return ResponseEnd::Reset;
+                }
                 ResponseStep::Crash(downtime) => {
                     self.crash(downtime);
-                    return false;
+                    return ResponseEnd::Close;
                 }
             }
         }
-        true
+        ResponseEnd::KeepAlive
     }
 }
 
