--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod roster;
 pub mod route;
 pub mod schema;
+pub mod server_limit;
 pub mod settings;
 pub mod share;
 pub mod slot;
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -34,6 +34,7 @@
     Response,
     Uri, //
 };
+use log::info;
 use metrics::counter;
 use tokio::time::timeout;
 
@@ -183,6 +184,7 @@
     request: &OutgoingRequest,
 ) -> Result<ServerResponse, AttemptFailure> {
     let in_flight = state.backends.track_request(server, request.kind);
+    let sent = Instant::now();
     let result = exchange(state, server, request).await;
     let now = Instant::now();
     match result {
@@ -195,7 +197,7 @@
                 server: server.clone(),
                 in_flight,
             };
-            check_head(state, request, response)
+            check_head(state, request, response, sent)
         }
         Err(failure) => {
             match &failure {
@@ -265,6 +267,7 @@
 ) -> Option<Result<(Response<Incoming>, BackendConnection), AttemptFailure>> {
     let outgoing = build_request(&state.format.names, server, request);
     let remaining = request.deadline.saturating_duration_since(Instant::now());
+    state.limits.record_send(server, request.kind, &request.id);
     let sending = connection.sender().try_send_request(outgoing);
     let Ok(result) = timeout(remaining, sending).await else {
         let cause = CompactString::const_new("deadline passed before the response");
@@ -319,6 +322,7 @@
     state: &FleetState,
     request: &OutgoingRequest,
     response: ServerResponse,
+    sent: Instant,
 ) -> Result<ServerResponse, AttemptFailure> {
     let names = &state.format.names;
     let now = Instant::now();
@@ -332,6 +336,9 @@
         let cause = CompactString::const_new("response belongs to another request");
         return Err(AttemptFailure::Unknown(cause));
     }
+    if status != 421 {
+        record_limit(state, &response, sent, now);
+    }
     if status != 421
         && headers
             .get(&names.leaving)
@@ -365,6 +372,18 @@
     Ok(response)
 }
 
+/// Records what a response states about the limit of its server.
+fn record_limit(state: &FleetState, response: &ServerResponse, sent: Instant, received: Instant) {
+    let headers = &response.head.headers;
+    match (state.format.decode_limit)(headers, sent, received) {
+        Ok(statement) => state.limits.record(&response.server, statement),
+        Err(cause) => {
+            counter!("server_limits_malformed_total").increment(1);
+            info!(server = response.server.server.id.as_str(), cause = cause.as_str(); "malformed limit");
+        }
+    }
+}
+
 /// Records that a server announced in a response that it is draining.
 fn record_drain_announcement(state: &FleetState, server: &BackendState, now: Instant) {
     state.backends.record_drain_announcement(DrainAnnouncement {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 mod request_body;
 mod response;
 mod retirement;
+mod server_limits;
 mod server_selection;
 mod state;
 mod store_watch;
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -61,6 +61,7 @@
     links::PeerLinks,
     quarantine::QuarantineRegistry,
     read_cache::ReadCache,
+    server_limits::LimitRegistry,
     wire::WireFormat, //
 };
 
@@ -140,6 +141,8 @@
     pub(crate) catalog: CatalogStore,
     /// Backend servers in use.
     pub(crate) backends: Arc<BackendRegistry>,
+    /// Limits that backend servers state.
+    pub(crate) limits: LimitRegistry,
     /// Other VMs.
     pub(crate) members: Mutex<MemberTable>,
     /// Token buckets for the rates of workspaces.
@@ -204,6 +207,7 @@
             platform,
             catalog: CatalogStore::default(),
             backends: Arc::default(),
+            limits: LimitRegistry::default(),
             members: Mutex::new(MemberTable::new(info)),
             rate_limiter: Mutex::new(RateLimiter::new(first, tolerance, now)),
             timeouts: TimeoutTable::default(),
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -221,6 +221,11 @@
             server.pool().prune(now);
         }
         state.backends.prune_drain_announcements(now);
+        let servers = state.backends.all();
+        state.limits.retain(|process| {
+            let mut servers = servers.iter();
+            servers.any(|server| (server.key, server.server.start) == process)
+        });
         state.quarantine.review(now);
         let retention = Duration::from_secs_f64(state.settings.results_kept_s);
         state.jobs.remove_expired(retention, now);
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -3,7 +3,10 @@
 //! This crate implements the behaviour; the program that uses it supplies the names of headers, paths and
 //! fields.
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use boragerill::{
     backend::BackendServer,
@@ -12,12 +15,16 @@
         JobId,
         JobItem,
         JobResult, //
-    }, //
+    },
+    server_limit::LimitStatement, //
 };
 use bytes::Bytes;
 use compact_str::CompactString;
 use hyper::{
-    header::HeaderName,
+    header::{
+        HeaderMap,
+        HeaderName, //
+    },
     http::request::Parts, //
 };
 use serde_json::Value;
@@ -118,6 +125,9 @@
     pub decode_catalog: fn(&Value) -> Result<Catalog, CompactString>,
     /// Decodes the entry of a backend server; returns `None` if it describes no server.
     pub decode_backend: fn(&str, &Value) -> Option<BackendServer>,
+    /// Decodes what the headers of a response, with the times of the request and of the response, state about the
+    /// limit of the server.
+    pub decode_limit: fn(&HeaderMap, Instant, Instant) -> Result<LimitStatement, CompactString>,
     /// Encodes the status of a retirement: whether the VM has drained.
     pub encode_retirement: fn(bool) -> Value,
 }
