Keep the limits that servers state, over all VMs together

Cause: no decision knew the limit. Class: a bound of another party that all VMs share, and that each of them can break alone. Fix: a token bucket a process of a server at each VM, with the other VMs' requests from heartbeats; VMs take turns for tokens; a permit is needed for each request that is sent, whatever its kind. Batch leaves fresh tokens to online requests, and what the limits admit too late is refused at once.

--- a/boragerill/src/rate_limiter.rs
+++ b/boragerill/src/rate_limiter.rs
@@ -86,7 +86,7 @@
 
 impl FleetView {
     /// Returns the fraction of the fleet that reports; zero for an empty fleet.
-    fn fraction(self) -> f64 {
+    pub(crate) fn fraction(self) -> f64 {
         if self.size == 0 {
             return 0.0;
         }
--- a/boragerill/src/slot.rs
+++ b/boragerill/src/slot.rs
@@ -9,7 +9,10 @@
     Instant, //
 };
 
-use crate::rank::score;
+use crate::{
+    rank::score,
+    server_limit::SendAdmission, //
+};
 
 /// Time since a VM's last heartbeat after which its reports are ignored.
 pub const REPORT_LIFETIME: Duration = Duration::from_millis(700);
@@ -186,7 +189,9 @@
 
 /// Returns the number of slots left for batch, with `reserve` slots of each server kept free.
 pub fn free_slots(views: &[SlotView], reserve: u32) -> u32 {
-    let usable = views.iter().filter(|view| !view.leaving && !view.ejected);
+    let usable = views
+        .iter()
+        .filter(|view| !view.leaving && !view.ejected && view.admission == SendAdmission::All);
     let free = usable.map(|view| view.slots.saturating_sub(reserve + view.used.total()));
     free.sum()
 }
@@ -215,6 +220,8 @@
     pub leaving: bool,
     /// Whether the server is ejected after recent failures.
     pub ejected: bool,
+    /// Which requests the server's limit admits.
+    pub admission: SendAdmission,
 }
 
 /// Parameters of the choice for one online request.
@@ -234,7 +241,9 @@
 /// A server with a free slot comes first, then one whose batch items will be preempted. Among these, servers
 /// of this VM's failure domain come first: their streams survive a network partition of the domain.
 pub fn choose_online_server(views: &[SlotView], tried: &[u32], query: SlotQuery) -> Option<usize> {
-    let usable = |view: &SlotView| !view.leaving && !tried.contains(&view.key);
+    let usable = |view: &SlotView| {
+        !view.leaving && view.admission != SendAdmission::Nothing && !tried.contains(&view.key)
+    };
     let fits = |view: &SlotView| view.used.online < view.slots + query.waiting;
     let rank = |view: &SlotView| {
         let waits = view.used.total() >= view.slots;
@@ -257,6 +266,7 @@
     let fits = |view: &SlotView| {
         !view.leaving
             && !view.ejected
+            && view.admission == SendAdmission::All
             && !tried.contains(&view.key)
             && view.used.total() + reserve < view.slots
     };
--- a/boragerill/src/slot_wait.rs
+++ b/boragerill/src/slot_wait.rs
@@ -48,6 +48,8 @@
     pub on_time_waiting: usize,
     /// Minimum expected time until a slot is free for an overdue request.
     pub expected: Duration,
+    /// Time until the limit of some server admits the request; zero if one does now.
+    pub limited_for: Duration,
 }
 
 /// Which slots a request may take now.
@@ -78,12 +80,14 @@
         if self.is_overdue() {
             return self.overdue_rule();
         }
+        let served_at = self.held.saturating_add(self.limited_for);
+        if served_at >= self.target.mul_f64(REFUSE_SHARE) {
+            return SlotRule::QueueOrRefuse(SERVER_QUEUE);
+        }
         if self.held < self.target.mul_f64(FREE_WAIT_SHARE) {
             SlotRule::Free
-        } else if self.held < self.target.mul_f64(REFUSE_SHARE) {
-            SlotRule::Queue(SERVER_QUEUE)
         } else {
-            SlotRule::QueueOrRefuse(SERVER_QUEUE)
+            SlotRule::Queue(SERVER_QUEUE)
         }
     }
 
--- a/boragerill/tests/slot.rs
+++ b/boragerill/tests/slot.rs
@@ -5,20 +5,23 @@
     Instant, //
 };
 
-use boragerill::slot::{
-    choose_batch_server,
-    choose_online_server,
-    free_slots,
-    DemandTable,
-    OwnUsage,
-    SlotDemand,
-    SlotQuery,
-    SlotTable,
-    SlotUsage,
-    SlotView,
-    DUE_OVERDUE,
-    FAILED_HOLD,
-    REPORT_LIFETIME, //
+use boragerill::{
+    server_limit::SendAdmission,
+    slot::{
+        choose_batch_server,
+        choose_online_server,
+        free_slots,
+        DemandTable,
+        OwnUsage,
+        SlotDemand,
+        SlotQuery,
+        SlotTable,
+        SlotUsage,
+        SlotView,
+        DUE_OVERDUE,
+        FAILED_HOLD,
+        REPORT_LIFETIME, //
+    }, //
 };
 
 const SERVER: u32 = 9;
@@ -343,3 +346,25 @@
     assert!(held <= most, "{held} failed");
     assert!(not_held > 10 * most, "{not_held} failed");
 }
+
+#[test]
+fn servers_whose_limits_admit_no_request_are_not_chosen() {
+    // arrange
+    let limited = |key, admission| SlotView {
+        admission,
+        ..view(key, used(0, 0))
+    };
+    let views = [
+        limited(1, SendAdmission::Nothing),
+        limited(2, SendAdmission::Online),
+        view(3, used(3, 0)),
+    ];
+
+    // act
+    let online = choose_online_server(&views, &[], query(0));
+    let batch = choose_batch_server(&views, &[], 0);
+    let free = free_slots(&views, 0);
+
+    // assert
+    assert_eq!((online, batch, free), (Some(1), Some(2), 5));
+}
--- a/boragerill/tests/slot_wait.rs
+++ b/boragerill/tests/slot_wait.rs
@@ -20,9 +20,32 @@
         idle_remaining: Duration::from_secs(2),
         on_time_waiting: 0,
         expected: Duration::ZERO,
+        limited_for: Duration::ZERO,
     }
 }
 
+#[test]
+fn request_that_the_limits_admit_too_late_is_refused_at_once() {
+    // arrange
+    let limited_for = |millis| SlotWait {
+        limited_for: Duration::from_millis(millis),
+        ..wait()
+    };
+
+    // act
+    let rules = [74, 75, 400].map(|millis| limited_for(millis).rule());
+
+    // assert
+    assert_eq!(
+        rules,
+        [
+            SlotRule::Free,
+            SlotRule::QueueOrRefuse(1),
+            SlotRule::QueueOrRefuse(1)
+        ]
+    );
+}
+
 #[test]
 fn on_time_request_waits_for_a_free_slot_then_queues_then_is_refused() {
     // arrange
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -49,6 +49,7 @@
         LostRequest, //
     },
     pool::BackendConnection,
+    server_limits::SendPermit,
     state::FleetState,
     wire::HeaderNames, //
 };
@@ -173,7 +174,7 @@
     }
 }
 
-/// Sends a request to a server and waits for the head of its response.
+/// Sends a request to a server and waits for the head of its response; `permit` is taken from the server's limit.
 ///
 /// # Errors
 ///
@@ -182,10 +183,11 @@
     state: &FleetState,
     server: &Arc<BackendState>,
     request: &OutgoingRequest,
+    permit: SendPermit,
 ) -> Result<ServerResponse, AttemptFailure> {
     let in_flight = state.backends.track_request(server, request.kind);
     let sent = Instant::now();
-    let result = exchange(state, server, request).await;
+    let result = exchange(state, server, request, permit).await;
     let now = Instant::now();
     match result {
         Ok((response, connection)) => {
@@ -221,6 +223,7 @@
     state: &FleetState,
     server: &Arc<BackendState>,
     request: &OutgoingRequest,
+    mut permit: SendPermit,
 ) -> Result<(Response<Incoming>, BackendConnection), AttemptFailure> {
     for _ in 0..STALE_CONNECTIONS {
         let Some(mut connection) = take_idle(server, request) else {
@@ -229,7 +232,7 @@
         if connection.sender().ready().await.is_err() {
             continue;
         }
-        match send(state, server, request, connection).await {
+        match send(state, server, request, connection, &mut permit).await {
             Some(result) => return result,
             None => counter!("backend_connections_stale_total").increment(1),
         }
@@ -239,7 +242,7 @@
         AttemptFailure::NotRun(NotRunCause::Unreachable, error.to_compact_string())
     })?;
     counter!("backend_connections_opened_total").increment(1);
-    let sent = send(state, server, request, connection).await;
+    let sent = send(state, server, request, connection, &mut permit).await;
     sent.unwrap_or_else(|| {
         let cause = CompactString::const_new("connection closed before the request was sent");
         Err(AttemptFailure::NotRun(NotRunCause::Unreachable, cause))
@@ -264,9 +267,11 @@
     server: &BackendState,
     request: &OutgoingRequest,
     mut connection: BackendConnection,
+    permit: &mut SendPermit,
 ) -> Option<Result<(Response<Incoming>, BackendConnection), AttemptFailure>> {
     let outgoing = build_request(&state.format.names, server, request);
     let remaining = request.deadline.saturating_duration_since(Instant::now());
+    permit.record_sent();
     state.limits.record_send(server, request.kind, &request.id);
     let sending = connection.sender().try_send_request(outgoing);
     let Ok(result) = timeout(remaining, sending).await else {
@@ -281,7 +286,10 @@
             Some(Ok((response, connection)))
         }
         Err(mut error) => match error.take_message() {
-            Some(_) => None,
+            Some(_) => {
+                permit.record_unsent();
+                None
+            }
             None => {
                 let cause = error.into_error().to_compact_string();
                 Some(Err(AttemptFailure::Unknown(cause)))
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -404,6 +404,7 @@
             ejected: timed_out
                 || health.unreachable
                 || health.failures.is_ejected(self.age_ms(now)),
+            ..SlotView::default()
         }
     }
 
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -61,7 +61,11 @@
         full_body,
         CallerResponse, //
     },
-    server_selection::find_slot,
+    server_limits::SendPermit,
+    server_selection::{
+        find_slot,
+        PermittedServer, //
+    },
     state::FleetState,
     stream_relay::StreamRelay,
     stream_start::{
@@ -117,7 +121,7 @@
             .quarantine
             .check(&request.outgoing.prompt, terms, Instant::now());
         refuse_quarantined(checked, &history)?;
-        let mut server = find_slot(state, &request, &history).await?;
+        let PermittedServer { mut server, permit } = find_slot(state, &request, &history).await?;
         if !history.is_trial {
             let admitted = state
                 .quarantine
@@ -131,7 +135,7 @@
         let sent = Instant::now();
         let result = timeout(
             limit,
-            try_server(state, &mut server, &request, &mut history),
+            try_server(state, (&mut server, permit), &request, &mut history),
         )
         .await;
         let timed_out = result.is_err();
@@ -211,19 +215,21 @@
 /// caller.
 async fn try_server(
     state: &Arc<FleetState>,
-    server: &mut Arc<BackendState>,
+    (server, permit): (&mut Arc<BackendState>, SendPermit),
     request: &AdmittedRequest,
     history: &mut RunHistory,
 ) -> Result<CallerResponse, AttemptFailure> {
     let response = match request.route.kind {
-        RouteKind::Stream(_) => match start_stream(state, request, server, history).await? {
-            StreamStart::Opened(opened) => {
-                let runs = history.runs + 1;
-                return Ok(StreamRelay::start(state.clone(), request, opened, runs));
+        RouteKind::Stream(_) => {
+            match start_stream(state, request, (server, permit), history).await? {
+                StreamStart::Opened(opened) => {
+                    let runs = history.runs + 1;
+                    return Ok(StreamRelay::start(state.clone(), request, opened, runs));
+                }
+                StreamStart::Error(response) => response,
             }
-            StreamStart::Error(response) => response,
-        },
-        _ => attempt(state, server, &request.outgoing).await?,
+        }
+        _ => attempt(state, server, &request.outgoing, permit).await?,
     };
     handle_response(state, request, response, history).await
 }
--- a/fleet/src/heartbeat.rs
+++ b/fleet/src/heartbeat.rs
@@ -128,10 +128,11 @@
 
     /// Sends a VM a full heartbeat with all known VMs.
     async fn respond(&self, address: SocketAddr) {
-        let heartbeat = Heartbeat {
+        let mut heartbeat = Heartbeat {
             members: self.builder.known_members(),
             ..self.builder.full_heartbeat()
         };
+        self.state.limits.add_state(&mut heartbeat, true);
         self.send_to(&heartbeat.encode_to_vec(), address).await;
     }
 
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -108,6 +108,7 @@
             ..self.minimal_heartbeat()
         };
         add_news(&mut heartbeat, &self.state.quarantine.repeated_news());
+        self.state.limits.add_state(&mut heartbeat, false);
         heartbeat
     }
 
@@ -125,15 +126,19 @@
         let demands = self.state.backends.own_demands();
         let before = std::mem::replace(&mut lock(&self.reported).demands, demands.clone());
         let news = self.state.quarantine.take_untold();
+        let mut heartbeat = Heartbeat::default();
+        let limits = self.state.limits.add_changes(&mut heartbeat);
         let same = places.is_empty() && jobs.is_empty() && uses.is_empty() && leaving.is_empty();
-        if same && news.is_empty() && before == demands {
+        if same && !limits && news.is_empty() && before == demands {
             return None;
         }
-        let mut heartbeat = Heartbeat {
+        heartbeat = Heartbeat {
             places,
             uses,
             jobs,
             leaving,
+            limits: heartbeat.limits,
+            limit_uses: heartbeat.limit_uses,
             ..self.minimal_heartbeat()
         };
         add_news(&mut heartbeat, &news);
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -77,7 +77,11 @@
         };
         self.add_members(heartbeat, now);
         self.record_slot_usage(heartbeat, now);
-        self.record_workspace_usage(heartbeat, silence.filter(|time| !time.is_zero()), now);
+        let unreported_for = silence.filter(|time| !time.is_zero());
+        self.record_workspace_usage(heartbeat, unreported_for, now);
+        self.state
+            .limits
+            .record_heartbeat(heartbeat, unreported_for, now);
         for job in &heartbeat.jobs {
             self.record_job(job, heartbeat, now);
         }
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -68,6 +68,7 @@
         RunProgress,
         RunProof, //
     },
+    server_limits::SendPermit,
     state::FleetState,
     wire::HeaderNames, //
 };
@@ -135,9 +136,9 @@
 
 impl ItemRun<'_> {
     /// Sends the item and records its output and outcome in the job's progress.
-    pub(crate) async fn run(&self, outgoing: &OutgoingRequest) {
+    pub(crate) async fn run(&self, outgoing: &OutgoingRequest, permit: SendPermit) {
         let answered = self
-            .wait_for_server(attempt(self.state, self.server, outgoing))
+            .wait_for_server(attempt(self.state, self.server, outgoing, permit))
             .await;
         let failure = match answered {
             Some(Ok(response)) => return self.read(outgoing, response).await,
@@ -179,8 +180,7 @@
     /// Returns whether another server has a free slot that no other item of this VM has left the server for lately.
     fn may_move(&self, now: Instant) -> bool {
         let service = &self.server.server.service;
-        let domain = &self.state.settings.domain;
-        let (_, mut views) = self.state.backends.views(service, domain, now);
+        let (_, mut views) = self.state.server_views(service, now);
         views.retain(|view| view.key != self.server.key);
         let free = free_slots(&views, 0);
         self.state.backends.admit_move(self.server, free, now)
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -44,16 +44,14 @@
 };
 
 use crate::{
-    backends::{
-        BackendState,
-        RequestClass, //
-    },
+    backends::RequestClass,
     item_run::{
         item_prompt,
         item_request,
         ItemRun, //
     },
     jobs::JobEntry,
+    server_selection::PermittedServer,
     state::FleetState,
     trial_wait::{
         TrialWait,
@@ -216,8 +214,7 @@
                 let Some(service) = service.filter(|name| hash_name(name) == demand.service) else {
                     continue;
                 };
-                let domain = &state.settings.domain;
-                let (servers, views) = state.backends.views(service, domain, now);
+                let (servers, views) = state.server_views(service, now);
                 let remaining = allowed.get_or_insert_with(|| {
                     let free = free_slots(&views, RESERVED_SLOTS);
                     state
@@ -229,12 +226,15 @@
                 let Some(chosen) = chosen else {
                     return;
                 };
+                let permitted = PermittedServer::take(state, &servers[chosen], RequestClass::Batch);
+                let Some(permitted) = permitted else {
+                    return;
+                };
                 if !self.admit(state, (priority, entry), index, now) {
                     continue;
                 }
                 *remaining -= 1;
-                let server = servers[chosen].clone();
-                self.start(state, entry, route, index, server, priority.time_left);
+                self.start(state, entry, route, index, permitted, priority.time_left);
             }
         }
     }
@@ -267,9 +267,10 @@
         entry: &Arc<JobEntry>,
         route: &Arc<CatalogRoute>,
         index: usize,
-        server: Arc<BackendState>,
+        permitted: PermittedServer,
         job_due: Duration,
     ) {
+        let PermittedServer { server, permit } = permitted;
         let (preempt, preempted) = oneshot::channel();
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let last = lock(&entry.progress).start_item(index);
@@ -298,7 +299,7 @@
                 deadline: outgoing.deadline,
             };
             tokio::select! {
-                () = run.run(&outgoing) => {}
+                () = run.run(&outgoing, permit) => {}
                 Ok(()) = preempted => {
                     lock(&entry.progress).pause(index, None);
                 }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -39,6 +39,7 @@
 mod stream_relay;
 mod stream_start;
 mod takeover;
+mod timestamps;
 mod trial_wait;
 mod vm;
 pub mod wire;
--- a/fleet/src/quarantine_notice.rs
+++ b/fleet/src/quarantine_notice.rs
@@ -1,10 +1,7 @@
 //! Converts between the registry of quarantined prompts and its messages. Messages carry ages, since the VMs'
 //! clocks differ.
 
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Instant;
 
 use boragerill::{
     generated::messages::{
@@ -20,7 +17,13 @@
     }, //
 };
 
-use crate::quarantine::QuarantineNews;
+use crate::{
+    quarantine::QuarantineNews,
+    timestamps::{
+        age_us,
+        time_before, //
+    }, //
+};
 
 /// Adds news to a heartbeat.
 pub(crate) fn add_news(heartbeat: &mut Heartbeat, news: &QuarantineNews) {
@@ -102,14 +105,3 @@
         last_trial: notice.trial_age_us.map(|age| time_before(age, now)),
     }
 }
-
-/// Returns the time from `time` to `now`, in microseconds.
-fn age_us(time: Instant, now: Instant) -> u64 {
-    let age = now.saturating_duration_since(time);
-    u64::try_from(age.as_micros()).unwrap_or(u64::MAX)
-}
-
-fn time_before(age_us: u64, now: Instant) -> Instant {
-    now.checked_sub(Duration::from_micros(age_us))
-        .unwrap_or(now)
-}
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -42,11 +42,15 @@
 
 use crate::{
     admission::AdmittedRequest,
-    backends::BackendState,
+    backends::{
+        BackendState,
+        RequestClass, //
+    },
     dispatch::{
         final_refusal,
         RunHistory, //
     },
+    server_limits::SendPermit,
     state::FleetState, //
 };
 
@@ -60,6 +64,28 @@
 /// Longest wait for a freed slot before the servers are checked again.
 const SLOT_POLL: Duration = Duration::from_millis(10);
 
+/// A server and the permission to send one request to it.
+#[derive(Debug)]
+pub(crate) struct PermittedServer {
+    /// The server.
+    pub(crate) server: Arc<BackendState>,
+    /// The permission.
+    pub(crate) permit: SendPermit,
+}
+
+impl PermittedServer {
+    /// Returns a server with a permission for one request, unless its limit doesn't admit the request now.
+    pub(crate) fn take(
+        state: &FleetState,
+        server: &Arc<BackendState>,
+        class: RequestClass,
+    ) -> Option<PermittedServer> {
+        let permit = state.limits.take(server, class)?;
+        let server = server.clone();
+        Some(PermittedServer { server, permit })
+    }
+}
+
 /// Waits for a server with a slot for the request.
 ///
 /// # Errors
@@ -69,18 +95,22 @@
     state: &FleetState,
     request: &AdmittedRequest,
     history: &RunHistory,
-) -> Result<Arc<BackendState>, RefusalResponse> {
+) -> Result<PermittedServer, RefusalResponse> {
     let mut waiting: Option<WaitGuard<'_>> = None;
     loop {
         let slot_freed = state.backends.slot_freed.notified();
         let now = Instant::now();
-        let (servers, views) = state
-            .backends
-            .views(&request.service, &state.settings.domain, now);
-        let wait = wait_state(state, request, &views, waiting.as_ref(), now);
+        let (servers, views) = state.server_views(&request.service, now);
+        let wait = wait_state(state, request, (&servers, &views), waiting.as_ref(), now);
         let rule = wait.rule();
         if let Some(index) = choose_server(&views, request, history, rule) {
-            return Ok(servers[index].clone());
+            if let Some(permitted) =
+                PermittedServer::take(state, &servers[index], request.outgoing.kind)
+            {
+                return Ok(permitted);
+            }
+            // Another thread has just taken the server's token.
+            continue;
         }
         let exhausted = !history.tried.is_empty() && history.tried.len() >= servers.len();
         let is_last = matches!(
@@ -100,7 +130,7 @@
 fn wait_state(
     state: &FleetState,
     request: &AdmittedRequest,
-    views: &[SlotView],
+    (servers, views): (&[Arc<BackendState>], &[SlotView]),
     waiting: Option<&WaitGuard<'_>>,
     now: Instant,
 ) -> SlotWait {
@@ -116,14 +146,18 @@
         ahead: u32::try_from(ahead).unwrap_or(u32::MAX),
     };
     let service = hash_name(&request.service);
+    let on_time_waiting = state.on_time_waiting.load(Ordering::Relaxed) - usize::from(on_time);
+    let limited_for = state.limits.expected_wait(servers, views, on_time_waiting);
+    let expected = state.wait_estimator.expected_wait(service, load);
     SlotWait {
         age: request.age + held,
         held,
         target: request.route.target,
         remaining: request.outgoing.deadline.saturating_duration_since(now),
         idle_remaining: request.route.event_timeout().saturating_sub(held),
-        on_time_waiting: state.on_time_waiting.load(Ordering::Relaxed) - usize::from(on_time),
-        expected: state.wait_estimator.expected_wait(service, load),
+        on_time_waiting,
+        expected: expected.max(limited_for),
+        limited_for,
     }
 }
 
@@ -179,9 +213,9 @@
     service: &str,
     tried: &[u32],
     demand: ServerDemand,
-) -> Option<Arc<BackendState>> {
+) -> Option<PermittedServer> {
     let now = Instant::now();
-    let (servers, views) = state.backends.views(service, &state.settings.domain, now);
+    let (servers, views) = state.server_views(service, now);
     let waiting = match demand {
         ServerDemand::Any => RESUME_QUEUE,
         ServerDemand::Free => 0,
@@ -193,7 +227,8 @@
     };
     let index = choose_online_server(&views, tried, query)?;
     let fits = demand == ServerDemand::Any || !views[index].ejected;
-    fits.then(|| servers[index].clone())
+    let permitted = PermittedServer::take(state, &servers[index], RequestClass::Online);
+    permitted.filter(|_| fits)
 }
 
 /// Returns the refusal for a request that got no slot.
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -40,6 +40,7 @@
         WorkspaceRate, //
     },
     settings::VmSettings,
+    slot::SlotView,
     slot_wait::TimeoutTable,
     sync::lock,
     timer::millis,
@@ -55,7 +56,10 @@
 use tokio::sync::watch;
 
 use crate::{
-    backends::BackendRegistry,
+    backends::{
+        BackendRegistry,
+        BackendState, //
+    },
     cancellations::CancellationRegistry,
     jobs::JobRegistry,
     links::PeerLinks,
@@ -142,9 +146,9 @@
     /// Backend servers in use.
     pub(crate) backends: Arc<BackendRegistry>,
     /// Limits that backend servers state.
-    pub(crate) limits: LimitRegistry,
+    pub(crate) limits: Arc<LimitRegistry>,
     /// Other VMs.
-    pub(crate) members: Mutex<MemberTable>,
+    pub(crate) members: Arc<Mutex<MemberTable>>,
     /// Token buckets for the rates of workspaces.
     pub(crate) rate_limiter: Mutex<RateLimiter>,
     /// Time that callers wait for their requests, as observed.
@@ -200,6 +204,7 @@
             overage: settings.rate_overage,
             slack: settings.rate_slack,
         };
+        let members = Arc::new(Mutex::new(MemberTable::new(info)));
         FleetState {
             vm_hash: hash_name(&settings.vm),
             runner: format_compact!("{}.{incarnation}", settings.vm),
@@ -207,8 +212,8 @@
             platform,
             catalog: CatalogStore::default(),
             backends: Arc::default(),
-            limits: LimitRegistry::default(),
-            members: Mutex::new(MemberTable::new(info)),
+            limits: Arc::new(LimitRegistry::new(members.clone())),
+            members,
             rate_limiter: Mutex::new(RateLimiter::new(first, tolerance, now)),
             timeouts: TimeoutTable::default(),
             on_time_waiting: AtomicUsize::new(0),
@@ -228,6 +233,17 @@
         }
     }
 
+    /// Returns the servers of a service, and a view of the load, health and limit of each.
+    pub(crate) fn server_views(
+        &self,
+        service: &str,
+        now: Instant,
+    ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
+        let (servers, mut views) = self.backends.views(service, &self.settings.domain, now);
+        self.limits.apply(&servers, &mut views);
+        (servers, views)
+    }
+
     /// Returns how many VMs of the fleet report their usage of rates, out of all.
     pub(crate) fn fleet_view(&self, now: Instant) -> FleetView {
         let members = lock(&self.members);
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -69,8 +69,10 @@
         streamed_body,
         CallerResponse, //
     },
+    server_limits::SendPermit,
     server_selection::{
         choose_resume_server,
+        PermittedServer,
         ServerDemand, //
     },
     state::FleetState,
@@ -362,14 +364,14 @@
         // A server that refused the stream may have room later.
         self.refused
             .retain(|refused| refused.1.elapsed() < REFUSED_TIME);
-        let Some(server) = self.choose_next_server() else {
+        let Some(PermittedServer { server, permit }) = self.choose_next_server() else {
             return MoveResult::NoServer;
         };
         if let Some(last) = self.splitter.last() {
             let name = self.state.format.names.last_event.clone();
             self.outgoing.headers.insert(name, HeaderValue::from(last));
         }
-        self.run_on(&server).await;
+        self.run_on(&server, permit).await;
         match self.refused.last() {
             // Events of the run that goes on are read before the next server is asked.
             Some(refused) if refused.0 == server.key && self.response.is_some() => {
@@ -381,7 +383,7 @@
 
     /// Chooses a server that has not run the stream. Once the connection to its server has failed, the stream may go
     /// back to a server that ran it before.
-    fn choose_next_server(&self) -> Option<Arc<BackendState>> {
+    fn choose_next_server(&self) -> Option<PermittedServer> {
         let choose = |excluded: &[u32], demand| {
             choose_resume_server(&self.state, &self.service, excluded, demand)
         };
@@ -395,8 +397,8 @@
     }
 
     /// Sends the request to a server. The run before goes on if the server refuses the request, and otherwise ends.
-    async fn run_on(&mut self, server: &Arc<BackendState>) {
-        let answered = self.ask(server).await;
+    async fn run_on(&mut self, server: &Arc<BackendState>, permit: SendPermit) {
+        let answered = self.ask(server, permit).await;
         if let Ok(Err(AttemptFailure::NotRun(..))) = answered {
             self.refused.push((server.key, Instant::now()));
             return;
@@ -427,9 +429,10 @@
     async fn ask(
         &mut self,
         server: &Arc<BackendState>,
+        permit: SendPermit,
     ) -> Result<Result<ServerResponse, AttemptFailure>, Elapsed> {
         let (state, outgoing) = (self.state.clone(), self.outgoing.clone());
-        let mut asking = pin!(attempt(&state, server, &outgoing));
+        let mut asking = pin!(attempt(&state, server, &outgoing, permit));
         if let Ok(answered) = timeout(HANDOVER_TIME, asking.as_mut()).await {
             return Ok(answered);
         }
--- a/fleet/src/stream_start.rs
+++ b/fleet/src/stream_start.rs
@@ -42,8 +42,10 @@
         record_attempt_failure,
         RunHistory, //
     },
+    server_limits::SendPermit,
     server_selection::{
         choose_resume_server,
+        PermittedServer,
         ServerDemand, //
     },
     state::FleetState,
@@ -97,10 +99,10 @@
 pub(crate) async fn start_stream(
     state: &FleetState,
     request: &AdmittedRequest,
-    server: &mut Arc<BackendState>,
+    (server, permit): (&mut Arc<BackendState>, SendPermit),
     history: &mut RunHistory,
 ) -> StartResult {
-    let mut running = Box::pin(begin(state, request, server.clone()));
+    let mut running = Box::pin(begin(state, request, server.clone(), permit));
     let mut limit = FIRST_EVENT_STALL.max(request.route.target);
     let mut refused = Vec::new();
     loop {
@@ -109,10 +111,15 @@
         }
         limit = MOVE_RETRY_PERIOD;
         let excluded = [history.tried.as_slice(), refused.as_slice(), &[server.key]].concat();
-        let Some(other) = choose_other_server(state, request, history.runs, &excluded) else {
+        let chosen = choose_other_server(state, request, history.runs, &excluded);
+        let Some(PermittedServer {
+            server: other,
+            permit,
+        }) = chosen
+        else {
             continue;
         };
-        let mut asking = Box::pin(begin(state, request, other.clone()));
+        let mut asking = Box::pin(begin(state, request, other.clone(), permit));
         let both = select(running.as_mut(), asking.as_mut());
         let end = match timeout(HANDOVER_TIME, both).await {
             Ok(Either::Left((start, _))) => HandoverEnd::Before(start),
@@ -180,7 +187,7 @@
     request: &AdmittedRequest,
     runs: u32,
     excluded: &[u32],
-) -> Option<Arc<BackendState>> {
+) -> Option<PermittedServer> {
     if !request.outgoing.repeatable || runs + 1 >= request.route.attempts {
         return None;
     }
@@ -199,8 +206,9 @@
     state: &FleetState,
     request: &AdmittedRequest,
     server: Arc<BackendState>,
+    permit: SendPermit,
 ) -> StartResult {
-    let mut response = attempt(state, &server, &request.outgoing).await?;
+    let mut response = attempt(state, &server, &request.outgoing, permit).await?;
     if !response.head.status.is_success() {
         return Ok(StreamStart::Error(response));
     }
