--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -42,6 +42,8 @@
     pub service: CompactString,
     /// Failure domain.
     pub domain: CompactString,
+    /// Version of the server's software. The events of one stream have to come from servers of one version.
+    pub version: CompactString,
     /// Number of requests that the server runs concurrently.
     pub slots: u32,
     /// Whether the server is draining and gets no new requests.
--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -18,6 +18,7 @@
         id: id.into(),
         address: "10.0.0.1:80".parse().expect("address"),
         service: "asesor-pivot".into(),
+        version: "v1".into(),
         domain: "zaragoza-a".into(),
         slots: 8,
         leaving: false,
--- a/fleet/src/caller.rs
+++ b/fleet/src/caller.rs
@@ -125,7 +125,7 @@
 }
 
 /// Returns a header's value as text.
-fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -48,6 +48,7 @@
         ServerResponse, //
     },
     backends::BackendState,
+    caller::header_text,
     crash_watch::{
         record_lost_request,
         LostRequest, //
@@ -201,7 +202,10 @@
         workspace = request.outgoing.workspace.as_str(),
         route = request.route.name.as_str(),
         prompt = request.outgoing.prompt.text(),
+        resumed_request = header_text(&request.outgoing.headers, &state.format.names.resumed_request),
+        last_event = header_text(&request.outgoing.headers, &state.format.names.last_event),
         server = server.server.id.as_str(),
+        version = server.server.version.as_str(),
         domain = server.server.domain.as_str(),
         own_online = used.online,
         own_batch = used.batch,
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -330,6 +330,7 @@
             request = self.outgoing.id.as_str(),
             route = self.route.as_str(),
             server = server.server.id.as_str(),
+            version = server.server.version.as_str(),
             cause,
             silent_ms = millis(self.last_event.elapsed()),
             last_event = self.splitter.last(),
@@ -414,6 +415,7 @@
                 info!(
                     request = self.outgoing.id.as_str(),
                     server = server.server.id.as_str(),
+                    version = server.server.version.as_str(),
                     runs = self.runs,
                     silent_ms = millis(self.last_event.elapsed());
                     "stream resumed"
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -48,6 +48,8 @@
     pub leaving: HeaderName,
     /// Number of the last event received, after which a stream resumes.
     pub last_event: HeaderName,
+    /// Id of the request that brought the first event of a stream, in a request that takes the stream up again.
+    pub resumed_request: HeaderName,
     /// Parts of the prompt, separated by commas; the last is specific to the request.
     pub prefix: HeaderName,
     /// Longest time that a read of results may wait, in milliseconds.
