Resume streams only at the software version that began them

Cause: no decision knew a server's version. Class: a choice made at the start of something that goes on elsewhere, known to one VM only. Fix: a stream keeps its version. Each VM records the streams that it begins and reports them to all others while a service has several versions; one that lacks a record asks those that have run the longest. Which versions have served lately is kept in the store: a stream without a record goes on only if just one version can have begun it, and is refused at once otherwise.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod snapshot;
 pub mod stall;
 pub mod stream;
+pub mod stream_version;
 pub mod submit;
 pub mod sync;
 pub mod timer;
--- a/boragerill/src/refusal.rs
+++ b/boragerill/src/refusal.rs
@@ -44,6 +44,10 @@
     ServerUnavailable,
     /// All servers are full, and the request can't run in time.
     CapacityShort,
+    /// It is unknown which version of the servers began the stream; the caller has to begin it anew.
+    VersionUnknown,
+    /// No server of the version that began the stream is left; the caller has to begin it anew.
+    VersionUnavailable,
     /// Requests with the prompt crash backend servers.
     PromptQuarantined,
     /// The process is shutting down.
@@ -177,6 +181,8 @@
             RefusalReason::ConfigMissing => ("config_missing", 503),
             RefusalReason::ServerUnavailable => ("server_unavailable", 503),
             RefusalReason::CapacityShort => ("capacity_short", 503),
+            RefusalReason::VersionUnknown => ("version_unknown", 503),
+            RefusalReason::VersionUnavailable => ("version_unavailable", 503),
             RefusalReason::PromptQuarantined => ("prompt_quarantined", 503),
             RefusalReason::ShuttingDown => ("shutting_down", 503),
             RefusalReason::RunUnknown => ("run_unknown", 409),
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -22,6 +22,7 @@
         RefusalResponse,
         RunState, //
     },
+    stream_version::VersionKey,
     sync::lock,
     timer::millis, //
 };
@@ -63,6 +64,7 @@
         workspace_rate,
         FleetState, //
     },
+    stream_versions::pin_version,
     wire::CallerOperation, //
 };
 
@@ -82,6 +84,8 @@
     pub(crate) outgoing: OutgoingRequest,
     /// Time at which the request's head was received.
     pub(crate) arrived: Instant,
+    /// Version of the servers that may run the request, if it takes a stream up again.
+    pub(crate) version: Option<VersionKey>,
     /// Time that the caller spent on earlier attempts, estimated from the timeout that it has left.
     pub(crate) age: Duration,
 }
@@ -186,7 +190,8 @@
         let name = workspace.map_or("", |workspace| workspace.name.as_str());
         return jobs::submit(state, &caller, (route.as_ref(), terms), name, body).await;
     }
-    let request = admit(state, caller, route, workspace, body)?;
+    let mut request = admit(state, caller, route, workspace, body)?;
+    pin_version(state, &mut request).await?;
     let workspace = workspace.filter(|workspace| workspace.rate > 0.0);
     if let Some(workspace) = workspace {
         take_token(state, workspace).await?;
@@ -283,6 +288,7 @@
     Ok(AdmittedRequest {
         service: service.clone(),
         arrived: caller.arrived,
+        version: None,
         age: state.timeouts.record(
             &route.name,
             caller.deadline.saturating_duration_since(caller.arrived),
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -26,6 +26,7 @@
         DrainAnnouncement,
         DrainTable, //
     },
+    rank::hash_name,
     reachability::ReachabilityTable,
     route::ServerHealth,
     slot::{
@@ -36,9 +37,19 @@
         SlotView,
         FAILED_HOLD, //
     },
+    stream_version::{
+        version_key,
+        ServiceKey,
+        VersionHistory,
+        VersionKey, //
+    },
     sync::lock,
     timer::millis, //
 };
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
 use log::info;
 use tokio::{
     sync::Notify,
@@ -72,6 +83,8 @@
     pub(crate) server: BackendServer,
     /// Key that identifies the server in messages between VMs.
     pub(crate) key: u32,
+    /// Key of the version of its software.
+    pub(crate) version: VersionKey,
     shared: Arc<BackendShared>,
 }
 
@@ -127,8 +140,11 @@
     own_demands: Mutex<Vec<SlotDemand>>,
     reachability: Mutex<ReachabilityTable>,
     drains: Mutex<DrainTable>,
+    versions: Mutex<VersionHistory>,
     /// Signals that the next heartbeat has changes to report.
     pub(crate) changed: Notify,
+    /// Signals that a version of the servers' software has come or gone.
+    pub(crate) versions_changed: Notify,
     /// Signals that a slot may have been freed.
     pub(crate) slot_freed: Notify,
     started: Instant,
@@ -144,6 +160,8 @@
             own_demands: Mutex::default(),
             reachability: Mutex::default(),
             drains: Mutex::default(),
+            versions: Mutex::new(VersionHistory::new(Instant::now())),
+            versions_changed: Notify::new(),
             changed: Notify::new(),
             slot_freed: Notify::new(),
             started: Instant::now(),
@@ -167,10 +185,60 @@
         }
         self.servers.store(Arc::new(servers));
         drop(drains);
+        self.observe_versions(Instant::now());
         self.slot_freed.notify_waiters();
         result
     }
 
+    /// Records the versions of the registered servers.
+    pub(crate) fn observe_versions(&self, now: Instant) {
+        let servers = self.servers.load();
+        let registered = servers
+            .iter()
+            .map(|state| (hash_name(&state.server.service), state.version));
+        if lock(&self.versions).observe(registered, now) {
+            self.versions_changed.notify_one();
+            self.changed.notify_one();
+        }
+    }
+
+    /// Returns whether streams of more than one version of a service may be taken up now.
+    pub(crate) fn has_mixed_versions(&self, service: ServiceKey) -> bool {
+        lock(&self.versions).is_mixed(service)
+    }
+
+    /// Returns the only version that can have begun a stream of a service, if there is only one.
+    pub(crate) fn sole_version(&self, service: ServiceKey) -> Option<VersionKey> {
+        lock(&self.versions).sole_version(service, Instant::now())
+    }
+
+    /// Reads the history of versions.
+    pub(crate) fn read_versions<T>(&self, read: impl FnOnce(&VersionHistory) -> T) -> T {
+        read(&lock(&self.versions))
+    }
+
+    /// Changes the history of versions.
+    pub(crate) fn update_versions(&self, change: impl FnOnce(&mut VersionHistory)) {
+        change(&mut lock(&self.versions));
+    }
+
+    /// Returns the name of a version, for logs.
+    pub(crate) fn version_name(&self, version: VersionKey) -> CompactString {
+        let servers = self.servers.load();
+        let named = servers.iter().find(|state| state.version == version);
+        named.map_or_else(
+            || format_compact!("{version:x}"),
+            |state| state.server.version.clone(),
+        )
+    }
+
+    /// Returns whether a server of a version takes new requests.
+    pub(crate) fn has_server(&self, version: VersionKey) -> bool {
+        let servers = self.servers.load();
+        let mut servers = servers.iter();
+        servers.any(|state| state.version == version && !state.is_draining())
+    }
+
     /// Reads the table of entries.
     pub(crate) fn read<T>(&self, read: impl FnOnce(&BackendTable) -> T) -> T {
         read(&lock(&self.table))
@@ -181,17 +249,19 @@
         self.servers.load_full()
     }
 
-    /// Returns the servers of a service and a view of the load and health of each.
+    /// Returns the servers of a service, of one version if it is given, and a view of the load and health of each.
     pub(crate) fn views(
         &self,
         service: &str,
+        version: Option<VersionKey>,
         domain: &str,
         now: Instant,
     ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
         let servers = self.servers.load();
         let selected = servers
             .iter()
-            .filter(|state| state.server.service == service);
+            .filter(|state| state.server.service == service)
+            .filter(|state| version.is_none_or(|version| state.version == version));
         let selected: Vec<Arc<BackendState>> = selected.cloned().collect();
         let reports = lock(&self.slot_reports);
         let views = selected
@@ -514,6 +584,7 @@
     Arc::new(BackendState {
         server: server.clone(),
         key: server.key(),
+        version: version_key(&server.service, &server.version),
         shared,
     })
 }
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -128,8 +128,9 @@
         let news = self.state.quarantine.take_untold();
         let mut heartbeat = Heartbeat::default();
         let limits = self.state.limits.add_changes(&mut heartbeat);
+        let streams = self.state.streams.add_new(&mut heartbeat, &self.state);
         let same = places.is_empty() && jobs.is_empty() && uses.is_empty() && leaving.is_empty();
-        if same && !limits && news.is_empty() && before == demands {
+        if same && !limits && !streams && news.is_empty() && before == demands {
             return None;
         }
         heartbeat = Heartbeat {
@@ -139,6 +140,7 @@
             leaving,
             limits: heartbeat.limits,
             limit_uses: heartbeat.limit_uses,
+            streams: heartbeat.streams,
             ..self.minimal_heartbeat()
         };
         add_news(&mut heartbeat, &news);
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -82,6 +82,7 @@
         self.state
             .limits
             .record_heartbeat(heartbeat, unreported_for, now);
+        self.state.streams.record_heartbeat(heartbeat, now);
         for job in &heartbeat.jobs {
             self.record_job(job, heartbeat, now);
         }
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -180,7 +180,7 @@
     /// Returns whether another server has a free slot that no other item of this VM has left the server for lately.
     fn may_move(&self, now: Instant) -> bool {
         let service = &self.server.server.service;
-        let (_, mut views) = self.state.server_views(service, now);
+        let (_, mut views) = self.state.server_views(service, None, now);
         views.retain(|view| view.key != self.server.key);
         let free = free_slots(&views, 0);
         self.state.backends.admit_move(self.server, free, now)
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -214,7 +214,7 @@
                 let Some(service) = service.filter(|name| hash_name(name) == demand.service) else {
                     continue;
                 };
-                let (servers, views) = state.server_views(service, now);
+                let (servers, views) = state.server_views(service, None, now);
                 let remaining = allowed.get_or_insert_with(|| {
                     let free = free_slots(&views, RESERVED_SLOTS);
                     state
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -38,9 +38,11 @@
 mod store_watch;
 mod stream_relay;
 mod stream_start;
+mod stream_versions;
 mod takeover;
 mod timestamps;
 mod trial_wait;
+mod version_store;
 mod vm;
 pub mod wire;
 
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -65,7 +65,8 @@
         set_socket_options,
         UNACKNOWLEDGED_TIMEOUT, //
     },
-    state::FleetState, //
+    state::FleetState,
+    stream_versions, //
 };
 
 /// Timeout of a request that announces a cancellation to another VM.
@@ -134,6 +135,9 @@
         Body::CatalogAsk(request) => Body::CatalogAnswer(catalog_response(state, &request)),
         Body::BackendAsk(request) => Body::BackendAnswer(backend_changes_response(state, &request)),
         Body::JobRead(request) => Body::JobPage(job_results_response(state, request).await),
+        Body::StreamOriginAsk(request) => {
+            Body::StreamOrigin(stream_versions::stream_origin_response(state, &request))
+        }
         Body::JobBodyAsk(request) => Body::JobBody(item_body_response(state, &request)),
         Body::JobEnd(request) => Body::JobDone(handle_cancellation(state, &request)),
         Body::JobHandover(request) => Body::JobDone(JobAck {
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -31,6 +31,7 @@
         SlotRule,
         SlotWait, //
     },
+    stream_version::VersionKey,
     sync::lock,
     wait_estimate::{
         retry_delay,
@@ -51,7 +52,8 @@
         RunHistory, //
     },
     server_limits::SendPermit,
-    state::FleetState, //
+    state::FleetState,
+    stream_versions::ANEW_RETRY, //
 };
 
 /// Free slots that must remain on a server after an overdue request takes one, so that requests that can
@@ -100,7 +102,10 @@
     loop {
         let slot_freed = state.backends.slot_freed.notified();
         let now = Instant::now();
-        let (servers, views) = state.server_views(&request.service, now);
+        let (servers, views) = state.server_views(&request.service, request.version, now);
+        if request.version.is_some() && views.iter().all(|view| view.leaving) {
+            return Err(version_unavailable(history));
+        }
         let wait = wait_state(state, request, (&servers, &views), waiting.as_ref(), now);
         let rule = wait.rule();
         if let Some(index) = choose_server(&views, request, history, rule) {
@@ -207,15 +212,15 @@
     Free,
 }
 
-/// Chooses a server for a stream that moves, not one of `tried`.
+/// Chooses a server for a stream that moves, of the version that began it if it has begun, not one of `tried`.
 pub(crate) fn choose_resume_server(
     state: &FleetState,
-    service: &str,
+    (service, version): (&str, Option<VersionKey>),
     tried: &[u32],
     demand: ServerDemand,
 ) -> Option<PermittedServer> {
     let now = Instant::now();
-    let (servers, views) = state.server_views(service, now);
+    let (servers, views) = state.server_views(service, version, now);
     let waiting = match demand {
         ServerDemand::Any => RESUME_QUEUE,
         ServerDemand::Free => 0,
@@ -231,6 +236,16 @@
     permitted.filter(|_| fits)
 }
 
+/// Returns the refusal for a stream of whose version no server takes requests.
+fn version_unavailable(history: &RunHistory) -> RefusalResponse {
+    if history.runs > 0 {
+        return final_refusal(history, false);
+    }
+    let detail = "no server of the version that began the stream takes requests";
+    let refused = RefusalResponse::not_run(RefusalReason::VersionUnavailable, detail);
+    refused.retry_after(ANEW_RETRY)
+}
+
 /// Returns the refusal for a request that got no slot.
 fn no_slot(history: &RunHistory, servers: usize, wait: &SlotWait) -> RefusalResponse {
     if history.runs > 0 {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -21,6 +21,7 @@
 
 use arc_swap::ArcSwapOption;
 use boragerill::{
+    backend::BackendTable,
     catalog::{
         Catalog,
         CatalogVersion,
@@ -42,6 +43,7 @@
     settings::VmSettings,
     slot::SlotView,
     slot_wait::TimeoutTable,
+    stream_version::VersionKey,
     sync::lock,
     timer::millis,
     wait_estimate::WaitEstimator, //
@@ -66,6 +68,7 @@
     quarantine::QuarantineRegistry,
     read_cache::ReadCache,
     server_limits::LimitRegistry,
+    stream_versions::StreamRegistry,
     wire::WireFormat, //
 };
 
@@ -167,6 +170,8 @@
     pub(crate) jobs: JobRegistry,
     /// Jobs that their clients cancelled.
     pub(crate) cancellations: CancellationRegistry,
+    /// Streams that callers may take up again.
+    pub(crate) streams: StreamRegistry,
     /// Cache of jobs that other VMs run and this VM read from the store.
     pub(crate) read_cache: ReadCache,
     /// Start of this process.
@@ -223,6 +228,7 @@
             links: PeerLinks::default(),
             jobs: JobRegistry::default(),
             cancellations: CancellationRegistry::default(),
+            streams: StreamRegistry::default(),
             read_cache: ReadCache::default(),
             incarnation,
             seeds: Mutex::new(settings.seeds.clone()),
@@ -233,17 +239,25 @@
         }
     }
 
-    /// Returns the servers of a service, and a view of the load, health and limit of each.
+    /// Returns the servers of a service, of one version if it is given, and a view of the load, health and limit of each.
     pub(crate) fn server_views(
         &self,
         service: &str,
+        version: Option<VersionKey>,
         now: Instant,
     ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
-        let (servers, mut views) = self.backends.views(service, &self.settings.domain, now);
+        let domain = &self.settings.domain;
+        let (servers, mut views) = self.backends.views(service, version, domain, now);
         self.limits.apply(&servers, &mut views);
         (servers, views)
     }
 
+    /// Returns whether this VM would know of a server that has registered: the store or most VMs respond.
+    pub(crate) fn is_current(&self, now: Instant) -> bool {
+        let is_available = !self.backends.read(BackendTable::is_store_unavailable);
+        is_available || lock(&self.members).reaches_half(now)
+    }
+
     /// Returns how many VMs of the fleet report their usage of rates, out of all.
     pub(crate) fn fleet_view(&self, now: Instant) -> FleetView {
         let members = lock(&self.members);
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -226,6 +226,8 @@
             let mut servers = servers.iter();
             servers.any(|server| (server.key, server.server.start) == process)
         });
+        state.backends.observe_versions(now);
+        state.streams.prune(now);
         state.quarantine.review(now);
         let retention = Duration::from_secs_f64(state.settings.results_kept_s);
         state.jobs.remove_expired(retention, now);
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -28,6 +28,7 @@
         StallTerms, //
     },
     stream::EventSplitter,
+    stream_version::VersionKey,
     timer::millis, //
 };
 use bytes::Bytes;
@@ -130,6 +131,7 @@
     state: Arc<FleetState>,
     route: CompactString,
     service: CompactString,
+    version: VersionKey, // Version of the servers that the stream may go on at.
     outgoing: OutgoingRequest,
     runs: u32,
     max_runs: u32,
@@ -161,9 +163,15 @@
         };
         let names = state.format.names.clone();
         let now = Instant::now();
+        if request.outgoing.repeatable && request.version.is_none() {
+            state
+                .streams
+                .record_start(&request.outgoing.id, &opened.response.server);
+        }
         let relay = StreamRelay {
             route: request.route.name.clone(),
             service: request.service.clone(),
+            version: opened.response.server.version,
             outgoing: request.outgoing.clone(),
             runs,
             max_runs: request.route.attempts,
@@ -366,7 +374,12 @@
         self.refused
             .retain(|refused| refused.1.elapsed() < REFUSED_TIME);
         let Some(PermittedServer { server, permit }) = self.choose_next_server() else {
-            return MoveResult::NoServer;
+            // Without a server of its version the caller has to begin the stream anew.
+            let is_left = self.response.is_some() || self.state.backends.has_server(self.version);
+            return match is_left {
+                true => MoveResult::NoServer,
+                false => MoveResult::NotPermitted,
+            };
         };
         if let Some(last) = self.splitter.last() {
             let name = self.state.format.names.last_event.clone();
@@ -386,7 +399,8 @@
     /// back to a server that ran it before.
     fn choose_next_server(&self) -> Option<PermittedServer> {
         let choose = |excluded: &[u32], demand| {
-            choose_resume_server(&self.state, &self.service, excluded, demand)
+            let service = (self.service.as_str(), Some(self.version));
+            choose_resume_server(&self.state, service, excluded, demand)
         };
         let refused: Vec<u32> = self.refused.iter().map(|refused| refused.0).collect();
         let excluded = [self.tried.as_slice(), refused.as_slice()].concat();
--- a/fleet/src/stream_start.rs
+++ b/fleet/src/stream_start.rs
@@ -198,7 +198,12 @@
     if check != PromptCheck::Allowed {
         return None;
     }
-    choose_resume_server(state, &request.service, excluded, ServerDemand::Free)
+    choose_resume_server(
+        state,
+        (&request.service, request.version),
+        excluded,
+        ServerDemand::Free,
+    )
 }
 
 /// Sends a request to a server and waits for the first complete event of its response.
--- /dev/null
+++ b/fleet/src/stream_versions.rs
@@ -0,0 +1,214 @@
+//! Finds out which software version began a stream that a caller takes up again.
+
+use std::{
+    sync::Mutex,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    catalog::RouteKind,
+    generated::messages::{
+        envelope::Body,
+        Heartbeat,
+        StreamNotice,
+        StreamOriginRequest,
+        StreamOriginResponse, //
+    },
+    rank::hash_name,
+    refusal::{
+        RefusalReason,
+        RefusalResponse, //
+    },
+    stream_version::{
+        ServiceKey,
+        StreamKey,
+        StreamOrigin,
+        StreamTable,
+        VersionKey, //
+    },
+    sync::lock, //
+};
+use futures_util::{
+    stream::FuturesUnordered,
+    StreamExt, //
+};
+use log::info;
+use metrics::counter;
+
+use crate::{
+    admission::AdmittedRequest,
+    backends::BackendState,
+    caller::header_text,
+    peers,
+    state::FleetState, //
+};
+
+/// Number of VMs that are asked for the version of a stream: those that have run the longest.
+const ASKED_VMS: usize = 3;
+
+/// Time within which these VMs have to respond.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Most streams in one heartbeat; the next one carries further ones.
+const NOTICE_STREAMS: usize = 1000;
+
+/// Retry delay for callers whose stream can't go on: they have to begin it anew.
+pub(crate) const ANEW_RETRY: Duration = Duration::from_millis(50);
+
+/// Streams that were begun lately.
+#[derive(Debug, Default)]
+pub(crate) struct StreamRegistry {
+    table: Mutex<StreamTable>,
+}
+
+impl StreamRegistry {
+    /// Records that a server has sent the first event of a stream that can be taken up again.
+    pub(crate) fn record_start(&self, request: &str, server: &BackendState) {
+        let origin = StreamOrigin {
+            stream: hash_name(request),
+            version: server.version,
+        };
+        let service = hash_name(&server.server.service);
+        lock(&self.table).record_own(service, origin, Instant::now());
+    }
+
+    /// Adds the streams that other VMs have to know and haven't been told to a heartbeat, and returns whether there
+    /// are any.
+    pub(crate) fn add_new(&self, heartbeat: &mut Heartbeat, state: &FleetState) -> bool {
+        let is_mixed = |service| state.backends.has_mixed_versions(service);
+        let origins = lock(&self.table).take_unreported(is_mixed, NOTICE_STREAMS);
+        heartbeat.streams = stream_notices(origins);
+        !heartbeat.streams.is_empty()
+    }
+
+    /// Records the streams in another VM's heartbeat.
+    pub(crate) fn record_heartbeat(&self, heartbeat: &Heartbeat, now: Instant) {
+        let mut table = lock(&self.table);
+        for notice in &heartbeat.streams {
+            for &stream in &notice.streams {
+                let version = notice.version;
+                table.record(StreamOrigin { stream, version }, now);
+            }
+        }
+    }
+
+    /// Removes old records.
+    pub(crate) fn prune(&self, now: Instant) {
+        lock(&self.table).prune(now);
+    }
+
+    fn find(&self, stream: StreamKey) -> Option<VersionKey> {
+        lock(&self.table).find(stream)
+    }
+}
+
+/// Sets the version at which a request has to run, if it takes a stream up again.
+///
+/// # Errors
+///
+/// Returns a refusal if it is unknown which version began the stream.
+pub(crate) async fn pin_version(
+    state: &FleetState,
+    request: &mut AdmittedRequest,
+) -> Result<(), RefusalResponse> {
+    let names = &state.format.names;
+    let headers = &request.outgoing.headers;
+    let is_stream = matches!(request.route.kind, RouteKind::Stream(_));
+    if !is_stream || !headers.contains_key(&names.last_event) {
+        return Ok(());
+    }
+    let resumed = header_text(headers, &names.resumed_request).map(hash_name);
+    let service = hash_name(&request.service);
+    let known = resumed.and_then(|stream| state.streams.find(stream));
+    let (version, source) = match known.or_else(|| sole_version(state, service)) {
+        Some(version) => (Some(version), "own"),
+        None => (ask_vms(state, resumed, service).await, "other VMs"),
+    };
+    counter!("streams_taken_up_total", "known" => if version.is_some() { "yes" } else { "no" })
+        .increment(1);
+    info!(
+        request = request.outgoing.id.as_str(),
+        resumed_request = header_text(headers, &names.resumed_request),
+        version = version.map(|version| state.backends.version_name(version)).as_deref(),
+        source;
+        "stream taken up"
+    );
+    if version.is_none() {
+        let detail = "the version of the servers that began the stream is unknown";
+        let refused = RefusalResponse::not_run(RefusalReason::VersionUnknown, detail);
+        return Err(refused.retry_after(ANEW_RETRY));
+    }
+    request.version = version;
+    Ok(())
+}
+
+/// Returns the only version that can have begun a stream of a service, unless this VM may have missed others.
+fn sole_version(state: &FleetState, service: ServiceKey) -> Option<VersionKey> {
+    let sole = state.backends.sole_version(service)?;
+    state.is_current(Instant::now()).then_some(sole)
+}
+
+/// Asks the VMs that have run the longest for the version of a stream; returns the first version that one of them
+/// knows.
+async fn ask_vms(
+    state: &FleetState,
+    stream: Option<StreamKey>,
+    service: ServiceKey,
+) -> Option<VersionKey> {
+    let now = Instant::now();
+    let mut vms: Vec<(u64, u64)> = {
+        let members = lock(&state.members);
+        let reachable = members.members().iter();
+        let reachable = reachable.filter(|member| member.is_reachable(now));
+        reachable
+            .map(|member| (member.info.incarnation, hash_name(&member.info.vm)))
+            .collect()
+    };
+    vms.sort_unstable();
+    let request = StreamOriginRequest { stream, service };
+    let ask = |vm| {
+        let body = Body::StreamOriginAsk(request);
+        peers::request(state, vm, body, ASK_TIMEOUT)
+    };
+    let asked = vms.iter().take(ASKED_VMS).map(|&(_, vm)| ask(vm));
+    let mut answers: FuturesUnordered<_> = asked.collect();
+    let mut sole = None;
+    while let Some(answer) = answers.next().await {
+        match answer {
+            Ok(Body::StreamOrigin(origin)) if origin.version.is_some() => return origin.version,
+            Ok(Body::StreamOrigin(origin)) => sole = sole.or(origin.sole_version),
+            Ok(_) => {}
+            Err(error) => {
+                info!(error = error.to_string().as_str(); "asking for the version of a stream failed");
+            }
+        }
+    }
+    sole
+}
+
+/// Responds to another VM that asks for the version of a stream.
+pub(crate) fn stream_origin_response(
+    state: &FleetState,
+    request: &StreamOriginRequest,
+) -> StreamOriginResponse {
+    let known = request.stream.and_then(|stream| state.streams.find(stream));
+    StreamOriginResponse {
+        version: known,
+        sole_version: sole_version(state, request.service),
+    }
+}
+
+/// Groups streams by version.
+fn stream_notices(mut origins: Vec<StreamOrigin>) -> Vec<StreamNotice> {
+    origins.sort_unstable_by_key(|origin| origin.version);
+    let groups = origins.chunk_by(|one, other| one.version == other.version);
+    groups
+        .map(|group| StreamNotice {
+            version: group[0].version,
+            streams: group.iter().map(|origin| origin.stream).collect(),
+        })
+        .collect()
+}
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -67,6 +67,7 @@
     state::FleetState,
     store_watch,
     takeover,
+    version_store,
     wire::WireFormat, //
 };
 
@@ -203,6 +204,7 @@
     tokio::spawn(takeover::watch_runners(state.clone()));
     tokio::spawn(takeover::find_orphans(state.clone()));
     tokio::spawn(quarantine_store::keep_stored(state.clone()));
+    tokio::spawn(version_store::keep_stored(state.clone()));
     tokio::spawn(watch_readiness(state.clone()));
     if !state.settings.first_start {
         tokio::spawn(add_restart_tokens(state.clone()));
