Resume items of jobs only at the software version that generated their output

Cause and class as with streams: what a version began went on at any server, here also through checkpoints that another VM takes over. Fix: an item's output, its checkpoint and its handover name the version. It resumes there while a server of it takes requests, and begins anew otherwise. Output of an unknown version (an older build's checkpoint) begins anew as well.

--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -19,11 +19,14 @@
     Serialize, //
 };
 
-use crate::stream::{
-    event_data,
-    event_id,
-    split_events,
-    EventId, //
+use crate::{
+    stream::{
+        event_data,
+        event_id,
+        split_events,
+        EventId, //
+    },
+    stream_version::VersionKey, //
 };
 
 /// Identifies a job among all jobs of its workspace; chosen by the client.
@@ -135,11 +138,13 @@
     pub text: CompactString,
     /// Whether the output is complete.
     pub whole: bool,
+    /// Software version of the servers that generated the output; absent in outputs of builds without versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<VersionKey>,
 }
 
 /// Checkpoint of the output of unlisted items, from which another runner continues after a takeover. An old
-/// checkpoint is valid as well: every run of an item generates the same output, so that a stored output is
-/// always a prefix of the final one.
+/// checkpoint is valid as well: every run of an item at one software version generates the same output.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct JobCheckpoint {
@@ -195,6 +200,7 @@
     phase: ItemPhase,
     text: Vec<u8>,
     last: Option<EventId>,
+    version: Option<VersionKey>, // Software version of the servers that generated the text.
     failures: u32,
     silent_runs: u32, // Runs that ended because their server sent nothing for long.
     pause_until: Option<Instant>,
@@ -220,6 +226,7 @@
             phase: ItemPhase::Waiting,
             text: Vec::new(),
             last: None,
+            version: None,
             failures: 0,
             silent_runs: 0,
             pause_until: None,
@@ -306,10 +313,24 @@
         })
     }
 
-    /// Marks an item as running, and returns the id of the last event received, after which it resumes.
-    pub fn start_item(&mut self, index: usize) -> Option<EventId> {
-        self.items[index].phase = ItemPhase::Running;
-        self.items[index].last
+    /// Returns the software version of the servers at which a partial output of an item can be continued; `None`
+    /// without output.
+    pub fn output_version(&self, index: usize) -> Option<VersionKey> {
+        let item = &self.items[index];
+        item.version.filter(|_| item.last.is_some())
+    }
+
+    /// Marks an item as running at a server of the given software version, and returns the id of the last event
+    /// received, after which it resumes. The output of another version is discarded.
+    pub fn start_item(&mut self, index: usize, version: VersionKey) -> Option<EventId> {
+        let item = &mut self.items[index];
+        item.phase = ItemPhase::Running;
+        if item.version != Some(version) {
+            item.text.clear();
+            item.last = None;
+            item.version = Some(version);
+        }
+        item.last
     }
 
     /// Returns the size of the output received of an item, in bytes.
@@ -329,6 +350,7 @@
                 last,
                 text: CompactString::from_utf8_lossy(&item.text),
                 whole,
+                version: item.version,
             })
         });
         JobCheckpoint {
@@ -348,6 +370,7 @@
             }
             item.last = Some(output.last);
             item.text = output.text.as_bytes().to_vec();
+            item.version = output.version;
             if output.whole {
                 item.phase = ItemPhase::Finished(JobOutcome::Completed);
             }
--- a/boragerill/tests/jobs.rs
+++ b/boragerill/tests/jobs.rs
@@ -13,6 +13,7 @@
     JobItem,
     JobOutcome,
     JobProgress,
+    PartialOutput,
     ResultChunk, //
 };
 use compact_str::{
@@ -34,6 +35,7 @@
 const EVENTS: u64 = 4;
 const ATTEMPTS: u32 = 3;
 const FAILING_ITEM: usize = 2;
+const VERSION: u64 = 1;
 
 fn item_id(index: usize) -> CompactString {
     format_compact!("item-{index}")
@@ -154,7 +156,9 @@
         if !progress.startable(Instant::now()).contains(&item) {
             return;
         }
-        let next = progress.start_item(item).map_or(0, |last| last + 1);
+        let next = progress
+            .start_item(item, VERSION)
+            .map_or(0, |last| last + 1);
         let end = (next + events).min(EVENTS);
         let chunk: String = (next..end).map(|number| event(item, number)).collect();
         progress.extend(item, chunk.as_bytes());
@@ -171,7 +175,7 @@
             return;
         };
         if progress.startable(now).contains(&item) {
-            progress.start_item(item);
+            progress.start_item(item, VERSION);
             progress.fail(item, ATTEMPTS, now);
         }
     }
@@ -382,7 +386,49 @@
         progress.phase(4),
         ItemPhase::Finished(JobOutcome::Completed)
     );
-    assert_eq!(progress.start_item(3), Some(1));
+    assert_eq!(progress.start_item(3, VERSION), Some(1));
+}
+
+#[test]
+fn output_of_another_software_version_is_discarded() {
+    // arrange
+    let mut progress = JobProgress::new([item_id(0)].iter());
+    progress.start_item(0, VERSION);
+    progress.extend(0, event(0, 0).as_bytes());
+    progress.pause(0, None);
+    let known = progress.output_version(0);
+
+    // act
+    let resumed = progress.start_item(0, VERSION);
+    progress.pause(0, None);
+    let begun = progress.start_item(0, VERSION + 1);
+
+    // assert
+    assert_eq!((known, resumed, begun), (Some(VERSION), Some(0), None));
+    assert_eq!(
+        (progress.output_bytes(0), progress.output_version(0)),
+        (0, None)
+    );
+}
+
+#[test]
+fn output_of_an_unknown_software_version_begins_anew_after_a_takeover() {
+    // arrange
+    let mut progress = JobProgress::new([item_id(0)].iter());
+    let output = PartialOutput {
+        last: 3,
+        text: "a".into(),
+        ..PartialOutput::default()
+    };
+
+    // act
+    progress.adopt_checkpoint(JobCheckpoint {
+        outputs: vec![output],
+    });
+
+    // assert
+    assert_eq!(progress.output_version(0), None);
+    assert_eq!(progress.start_item(0, VERSION), None);
 }
 
 #[test]
--- a/fleet/src/handover.rs
+++ b/fleet/src/handover.rs
@@ -87,6 +87,7 @@
         last_event: output.last,
         text: output.text.to_string(),
         whole: output.whole,
+        version: output.version,
     });
     outputs.collect()
 }
@@ -97,6 +98,7 @@
         last: output.last_event,
         text: output.text.into(),
         whole: output.whole,
+        version: output.version,
     });
     JobCheckpoint {
         outputs: outputs.collect(),
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -35,6 +35,7 @@
         SlotDemand,
         DUE_OVERDUE, //
     },
+    stream_version::VersionKey,
     sync::lock, //
 };
 use metrics::counter;
@@ -204,6 +205,7 @@
         demand: SlotDemand,
         now: Instant,
     ) {
+        let mut full_versions = Vec::new(); // Without a server for an item that has to resume at them.
         let mut allowed: Option<u32> = None; // Computed once the first server views are known.
         for (priority, entry) in jobs {
             let Some(route) = catalog.find_route(&entry.manifest.host, &entry.manifest.path) else {
@@ -214,17 +216,26 @@
                 let Some(service) = service.filter(|name| hash_name(name) == demand.service) else {
                     continue;
                 };
-                let (servers, views) = state.server_views(service, None, now);
                 let remaining = allowed.get_or_insert_with(|| {
+                    let (_, views) = state.server_views(service, None, now);
                     let free = free_slots(&views, RESERVED_SLOTS);
                     state
                         .backends
                         .allowed_starts(state.vm_hash, demand, free, now)
                 });
+                let version = resumed_version(state, entry, index);
+                if version.is_some_and(|version| full_versions.contains(&version)) {
+                    continue;
+                }
+                let (servers, views) = state.server_views(service, version, now);
                 let chosen =
                     choose_batch_server(&views, &[], RESERVED_SLOTS).filter(|_| *remaining > 0);
                 let Some(chosen) = chosen else {
-                    return;
+                    match version {
+                        Some(version) if *remaining > 0 => full_versions.push(version),
+                        _ => return,
+                    }
+                    continue;
                 };
                 let permitted = PermittedServer::take(state, &servers[chosen], RequestClass::Batch);
                 let Some(permitted) = permitted else {
@@ -273,7 +284,7 @@
         let PermittedServer { server, permit } = permitted;
         let (preempt, preempted) = oneshot::channel();
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let last = lock(&entry.progress).start_item(index);
+        let last = lock(&entry.progress).start_item(index, server.version);
         let output_bytes = lock(&entry.progress).output_bytes(index);
         lock(&self.running).push(RunningItem {
             number,
@@ -311,6 +322,13 @@
     }
 }
 
+/// Returns the version at which an item has to be resumed; `None` if it may begin at any, since it has no output or no
+/// server of the version that generated its output is left.
+fn resumed_version(state: &FleetState, entry: &JobEntry, index: usize) -> Option<VersionKey> {
+    let version = lock(&entry.progress).output_version(index)?;
+    state.backends.has_server(version).then_some(version)
+}
+
 /// Returns when an item under which servers crashed is tried again. [`TrialWait`] gives the VMs their turns.
 fn trial_terms(priority: &JobPriority) -> TrialTerms {
     let (shortest, longest) = TRIAL_WAITS;
