--- a/boragerill/src/stall.rs
+++ b/boragerill/src/stall.rs
@@ -11,9 +11,9 @@
 /// Fraction of the longest pause after which a stream moves to another server.
 const MOVE_SHARE: f64 = 0.7;
 
-/// Time from the start of a run to its first event after which the stream moves on, if that is longer. The server reads
-/// the prompt first.
-const FIRST_EVENT_MOVE: Duration = Duration::from_millis(700);
+/// Time from the start of a run to its first event after which a stream moves to another server, if that is longer than
+/// other limits. The server reads the prompt first.
+pub const FIRST_EVENT_MOVE: Duration = Duration::from_millis(700);
 
 /// Number of longest pauses after which a silent server is avoided by other requests.
 const SUSPECT_GAPS: u32 = 3;
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -14,12 +14,10 @@
         PromptCheck,
         TrialTerms, //
     },
-    rank::hash_name,
     refusal::{
         RefusalReason,
         RefusalResponse, //
     },
-    sync::lock,
     timer::millis, //
 };
 use compact_str::{
@@ -73,10 +71,7 @@
         start_stream,
         StreamStart, //
     },
-    trial_wait::{
-        TRIAL_TASK,
-        TRIAL_TURN, //
-    }, //
+    trial_wait::trial_turn, //
 };
 
 /// Retry delay for callers whose request no server accepted.
@@ -167,9 +162,8 @@
     if !state.quarantine.is_active() {
         return TrialTerms::default();
     }
-    let rank = lock(&state.members).own_rank(hash_name(TRIAL_TASK), Instant::now());
     TrialTerms {
-        turn: TRIAL_TURN.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX)),
+        turn: trial_turn(state, Instant::now()),
         ..TrialTerms::default()
     }
 }
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -55,8 +55,8 @@
     server_selection::PermittedServer,
     state::FleetState,
     trial_wait::{
-        TrialWait,
-        TRIAL_TASK, //
+        trial_turn,
+        TrialWait, //
     }, //
 };
 
@@ -263,8 +263,8 @@
         let prompt = item_prompt(&state.format.names, workspace, &entry.items[index]);
         let terms = trial_terms(priority);
         if state.quarantine.check(&prompt, terms, now) == PromptCheck::Trial {
-            let rank = lock(&state.members).own_rank(hash_name(TRIAL_TASK), now);
-            if !lock(&self.trial_wait).is_over(rank, now) {
+            let turn = trial_turn(state, now);
+            if !lock(&self.trial_wait).is_over(turn, now) {
                 return false;
             }
         }
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -25,7 +25,8 @@
         StallAction,
         StallEnd,
         StallState,
-        StallTerms, //
+        StallTerms,
+        FIRST_EVENT_MOVE, //
     },
     stream::EventSplitter,
     stream_version::VersionKey,
@@ -77,10 +78,7 @@
         ServerDemand, //
     },
     state::FleetState,
-    stream_start::{
-        OpenedStream,
-        FIRST_EVENT_STALL, //
-    }, //
+    stream_start::OpenedStream, //
 };
 
 /// Time after a request's deadline during which events already received are still forwarded.
@@ -454,7 +452,7 @@
         }
         self.end_silent_run();
         let limit = match self.runs + 1 < self.max_runs {
-            true => FIRST_EVENT_STALL,
+            true => FIRST_EVENT_MOVE,
             false => Duration::MAX,
         };
         timeout(limit, asking).await
--- a/fleet/src/stream_start.rs
+++ b/fleet/src/stream_start.rs
@@ -13,6 +13,7 @@
         PromptCheck,
         TrialTerms, //
     },
+    stall::FIRST_EVENT_MOVE,
     stream::EventSplitter, //
 };
 use bytes::Bytes;
@@ -55,9 +56,6 @@
     },
 };
 
-/// Time without a first event after which a stream moves to another server.
-pub(crate) const FIRST_EVENT_STALL: Duration = Duration::from_millis(700);
-
 /// Interval at which a request without a first event looks for another server after that time.
 const MOVE_RETRY_PERIOD: Duration = Duration::from_millis(100);
 
@@ -92,7 +90,7 @@
     Undecided,
 }
 
-/// Sends a request to `server`, and to another server with a free slot if it is silent for [`FIRST_EVENT_STALL`], or
+/// Sends a request to `server`, and to another server with a free slot if it is silent for [`FIRST_EVENT_MOVE`], or
 /// for the route's target if that is longer. A silent run goes on if the other server refuses or fails the request.
 /// `server` is set to the server that the result is from; failures of others are added to the history. The caller of
 /// this function has to limit the time.
@@ -103,7 +101,7 @@
     history: &mut RunHistory,
 ) -> StartResult {
     let mut running = Box::pin(begin(state, request, server.clone(), permit));
-    let mut limit = FIRST_EVENT_STALL.max(request.route.target);
+    let mut limit = FIRST_EVENT_MOVE.max(request.route.target);
     let mut refused = Vec::new();
     loop {
         if let Ok(start) = timeout(limit, running.as_mut()).await {
@@ -152,7 +150,7 @@
             HandoverEnd::Undecided => {
                 leave_silent(state, request, server, history);
                 (running, *server) = (asking, other);
-                limit = FIRST_EVENT_STALL.max(request.route.target);
+                limit = FIRST_EVENT_MOVE.max(request.route.target);
             }
         }
     }
--- a/fleet/src/version_store.rs
+++ b/fleet/src/version_store.rs
@@ -59,6 +59,9 @@
 /// Back-off before a failed call is repeated.
 const BACKOFF: Duration = Duration::from_millis(400);
 
+/// Time after the start within which a VM knows the others, of which only the first ranked one writes.
+const JOIN_TIME: Duration = Duration::from_secs(1);
+
 /// Interval at which a VM checks whether the object has to be written although no version has come or gone: the VM
 /// that had to write it may be gone.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
@@ -98,6 +101,7 @@
             pause("loading versions of servers failed", &error).await;
         }
     }
+    sleep(JOIN_TIME).await;
     let mut last_stored = Vec::new();
     loop {
         // A timeout starts the next check without a signal.
