--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -320,6 +320,15 @@
         item.version.filter(|_| item.last.is_some())
     }
 
+    /// Sets the version of a partial output of an item whose version isn't known: the only one that can have generated
+    /// it.
+    pub fn assume_version(&mut self, index: usize, version: VersionKey) {
+        let item = &mut self.items[index];
+        if item.last.is_some() && item.version.is_none() {
+            item.version = Some(version);
+        }
+    }
+
     /// Marks an item as running at a server of the given software version, and returns the id of the last event
     /// received, after which it resumes. The output of another version is discarded.
     pub fn start_item(&mut self, index: usize, version: VersionKey) -> Option<EventId> {
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -54,6 +54,7 @@
     jobs::JobEntry,
     server_selection::PermittedServer,
     state::FleetState,
+    stream_versions::sole_version,
     trial_wait::{
         trial_turn,
         TrialWait, //
@@ -205,6 +206,7 @@
         demand: SlotDemand,
         now: Instant,
     ) {
+        let sole = sole_version(state, demand.service);
         let mut full_versions = Vec::new(); // Without a server for an item that has to resume at them.
         let mut allowed: Option<u32> = None; // Computed once the first server views are known.
         for (priority, entry) in jobs {
@@ -223,7 +225,7 @@
                         .backends
                         .allowed_starts(state.vm_hash, demand, free, now)
                 });
-                let version = resumed_version(state, entry, index);
+                let version = resumed_version(state, sole, entry, index);
                 if version.is_some_and(|version| full_versions.contains(&version)) {
                     continue;
                 }
@@ -323,9 +325,21 @@
 }
 
 /// Returns the version at which an item has to be resumed; `None` if it may begin at any, since it has no output or no
-/// server of the version that generated its output is left.
-fn resumed_version(state: &FleetState, entry: &JobEntry, index: usize) -> Option<VersionKey> {
-    let version = lock(&entry.progress).output_version(index)?;
+/// server of the version that generated its output is left. `sole` is the only version that can have generated it, if
+/// there is only one.
+fn resumed_version(
+    state: &FleetState,
+    sole: Option<VersionKey>,
+    entry: &JobEntry,
+    index: usize,
+) -> Option<VersionKey> {
+    let version = {
+        let mut progress = lock(&entry.progress);
+        if let Some(sole) = sole {
+            progress.assume_version(index, sole);
+        }
+        progress.output_version(index)?
+    };
     state.backends.has_server(version).then_some(version)
 }
 
--- a/fleet/src/stream_versions.rs
+++ b/fleet/src/stream_versions.rs
@@ -146,7 +146,7 @@
 }
 
 /// Returns the only version that can have begun a stream of a service, unless this VM may have missed others.
-fn sole_version(state: &FleetState, service: ServiceKey) -> Option<VersionKey> {
+pub(crate) fn sole_version(state: &FleetState, service: ServiceKey) -> Option<VersionKey> {
     let sole = state.backends.sole_version(service)?;
     state.is_current(Instant::now()).then_some(sole)
 }
