--- /dev/null
+++ b/review/standins/cancelled_job.rs
@@ -0,0 +1,119 @@
+//! A front stands still while clients end batch jobs that it runs.
+//!
+//! UNASKED: after it wakes, items of an ended job still run.
+
+use std::{
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    client::{self, Record},
+    fleet::{Fleet, Signal},
+    server::{Arrival, Server, Work},
+    store::Store,
+};
+
+const FRONTS: usize = 5;
+const SERVERS: usize = 2;
+const ITEMS: usize = 25;
+
+/// Jobs, each of which is ended at another front.
+const JOBS: [&str; FRONTS - 1] = [
+    "7c41e09b52d6a3f1",
+    "7c41e09b52d6a3f2",
+    "7c41e09b52d6a3f3",
+    "7c41e09b52d6a3f4",
+];
+
+/// Time for which the front stands still, as in the site files.
+const FREEZE: Duration = Duration::from_millis(3200);
+
+/// Time from the start of the freeze to the ends of the jobs.
+const END_AFTER: Duration = Duration::from_millis(800);
+
+/// Bound `cancel_ms`.
+const CANCEL_LIMIT: Duration = Duration::from_millis(3000);
+
+/// Bound `contact_ms`.
+const CONTACT_TIME: Duration = Duration::from_millis(3000);
+
+/// Time after the freeze for which the servers are watched.
+const WATCH: Duration = Duration::from_secs(16);
+
+const WORK: Work = Work {
+    slots: 4,
+    events: 30,
+    pause: Duration::from_millis(100),
+};
+
+/// Runs the case.
+pub fn run(record: &mut Record, has_trouble: bool) -> Result<bool, String> {
+    let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
+    let store = Store::new();
+    store.write("config", "main", &client::config());
+    for index in 0..SERVERS {
+        let id = format!("i-{index}");
+        let server = Server::start(&id, WORK, arrivals.clone());
+        store.write("servers", &id, &server.entry(&format!("zone-{}", index + 1)));
+    }
+    let fleet = Fleet::start(&store, FRONTS)?;
+    record.add(format!("{FRONTS} fronts are ready, {SERVERS} servers with 4 slots each"));
+    thread::sleep(Duration::from_secs(4));
+
+    // A front that learns of ended jobs from other fronts rather than from a watch of its own.
+    let watches = |name: &str| store.is_watching(name, "batch-ends");
+    let runner = fleet.vms.iter().position(|vm| !watches(&vm.name));
+    let runner = runner.ok_or("every front watches the store")?;
+    let name = fleet.vms[runner].name.clone();
+    for job in JOBS {
+        let body = client::submission(&client::item_ids(job, ITEMS), 12);
+        let path = format!("/lot/{job}");
+        let answer = client::call(fleet.vms[runner].callers, ("POST", &path), job, &body);
+        let status = answer.map_or(0, |answer| answer.status());
+        record.add(format!("batch job {job} ({ITEMS} items) is sent to {name}: {status}"));
+        if status != 202 {
+            return Err("a job wasn't accepted".to_owned());
+        }
+    }
+    thread::sleep(Duration::from_millis(1500));
+
+    let frozen = Instant::now();
+    if has_trouble {
+        fleet.vms[runner].signal(Signal::Stop);
+        record.add(format!("{name} stands still"));
+    }
+    thread::sleep(END_AFTER);
+    let others = fleet.vms.iter().filter(|vm| vm.name != name);
+    let mut ended = Vec::new();
+    for (job, vm) in JOBS.iter().zip(others) {
+        let target = format!("/lots/{job}");
+        let answer = client::call(vm.callers, ("DELETE", &target), "", "");
+        let status = answer.map_or(0, |answer| answer.status());
+        record.add(format!("batch job {job} is ended at {}: {status}", vm.name));
+        if status != 200 {
+            return Err("an end wasn't acknowledged".to_owned());
+        }
+        ended.push((*job, Instant::now()));
+    }
+    thread::sleep(FREEZE.saturating_sub(frozen.elapsed()));
+    if has_trouble {
+        fleet.vms[runner].signal(Signal::Continue);
+        record.add(format!("{name} wakes"));
+    }
+    let woken = Instant::now();
+    thread::sleep(WATCH);
+
+    let mut late = 0;
+    for arrival in arrivals.lock().unwrap().iter() {
+        let job = ended.iter().find(|(job, _)| arrival.id.starts_with(job));
+        let (_, acknowledged) = job.ok_or("an unknown item ran")?;
+        let is_late = arrival.at > *acknowledged + CANCEL_LIMIT && arrival.at > woken + CONTACT_TIME;
+        late += usize::from(is_late);
+        let note = if is_late { ", too late" } else { "" };
+        record.add_at(arrival.at, format!("{} runs item {}{note}", arrival.server, arrival.id));
+    }
+    record.add(format!("{late} items of ended jobs ran too late"));
+    Ok(late > 0)
+}
--- /dev/null
+++ b/review/standins/server.rs
@@ -0,0 +1,149 @@
+//! Stand-in of a model server, which answers each request with a stream of events.
+
+use std::{
+    io::{BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::http::{self, Message};
+
+/// What a server does with each request.
+#[derive(Clone, Copy)]
+pub struct Work {
+    /// Requests that run at once; further ones are rejected.
+    pub slots: usize,
+    /// Events of a complete answer.
+    pub events: u64,
+    /// Pause before each event.
+    pub pause: Duration,
+}
+
+/// A request that a server began to run.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it arrived.
+    pub at: Instant,
+    /// Server.
+    pub server: String,
+    /// `Attempt-Id` of the request.
+    pub id: String,
+}
+
+/// A running server.
+pub struct Server {
+    id: String,
+    address: SocketAddr,
+    work: Work,
+    running: Arc<Mutex<usize>>,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+}
+
+impl Server {
+    /// Starts a server that adds the requests that it runs to `arrivals`.
+    pub fn start(id: &str, work: Work, arrivals: Arc<Mutex<Vec<Arrival>>>) -> Arc<Server> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
+        let server = Arc::new(Server {
+            id: id.to_owned(),
+            address: listener.local_addr().expect("address"),
+            work,
+            running: Arc::default(),
+            arrivals,
+        });
+        let accepting = server.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = accepting.clone();
+                thread::spawn(move || server.serve(stream));
+            }
+        });
+        server
+    }
+
+    /// Returns the entry with which the server registers.
+    pub fn entry(&self, zone: &str) -> String {
+        let (address, slots) = (self.address, self.work.slots);
+        format!(
+            r#"{{"service":"desk","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","cold_remaining_ms":0,"sequence":4,"born":1700000000000}}"#
+        )
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        while let Ok(request) = http::read(&mut reader) {
+            if !self.answer(&request, &mut writer) {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request; returns whether the connection can go on.
+    fn answer(&self, request: &Message, writer: &mut TcpStream) -> bool {
+        let instance = format!("Instance-Id: {}\r\n", self.id);
+        let id = request.header("attempt-id").unwrap_or("");
+        let echo = format!("Attempt-Id: {id}\r\n");
+        if request.line.starts_with("GET /health") {
+            return writer.write_all(&http::response("200 OK", &instance, "")).is_ok();
+        }
+        if request.header("expected-instance").is_some_and(|expected| expected != self.id) {
+            let headers = format!("{instance}{echo}Not-Executed: 1\r\n");
+            let answer = http::response("421 Misdirected Request", &headers, "");
+            return writer.write_all(&answer).is_ok();
+        }
+        if !self.take_slot() {
+            let headers = format!("{echo}Not-Executed: 1\r\n");
+            let answer = http::response("503 Service Unavailable", &headers, "");
+            return writer.write_all(&answer).is_ok();
+        }
+        self.arrivals.lock().unwrap().push(Arrival {
+            at: Instant::now(),
+            server: self.id.clone(),
+            id: id.to_owned(),
+        });
+        let is_whole = self.stream(request, &echo, writer);
+        *self.running.lock().unwrap() -= 1;
+        is_whole
+    }
+
+    fn take_slot(&self) -> bool {
+        let mut running = self.running.lock().unwrap();
+        let is_free = *running < self.work.slots;
+        *running += usize::from(is_free);
+        is_free
+    }
+
+    /// Sends the events from the one after `Last-Event-Id`; stops once the connection is closed.
+    fn stream(&self, request: &Message, echo: &str, writer: &mut TcpStream) -> bool {
+        let last = request.header("last-event-id");
+        let last: u64 = last.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{echo}Server-Signature: 3e1b.07.5a2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        if writer.write_all(head.as_bytes()).is_err() {
+            return false;
+        }
+        for number in last + 1..=self.work.events {
+            thread::sleep(self.work.pause);
+            let event = format!("id: {number}\ndata: token {number}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if is_closed(writer) || writer.write_all(chunk.as_bytes()).is_err() {
+                return false;
+            }
+        }
+        writer.write_all(b"0\r\n\r\n").is_ok()
+    }
+}
+
+/// Returns whether the caller has closed the connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let ended = matches!(stream.peek(&mut [0]), Ok(0));
+    let _ = stream.set_nonblocking(false);
+    ended
+}
