Review case 4: an unreadable entry among the servers stops every restarted process

One string that can't be decoded makes the whole listing fail, again and again, and no process that starts after it becomes ready.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. TROUBLE=0: the text of the other
+# writer's entry can be read.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/review-cases ] && [ -x target/release/boragerill-vm ] || exit 2
+exec target/review/review-cases unreadable-entry review/4
