--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 
 mod cancelled_job;
 mod client;
+mod cut_watches;
 mod fleet;
 mod http;
 mod json;
@@ -25,6 +26,7 @@
     let mut record = Record::new(Path::new(folder).join("record.txt"));
     let ended = match case.as_str() {
         "cancelled-job" => cancelled_job::run(&mut record, has_trouble),
+        "cut-watches" => cut_watches::run(&mut record, has_trouble),
         "lost-front" => lost_front::run(&mut record, has_trouble),
         "unreadable-entry" => unreadable_entry::run(&mut record, has_trouble),
         _ => Err(format!("no case {case}")),
