--- a/review/standins/cancelled_job.rs
+++ b/review/standins/cancelled_job.rs
@@ -13,6 +13,7 @@
     fleet::{Fleet, Signal},
     server::{Arrival, Server, Work},
     store::Store,
+    wire,
 };
 
 const FRONTS: usize = 5;
@@ -50,14 +51,20 @@
 pub fn run(record: &mut Record, has_trouble: bool) -> Result<bool, String> {
     let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
     let store = Store::new();
-    store.write("config", "main", &client::config());
+    store.write("config", "main", wire::CONFIG);
     for index in 0..SERVERS {
         let id = format!("i-{index}");
         let server = Server::start(&id, WORK, arrivals.clone());
-        store.write("servers", &id, &server.entry(&format!("zone-{}", index + 1)));
+        store.write(
+            "servers",
+            &id,
+            &server.entry(&format!("zone-{}", index + 1)),
+        );
     }
     let fleet = Fleet::start(&store, FRONTS)?;
-    record.add(format!("{FRONTS} fronts are ready, {SERVERS} servers with 4 slots each"));
+    record.add(format!(
+        "{FRONTS} fronts are ready, {SERVERS} servers with 4 slots each"
+    ));
     thread::sleep(Duration::from_secs(4));
 
     // A front that learns of ended jobs from other fronts rather than from a watch of its own.
@@ -83,13 +90,17 @@
     arrivals: &Mutex<Vec<Arrival>>,
 ) -> Result<usize, String> {
     let name = &fleet.vms[runner].name;
-    let jobs: Vec<String> = (0..JOBS).map(|index| format!("7c41e09b52d6a{round:x}{index:02x}")).collect();
+    let jobs: Vec<String> = (0..JOBS)
+        .map(|index| format!("7c41e09b52d6a{round:x}{index:02x}"))
+        .collect();
     for job in &jobs {
         let body = client::submission(&client::item_ids(job, ITEMS));
         let path = format!("/lot/{job}");
         let answer = client::call(fleet.vms[runner].callers, ("POST", &path), job, &body);
         let status = answer.map_or(0, |answer| answer.status());
-        record.add(format!("batch job {job} ({ITEMS} items) is sent to {name}: {status}"));
+        record.add(format!(
+            "batch job {job} ({ITEMS} items) is sent to {name}: {status}"
+        ));
         if status != 202 {
             return Err("a job wasn't accepted".to_owned());
         }
@@ -128,10 +139,14 @@
         let Some((_, acknowledged)) = job else {
             continue; // Of an earlier round.
         };
-        let is_late = arrival.at > *acknowledged + CANCEL_LIMIT && arrival.at > woken + CONTACT_TIME;
+        let is_late =
+            arrival.at > *acknowledged + CANCEL_LIMIT && arrival.at > woken + CONTACT_TIME;
         late += usize::from(is_late);
         let note = if is_late { ", too late" } else { "" };
-        record.add_at(arrival.at, format!("{} runs item {}{note}", arrival.server, arrival.id));
+        record.add_at(
+            arrival.at,
+            format!("{} runs item {}{note}", arrival.server, arrival.id),
+        );
     }
     Ok(late)
 }
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -2,8 +2,7 @@
 
 use std::{
     fmt::Display,
-    fs,
-    io,
+    fs, io,
     net::SocketAddr,
     path::PathBuf,
     time::{Duration, Instant},
@@ -11,56 +10,45 @@
 
 use crate::{
     http::{self, Message},
-    json,
+    json, wire,
 };
 
-/// Host name of the routes.
-pub const HOST: &str = "desk.example";
-
-/// Key of the tenant.
-const KEY: &str = "i9n73hh2b9wu3fexd9dn";
-
-/// Longest wait of the client for an answer: `Time-Remaining-Ms` and 1.5 s more.
+/// Longest wait of the client for an answer: the time that it allows and 1.5 s more.
 const READ_LIMIT: Duration = Duration::from_millis(5500);
 
-/// Returns the configuration: a safe route, one of streams that can't be resumed, and a batch route of one service.
-pub fn config() -> String {
-    format!(
-        r#"{{"version":1,"routes":[{{"name":"query","host":"{HOST}","path_prefix":"/query/","kind":"safe","timeout_ms":5000,"target_latency_ms":300,"priority":0,"service":"desk","max_attempts":2,"public":false}},{{"name":"stream","host":"{HOST}","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"target_latency_ms":300,"priority":0,"service":"desk","max_attempts":1,"public":false,"resumable":false,"gap_target_ms":300}},{{"name":"lots","host":"{HOST}","path_prefix":"/lot/","kind":"batch","timeout_ms":15000,"target_latency_ms":400,"priority":2,"service":"desk","max_attempts":3,"public":false,"resumable":true,"gap_target_ms":300,"completion_target_ms":18000,"max_queue_s":36,"cap":940000}}],"services":[{{"name":"desk","health_path":"/health","max_connections":370}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"kaje80","api_keys":["{KEY}"],"priority":1,"rate_per_s":500,"burst":500}}]}}"#
-    )
-}
-
 /// Returns the ids of a job's items.
 pub fn item_ids(job: &str, count: usize) -> Vec<String> {
-    (0..count).map(|index| format!("{job}{index:04x}")).collect()
+    (0..count)
+        .map(|index| format!("{job}{index:04x}"))
+        .collect()
 }
 
 /// Returns the body of a submission.
 pub fn submission(items: &[String]) -> String {
-    let items = items.iter().map(|id| {
-        format!(
-            r#"{{"id":"{id}","path":"/lot/run/{id}","headers":{{"Model":"m","Token-Usage":"540,400","Prompt-Prefix":"{id}:540"}},"body":"q83vEjRWeJA=","tokens":940}}"#
-        )
-    });
+    let items = items.iter().map(|id| wire::item(id));
     format!(r#"{{"items":[{}]}}"#, items.collect::<Vec<_>>().join(","))
 }
 
-/// Headers of every call.
-fn headers<'a>(authorization: &'a str, id: &'a str) -> Vec<(&'static str, &'a str)> {
-    vec![
-        ("Host", HOST),
-        ("Authorization", authorization),
-        ("Attempt-Id", id),
-        ("Time-Remaining-Ms", "4000"),
-        ("Content-Type", "application/json"),
-    ]
-}
-
 /// Sends a call on a new connection.
 pub fn call(vm: SocketAddr, request: (&str, &str), id: &str, body: &str) -> io::Result<Message> {
-    let authorization = format!("Token {KEY}");
-    let headers = headers(&authorization, id);
-    http::call(vm, request, &headers, body.as_bytes(), READ_LIMIT)
+    http::call(
+        vm,
+        request,
+        &wire::call_headers(id),
+        body.as_bytes(),
+        READ_LIMIT,
+    )
+}
+
+/// Sends a call on a new connection that breaks after a time, before the answer is read.
+pub fn call_broken(
+    vm: SocketAddr,
+    request: (&str, &str),
+    id: &str,
+    body: &str,
+    after: Duration,
+) -> io::Result<()> {
+    http::call_broken(vm, request, &wire::call_headers(id), body.as_bytes(), after)
 }
 
 /// Results of a job as one read returned them.
--- a/review/standins/cut_watches.rs
+++ b/review/standins/cut_watches.rs
@@ -16,6 +16,7 @@
     fleet::Fleet,
     server::{Arrival, Server, Work},
     store::Store,
+    wire,
 };
 
 const FRONTS: usize = 4;
@@ -30,6 +31,9 @@
 /// Age of the oldest watch at which the entry of the server is removed: longer than `contact_ms` after the last cut.
 const REMOVE_AT: Duration = Duration::from_millis(7000);
 
+/// Longest wait for a watch of that age.
+const WATCH_LIMIT: Duration = Duration::from_secs(40);
+
 /// Bound `drain_ms`.
 const DRAIN_LIMIT: Duration = Duration::from_millis(2000);
 
@@ -55,7 +59,7 @@
 pub fn run(record: &mut Record, has_trouble: bool) -> Result<bool, String> {
     let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
     let store = Store::new();
-    store.write("config", "main", &client::config());
+    store.write("config", "main", wire::CONFIG);
     if has_trouble {
         store.cut_watches(CUT_AFTER);
     }
@@ -71,13 +75,23 @@
     let stopped = Arc::new(AtomicBool::new(false));
     let clients = start_clients(&fleet, &stopped);
     thread::sleep(Duration::from_secs(10));
+    let start = Instant::now();
     while store.longest_watch("batch-ends") < REMOVE_AT {
+        if start.elapsed() > WATCH_LIMIT {
+            return Err("no watch waits for long".to_owned());
+        }
         thread::sleep(Duration::from_millis(20));
     }
     let leaving = &servers[0];
     store.remove("servers", &leaving.id);
     let removed = Instant::now();
-    record.add_at(removed, format!("the entry of {} is removed, the server goes on serving", leaving.id));
+    record.add_at(
+        removed,
+        format!(
+            "the entry of {} is removed, the server goes on serving",
+            leaving.id
+        ),
+    );
     thread::sleep(SERVE_ON);
     leaving.end();
     record.add(format!("{} ends", leaving.id));
@@ -89,7 +103,8 @@
         record.add_at(*cut, "the store cuts off a watch");
     }
     let is_calm = |at: Instant| {
-        cuts.iter().all(|cut| *cut > at || at.duration_since(*cut) > CONTACT_TIME)
+        cuts.iter()
+            .all(|cut| *cut > at || at.duration_since(*cut) > CONTACT_TIME)
     };
     if !is_calm(removed) {
         return Err("the entry was removed too soon after a cut".to_owned());
@@ -101,21 +116,29 @@
         let is_late = arrival.at > removed + DRAIN_LIMIT && is_calm(arrival.at);
         late += usize::from(is_late);
         let note = if is_late { ", too late" } else { "" };
-        record.add_at(arrival.at, format!("request {} reaches {}{note}", arrival.id, arrival.server));
+        record.add_at(
+            arrival.at,
+            format!("request {} reaches {}{note}", arrival.id, arrival.server),
+        );
     }
     for client in clients {
         for (id, at, seen) in client.join().unwrap_or_default() {
             record.add_at(at, format!("request {id} has no complete answer: {seen}"));
         }
     }
-    record.add(format!("{late} requests reached {} too late, with the store calm", leaving.id));
+    record.add(format!(
+        "{late} requests reached {} too late, with the store calm",
+        leaving.id
+    ));
     Ok(late > 0)
 }
 
 /// Starts the clients of each front, each of which sends requests one after the other.
 fn start_clients(fleet: &Fleet, stopped: &Arc<AtomicBool>) -> Vec<JoinHandle<Vec<BrokenAnswer>>> {
     let vms = fleet.vms.iter().enumerate();
-    let vms = vms.flat_map(|vm| std::iter::repeat_n(vm, CLIENTS)).enumerate();
+    let vms = vms
+        .flat_map(|vm| std::iter::repeat_n(vm, CLIENTS))
+        .enumerate();
     let clients = vms.map(|(client, (index, vm))| {
         let (callers, stopped) = (vm.callers, stopped.clone());
         thread::spawn(move || {
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -129,10 +129,15 @@
             .open(self.settings.with_extension("log"))?;
         let mut command = Command::new(PROGRAM);
         command.arg("--settings").arg(&self.settings);
-        command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
+        command
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null());
         self.child = Some(command.spawn()?);
         // Only the first start of the whole system bootstraps.
-        self.text = self.text.replace(r#""first_start":true"#, r#""first_start":false"#);
+        self.text = self
+            .text
+            .replace(r#""first_start":true"#, r#""first_start":false"#);
         Ok(())
     }
 
@@ -154,7 +159,7 @@
 
     fn is_ready(&self) -> bool {
         let limit = Duration::from_millis(500);
-        let answer = http::call(self.ready, ("GET", "/ready"), &[("Host", "ready")], b"", limit);
+        let answer = http::call(self.ready, ("GET", "/ready"), "Host: ready\r\n", b"", limit);
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 }
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
+    thread,
     time::Duration,
 };
 
@@ -89,7 +90,7 @@
 pub fn call(
     address: SocketAddr,
     (method, target): (&str, &str),
-    headers: &[(&str, &str)],
+    headers: &str,
     body: &[u8],
     limit: Duration,
 ) -> io::Result<Message> {
@@ -99,6 +100,21 @@
     read(&mut BufReader::new(stream))
 }
 
+/// Sends a request on a new connection and closes it after a time without reading an answer.
+pub fn call_broken(
+    address: SocketAddr,
+    (method, target): (&str, &str),
+    headers: &str,
+    body: &[u8],
+    after: Duration,
+) -> io::Result<()> {
+    let mut stream = connect(address, Duration::from_secs(1))?;
+    stream.write_all(&request_head((method, target), headers, body.len()))?;
+    stream.write_all(body)?;
+    thread::sleep(after);
+    Ok(())
+}
+
 /// Opens a connection whose reads end after `limit`.
 fn connect(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
     let stream = TcpStream::connect_timeout(&address, limit.min(Duration::from_secs(1)))?;
@@ -108,16 +124,8 @@
 }
 
 /// Returns the head of a request with a body of `length` bytes.
-fn request_head(
-    (method, target): (&str, &str),
-    headers: &[(&str, &str)],
-    length: usize,
-) -> Vec<u8> {
-    let mut head = format!("{method} {target} HTTP/1.1\r\n");
-    for (name, value) in headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
-    }
-    head.push_str(&format!("Content-Length: {length}\r\n\r\n"));
+fn request_head((method, target): (&str, &str), headers: &str, length: usize) -> Vec<u8> {
+    let head = format!("{method} {target} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n");
     head.into_bytes()
 }
 
--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -7,7 +7,10 @@
         rest = rest.trim_start_matches(|c: char| c.is_whitespace() || c == ',');
         let key_length = value_length(rest).filter(|_| rest.starts_with('"'))?;
         let key = &rest[1..key_length - 1];
-        rest = rest[key_length..].trim_start().strip_prefix(':')?.trim_start();
+        rest = rest[key_length..]
+            .trim_start()
+            .strip_prefix(':')?
+            .trim_start();
         let length = value_length(rest)?;
         if key == name {
             return Some(&rest[..length]);
--- a/review/standins/lost_front.rs
+++ b/review/standins/lost_front.rs
@@ -13,13 +13,14 @@
     fleet::Fleet,
     server::{Arrival, Server, Work},
     store::Store,
+    wire,
 };
 
 const FRONTS: usize = 4;
 const SERVERS: usize = 3;
 const ITEMS: usize = 10;
 
-/// Time for which the job may wait, `max_queue_s` of the configuration, with a margin of 8 s. It is also longer than
+/// Time for which the job may wait, as the configuration allows, with a margin of 8 s. It is also longer than
 /// `finish_s`.
 const WAIT: Duration = Duration::from_secs(44);
 
@@ -36,27 +37,41 @@
 pub fn run(record: &mut Record, has_trouble: bool) -> Result<bool, String> {
     let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
     let store = Store::new();
-    store.write("config", "main", &client::config());
+    store.write("config", "main", wire::CONFIG);
     for index in 0..SERVERS {
         let id = format!("i-{index}");
         let server = Server::start(&id, WORK, arrivals.clone());
-        store.write("servers", &id, &server.entry(&format!("zone-{}", index + 1)));
+        store.write(
+            "servers",
+            &id,
+            &server.entry(&format!("zone-{}", index + 1)),
+        );
     }
     let mut fleet = Fleet::start(&store, FRONTS)?;
-    record.add(format!("{FRONTS} fronts are ready, {SERVERS} servers with 8 slots each"));
+    record.add(format!(
+        "{FRONTS} fronts are ready, {SERVERS} servers with 8 slots each"
+    ));
     thread::sleep(Duration::from_secs(4));
 
     let job = "7c41e09b52d6a3f8";
     let body = client::submission(&client::item_ids(job, ITEMS));
     let sent = Instant::now();
-    let answer = client::call(fleet.vms[0].callers, ("POST", &format!("/lot/{job}")), job, &body);
+    let answer = client::call(
+        fleet.vms[0].callers,
+        ("POST", &format!("/lot/{job}")),
+        job,
+        &body,
+    );
     let accepted = Instant::now();
     if has_trouble {
         fleet.vms[0].kill();
         record.add("front-1 is killed and never comes back");
     }
     let status = answer.map_or(0, |answer| answer.status());
-    record.add_at(sent, format!("batch job {job} ({ITEMS} items) is sent to front-1"));
+    record.add_at(
+        sent,
+        format!("batch job {job} ({ITEMS} items) is sent to front-1"),
+    );
     record.add_at(accepted, format!("the client gets {status}"));
     if status != 202 {
         return Err("the job wasn't accepted".to_owned());
@@ -81,9 +96,15 @@
     ));
     let arrivals = arrivals.lock().unwrap();
     for arrival in arrivals.iter() {
-        record.add_at(arrival.at, format!("{} runs item {}", arrival.server, arrival.id));
+        record.add_at(
+            arrival.at,
+            format!("{} runs item {}", arrival.server, arrival.id),
+        );
     }
-    record.add(format!("the servers ran {} items since the start", arrivals.len()));
+    record.add(format!(
+        "the servers ran {} items since the start",
+        arrivals.len()
+    ));
     let is_calm = arrivals.iter().all(|arrival| arrival.at.elapsed() > CALM);
     Ok(is_calm && page.results.len() < ITEMS)
 }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,9 +8,11 @@
 mod http;
 mod json;
 mod lost_front;
+mod resent_job;
 mod server;
 mod store;
 mod unreadable_entry;
+mod wire;
 
 use std::{env, path::Path, process::ExitCode};
 
@@ -28,6 +30,7 @@
         "cancelled-job" => cancelled_job::run(&mut record, has_trouble),
         "cut-watches" => cut_watches::run(&mut record, has_trouble),
         "lost-front" => lost_front::run(&mut record, has_trouble),
+        "resent-job" => resent_job::run(&mut record, has_trouble),
         "unreadable-entry" => unreadable_entry::run(&mut record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -11,7 +11,10 @@
     time::{Duration, Instant},
 };
 
-use crate::http::{self, Message};
+use crate::{
+    http::{self, Message},
+    wire,
+};
 
 /// What a server does with each request.
 #[derive(Clone, Copy)]
@@ -31,7 +34,7 @@
     pub at: Instant,
     /// Server.
     pub server: String,
-    /// `Attempt-Id` of the request.
+    /// Id of the request.
     pub id: String,
 }
 
@@ -105,20 +108,21 @@
 
     /// Answers a request; returns whether the connection can go on.
     fn answer(&self, request: &Message, writer: &mut TcpStream) -> bool {
-        let instance = format!("Instance-Id: {}\r\n", self.id);
-        let id = request.header("attempt-id").unwrap_or("");
-        let echo = format!("Attempt-Id: {id}\r\n");
-        if request.line.starts_with("GET /health") {
-            return writer.write_all(&http::response("200 OK", &instance, "")).is_ok();
+        let id = request.header(wire::name("request id")).unwrap_or("");
+        if request.line.starts_with("GET ") {
+            let headers = format!("Instance-Id: {}\r\n", self.id);
+            return writer
+                .write_all(&http::response("200 OK", &headers, ""))
+                .is_ok();
         }
-        if request.header("expected-instance").is_some_and(|id| id != self.id) {
-            let headers = format!("{instance}{echo}Not-Executed: 1\r\n");
-            let answer = http::response("421 Misdirected Request", &headers, "");
+        let rejection = wire::rejection_headers(id, &self.id);
+        let expected = request.header(wire::name("expected server"));
+        if expected.is_some_and(|expected| expected != self.id) {
+            let answer = http::response("421 Misdirected Request", &rejection, "");
             return writer.write_all(&answer).is_ok();
         }
         if !self.take_slot() {
-            let headers = format!("{echo}Not-Executed: 1\r\n");
-            let answer = http::response("503 Service Unavailable", &headers, "");
+            let answer = http::response("503 Service Unavailable", &rejection, "");
             return writer.write_all(&answer).is_ok();
         }
         self.arrivals.lock().unwrap().push(Arrival {
@@ -126,7 +130,7 @@
             server: self.id.clone(),
             id: id.to_owned(),
         });
-        let is_whole = self.stream(request, &echo, writer);
+        let is_whole = self.stream(request, id, writer);
         *self.running.lock().unwrap() -= 1;
         is_whole
     }
@@ -138,13 +142,11 @@
         is_free
     }
 
-    /// Sends the events from the one after `Last-Event-Id`; stops once the connection is closed.
-    fn stream(&self, request: &Message, echo: &str, writer: &mut TcpStream) -> bool {
-        let last = request.header("last-event-id");
+    /// Sends the events from the one after the last that the caller has; stops once the connection is closed.
+    fn stream(&self, request: &Message, id: &str, writer: &mut TcpStream) -> bool {
+        let last = request.header(wire::name("last event"));
         let last: u64 = last.and_then(|text| text.parse().ok()).unwrap_or(0);
-        let head = format!(
-            "HTTP/1.1 200 OK\r\n{echo}Server-Signature: 3e1b.07.5a2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        );
+        let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", wire::stream_headers(id));
         if writer.write_all(head.as_bytes()).is_err() {
             return false;
         }
@@ -152,7 +154,8 @@
             thread::sleep(self.work.pause);
             let event = format!("id: {number}\ndata: token {number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            if self.has_ended() || is_closed(writer) || writer.write_all(chunk.as_bytes()).is_err() {
+            if self.has_ended() || is_closed(writer) || writer.write_all(chunk.as_bytes()).is_err()
+            {
                 return false;
             }
         }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -41,6 +41,7 @@
     events: Vec<Event>,
     watching: Vec<(String, Instant)>, // Watches that wait, by caller and kind, and their starts.
     cut_after: Option<Duration>,
+    is_down: bool,
     cuts: Vec<Instant>, // When watches were cut off.
 }
 
@@ -87,6 +88,11 @@
         self.changed.notify_all();
     }
 
+    /// Sets whether the store answers each call with 503 and does nothing.
+    pub fn set_down(&self, is_down: bool) {
+        self.state.lock().unwrap().is_down = is_down;
+    }
+
     /// Cuts off each watch that has waited for a time.
     pub fn cut_watches(&self, after: Duration) {
         self.state.lock().unwrap().cut_after = Some(after);
@@ -102,8 +108,14 @@
     /// Returns how long the oldest watch of a kind has waited.
     pub fn longest_watch(&self, kind: &str) -> Duration {
         let state = self.state.lock().unwrap();
-        let watches = state.watching.iter().filter(|watch| watch.0.ends_with(kind));
-        watches.map(|watch| watch.1.elapsed()).max().unwrap_or_default()
+        let watches = state
+            .watching
+            .iter()
+            .filter(|watch| watch.0.ends_with(kind));
+        watches
+            .map(|watch| watch.1.elapsed())
+            .max()
+            .unwrap_or_default()
     }
 
     /// Returns when watches were cut off.
@@ -137,9 +149,13 @@
         let name = parts.next().map(str::to_owned);
         let is_status = parts.next() == Some("status");
         let watch = parameter(query, "watch").and_then(|text| text.parse::<u64>().ok());
-        if watch.is_none() {
+        let is_down = self.state.lock().unwrap().is_down;
+        if watch.is_none() || is_down {
             thread::sleep(ANSWER_TIME);
         }
+        if is_down {
+            return Some(("503 Service Unavailable", "{}".to_owned()));
+        }
         let answer = match (method, name.clone()) {
             ("GET", None) if watch.is_some() => {
                 let wait = parameter(query, "wait_ms").and_then(|text| text.parse().ok());
@@ -191,7 +207,9 @@
             let events = events.filter(|event| event.kind == kind && event.revision > after);
             let events: Vec<&str> = events.map(|event| event.text.as_str()).collect();
             let left = until.saturating_duration_since(Instant::now());
-            let cut_left = state.cut_after.map(|after| after.saturating_sub(start.elapsed()));
+            let cut_left = state
+                .cut_after
+                .map(|after| after.saturating_sub(start.elapsed()));
             if events.is_empty() && cut_left.is_some_and(|left| left.is_zero()) {
                 state.end_watch(&watch);
                 state.cuts.push(Instant::now());
--- a/review/standins/unreadable_entry.rs
+++ b/review/standins/unreadable_entry.rs
@@ -13,6 +13,7 @@
     fleet::Fleet,
     server::{Arrival, Server, Work},
     store::Store,
+    wire,
 };
 
 const FRONTS: usize = 3;
@@ -38,18 +39,24 @@
 pub fn run(record: &mut Record, has_trouble: bool) -> Result<bool, String> {
     let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
     let store = Store::new();
-    store.write("config", "main", &client::config());
+    store.write("config", "main", wire::CONFIG);
     for index in 0..SERVERS {
         let id = format!("i-{index}");
         let server = Server::start(&id, WORK, arrivals.clone());
-        store.write("servers", &id, &server.entry(&format!("zone-{}", index + 1)));
+        store.write(
+            "servers",
+            &id,
+            &server.entry(&format!("zone-{}", index + 1)),
+        );
     }
     let mut fleet = Fleet::start(&store, FRONTS)?;
     record.add(format!("{FRONTS} fronts are ready, {SERVERS} servers"));
     thread::sleep(Duration::from_secs(3));
     let before = send_requests(record, &fleet, "a");
     if before * 4 < REQUESTS {
-        return Err(format!("{before} of {REQUESTS} requests served before the fault"));
+        return Err(format!(
+            "{before} of {REQUESTS} requests served before the fault"
+        ));
     }
     let entry = if has_trouble { UNREADABLE } else { READABLE };
     store.write("servers", "i-other", entry);
@@ -65,7 +72,9 @@
     record.add("all processes are started again");
     thread::sleep(RECOVERY_TIME.saturating_sub(back.elapsed()) + Duration::from_millis(500));
     let after = send_requests(record, &fleet, "b");
-    record.add(format!("served {before} of {REQUESTS} before, {after} of {REQUESTS} after"));
+    record.add(format!(
+        "served {before} of {REQUESTS} before, {after} of {REQUESTS} after"
+    ));
     Ok(after * 4 < REQUESTS)
 }
 
@@ -77,7 +86,7 @@
         let id = format!("{prefix}{index:015x}");
         let answer = client::call(vm.callers, ("POST", "/query/1"), &id, "question");
         let status = answer.as_ref().map_or(0, |answer| answer.status());
-        let is_signed = answer.is_ok_and(|answer| answer.header("server-signature").is_some());
+        let is_signed = answer.is_ok_and(|answer| answer.header(wire::name("signature")).is_some());
         served += usize::from(status == 200 && is_signed);
         record.add(format!("request {id} is sent to {}: {status}", vm.name));
         thread::sleep(Duration::from_millis(50));
