--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/review-cases review/standins/main.rs
+rustc --edition 2021 -O -o target/review/review-cases review/main.rs
--- a/review/standins/wire.rs
+++ b/review/wire.rs
@@ -1,13 +1,13 @@
-//! Texts of the platform standard that the stand-ins send, and names that they read. They lie in the folder `wire`.
+//! Texts of the platform standard that the stand-ins send, and names that they read. They lie in the files `wire-*`.
 
 /// Configuration of all cases: a safe route, one of streams that can't be resumed, and one of batch jobs.
-pub const CONFIG: &str = include_str!("wire/config.json");
+pub const CONFIG: &str = include_str!("wire-config.json");
 
-const ITEM: &str = include_str!("wire/item.json");
-const CALL: &str = include_str!("wire/call.txt");
-const REJECTION: &str = include_str!("wire/rejection.txt");
-const STREAM: &str = include_str!("wire/stream.txt");
-const NAMES: &str = include_str!("wire/names.txt");
+const ITEM: &str = include_str!("wire-item.json");
+const CALL: &str = include_str!("wire-call.txt");
+const REJECTION: &str = include_str!("wire-rejection.txt");
+const STREAM: &str = include_str!("wire-stream.txt");
+const NAMES: &str = include_str!("wire-names.txt");
 
 /// Returns an item of a batch job.
 pub fn item(id: &str) -> String {
@@ -35,7 +35,7 @@
 ///
 /// # Panics
 ///
-/// Panics if `wire/names.txt` doesn't have the meaning.
+/// Panics if `wire-names.txt` doesn't have the meaning.
 pub fn name(meaning: &str) -> &'static str {
     let named = NAMES.lines().filter_map(|line| line.split_once(": "));
     let mut named = named.filter(|entry| entry.0 == meaning);
