Run jobs that no VM reports: lost with the VM that accepted them (LOST)

Cause: VMs learnt of other VMs' jobs from heartbeats only. A VM that is lost between the 202 and its first heartbeat takes the knowledge of the job with it, and the store was listed once after a start and never compared again.

Ruled out: a job that isn't stored (reads give its total), a takeover that fails (no VM logs one).

Now: the VM that ranks first among the watchers watches the manifests and lists them once a minute. A manifest without a report is a record without a runner, announced in heartbeats and taken over by rank like a lost VM's job, repeated after each failure. Decision in job_directory, moved out of fleet/.

Evidence: unreported_jobs::job_whose_vm_was_lost_before_it_reported_the_job_is_run failed before (0 results after 9 s).

Beside it: a job finished by its second runner was loaded from the store again four times a second once its results had expired; it is recorded as closed.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod headroom;
 pub mod hedge;
 pub mod job;
+pub mod job_directory;
 pub mod keys;
 pub mod kinds;
 mod lease;
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -23,6 +23,7 @@
         ServiceDemand,
         WorkspaceUsage, //
     },
+    job_directory::JobRecord,
     member::MemberInfo,
     slot::{
         SlotDemand,
@@ -47,12 +48,16 @@
 /// Number of full heartbeats from one that also lists all known VMs and the usage of all workspaces to the next.
 const COMPLETE_HEARTBEAT_INTERVAL: u64 = 4;
 
+/// Largest number of jobs without a runner that a heartbeat announces, so that it fits into a datagram.
+const MAX_UNREPORTED_JOBS: usize = 64;
+
 /// What was last reported to the other VMs.
 #[derive(Debug, Default)]
 struct ReportedState {
     slot_usage: Vec<(u32, SlotUsage)>, // Sorted by the server's key.
     demands: Vec<SlotDemand>,
-    jobs: Vec<JobStatus>, // Sorted by id.
+    jobs: Vec<JobStatus>,            // Sorted by id.
+    unreported_jobs: Vec<JobStatus>, // Sorted by id.
     announcements: Vec<DrainAnnouncement>,
     info: MemberInfo,
 }
@@ -96,6 +101,7 @@
         let mut reported = lock(&self.reported);
         reported.slot_usage = self.slot_usage();
         reported.jobs = self.jobs();
+        reported.unreported_jobs = self.unreported_jobs();
         reported.announcements = self.state.backends.drain_announcements();
         reported.info = info.clone();
         let mut heartbeat = Heartbeat {
@@ -104,6 +110,7 @@
             places: reported.slot_usage.iter().map(server_usage).collect(),
             uses: workspace_usage(lock(&self.state.rate_limiter).recent_usage(Instant::now())),
             jobs: reported.jobs.clone(),
+            unreported_jobs: reported.unreported_jobs.clone(),
             leaving: reported.announcements.iter().map(drain_notice).collect(),
             ..self.minimal_heartbeat()
         };
@@ -121,6 +128,7 @@
         }
         let places = self.changed_slot_usage();
         let jobs = self.changed_jobs();
+        let unreported_jobs = self.new_unreported_jobs();
         let leaving = self.new_drain_notices();
         let uses = workspace_usage(lock(&self.state.rate_limiter).take_changes());
         let demands = self.state.backends.own_demands();
@@ -130,13 +138,20 @@
         let limits = self.state.limits.add_changes(&mut heartbeat);
         let streams = self.state.streams.add_new(&mut heartbeat, &self.state);
         let same = places.is_empty() && jobs.is_empty() && uses.is_empty() && leaving.is_empty();
-        if same && !limits && !streams && news.is_empty() && before == demands {
+        if same
+            && unreported_jobs.is_empty()
+            && !limits
+            && !streams
+            && news.is_empty()
+            && before == demands
+        {
             return None;
         }
         heartbeat = Heartbeat {
             places,
             uses,
             jobs,
+            unreported_jobs,
             leaving,
             limits: heartbeat.limits,
             limit_uses: heartbeat.limit_uses,
@@ -221,12 +236,44 @@
     fn changed_jobs(&self) -> Vec<JobStatus> {
         let jobs = self.jobs();
         let before = std::mem::replace(&mut lock(&self.reported).jobs, jobs.clone());
+        let unconfirmed = self.state.jobs.take_unconfirmed();
         let is_reported = |job: &JobStatus| {
             let found = before.binary_search_by(|known| known.id.cmp(&job.id));
             found.is_ok_and(|index| is_same_status(&before[index], job))
+                && !unconfirmed.iter().any(|id| *id == job.id)
         };
         jobs.into_iter().filter(|job| !is_reported(job)).collect()
     }
+
+    /// Returns the jobs that this VM found in the store and that no VM has reported, sorted by id.
+    fn unreported_jobs(&self) -> Vec<JobStatus> {
+        let now = Instant::now();
+        self.state.jobs.read_directory(|directory| {
+            let unreported = directory.unreported(now).take(MAX_UNREPORTED_JOBS);
+            unreported.map(|job| unreported_status(job, now)).collect()
+        })
+    }
+
+    fn new_unreported_jobs(&self) -> Vec<JobStatus> {
+        let jobs = self.unreported_jobs();
+        let before = std::mem::replace(&mut lock(&self.reported).unreported_jobs, jobs.clone());
+        let is_reported = |job: &JobStatus| {
+            let found = before.binary_search_by(|known| known.id.cmp(&job.id));
+            found.is_ok()
+        };
+        jobs.into_iter().filter(|job| !is_reported(job)).collect()
+    }
+}
+
+fn unreported_status(job: &JobRecord, now: Instant) -> JobStatus {
+    let age = now.saturating_duration_since(job.submitted);
+    JobStatus {
+        id: job.id.to_string(),
+        age_ms: u32::try_from(millis(age)).unwrap_or(u32::MAX),
+        waiting_tokens: job.waiting_tokens,
+        account: job.account,
+        ..JobStatus::default()
+    }
 }
 
 fn is_same_status(a: &JobStatus, b: &JobStatus) -> bool {
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -24,6 +24,11 @@
         JobStatus,
         MemberEntry, //
     },
+    job_directory::{
+        JobRecord,
+        JobRunner,
+        ANNOUNCE_DELAY, //
+    },
     member::{
         HeartbeatOutcome,
         MemberInfo, //
@@ -40,7 +45,6 @@
 use metrics::gauge;
 
 use crate::{
-    jobs::JobReport,
     peers,
     quarantine_notice::read_news,
     state::FleetState,
@@ -86,6 +90,9 @@
         for job in &heartbeat.jobs {
             self.record_job(job, heartbeat, now);
         }
+        for job in &heartbeat.unreported_jobs {
+            self.record_unreported_job(job, now);
+        }
         for notice in &heartbeat.leaving {
             self.state
                 .backends
@@ -234,10 +241,13 @@
 
     fn record_job(&self, job: &JobStatus, heartbeat: &Heartbeat, now: Instant) {
         let age = Duration::from_millis(job.age_ms.into());
-        let report = JobReport {
-            id: job.id.as_str().into(),
+        let runner = JobRunner {
             vm: heartbeat.sender,
             incarnation: heartbeat.incarnation,
+        };
+        let report = JobRecord {
+            id: job.id.as_str().into(),
+            runner: Some(runner),
             submitted: now.checked_sub(age).unwrap_or(now),
             waiting_tokens: job.waiting_tokens,
             account: job.account,
@@ -246,7 +256,31 @@
             refreshed: now,
         };
         takeover::resolve_duplicate(&self.state, &report);
-        self.state.jobs.record(report);
+        let jobs = &self.state.jobs;
+        jobs.update_directory(|directory| directory.record_report(report));
+    }
+
+    /// Records a job that the sender found in the store and that no VM has reported to it. The runner reports it
+    /// again.
+    fn record_unreported_job(&self, job: &JobStatus, now: Instant) {
+        let jobs = &self.state.jobs;
+        if jobs.find(&job.id).is_some() {
+            jobs.confirm(&job.id);
+            self.state.backends.changed.notify_one();
+            return;
+        }
+        let age = Duration::from_millis(job.age_ms.into());
+        let record = JobRecord {
+            id: job.id.as_str().into(),
+            runner: None,
+            submitted: now.checked_sub(age).unwrap_or(now),
+            waiting_tokens: job.waiting_tokens,
+            account: job.account,
+            closed: false,
+            chunks: 0,
+            refreshed: now.checked_sub(ANNOUNCE_DELAY).unwrap_or(now),
+        };
+        jobs.update_directory(|directory| directory.record_unreported(record));
     }
 
     /// Fetches configuration, backend servers and cancelled jobs from a sender that knows newer ones, one
--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -153,8 +153,8 @@
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(0),
         load: false,
     };
-    if let Some(report) = state.jobs.report(id) {
-        if let Some(page) = request_page(state, report.vm, request.clone(), wait).await {
+    if let Some(runner) = state.jobs.runner(id) {
+        if let Some(page) = request_page(state, runner.vm, request.clone(), wait).await {
             return Ok(page);
         }
     }
@@ -375,13 +375,13 @@
     item: &str,
     workspace: &str,
 ) -> Option<Option<Bytes>> {
-    let report = state.jobs.report(id)?;
+    let runner = state.jobs.runner(id)?;
     let request = Body::JobBodyAsk(ItemBodyRequest {
         id: id.to_owned(),
         workspace: workspace.to_owned(),
         item: item.to_owned(),
     });
-    match crate::peers::request(state, report.vm, request, PEER_TIMEOUT).await {
+    match crate::peers::request(state, runner.vm, request, PEER_TIMEOUT).await {
         Ok(Body::JobBody(ItemBodyResponse {
             known: true,
             found,
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -26,7 +26,10 @@
         JobManifest,
         JobProgress, //
     },
-    member::Incarnation,
+    job_directory::{
+        JobDirectory,
+        JobRunner, //
+    },
     rank::{
         hash_name,
         score, //
@@ -111,12 +114,6 @@
 /// Longest back-off before a write to the store is retried.
 const BACKOFF_MAX: Duration = Duration::from_millis(480);
 
-/// Time for which a report with more stored chunks takes precedence over one of a competing runner.
-const COMPETING_REPORT_LIFETIME: Duration = Duration::from_millis(2500);
-
-/// Time for which a report of another VM is kept after its last refresh.
-const REPORT_LIFETIME: Duration = Duration::from_secs(300);
-
 /// One job that this VM runs, or whose final state it keeps.
 #[derive(Debug)]
 pub(crate) struct JobEntry {
@@ -138,34 +135,12 @@
     pub(crate) released: std::sync::atomic::AtomicBool,
 }
 
-/// Last report of another VM about a job that it runs or keeps.
-#[derive(Clone, Debug)]
-pub(crate) struct JobReport {
-    /// The job.
-    pub(crate) id: JobId,
-    /// Hash of the reporting VM's name.
-    pub(crate) vm: u64,
-    /// Incarnation of the reporting VM.
-    pub(crate) incarnation: Incarnation,
-    /// Time of the first submission on this process's clock.
-    pub(crate) submitted: Instant,
-    /// Tokens of the unfinished items.
-    pub(crate) waiting_tokens: u64,
-    /// Hash of workspace and route, whose waiting tokens are limited together.
-    pub(crate) account: u64,
-    /// Whether the job is finished or cancelled.
-    pub(crate) closed: bool,
-    /// Number of stored chunks of results.
-    pub(crate) chunks: u32,
-    /// When the report last arrived, or a takeover was postponed.
-    pub(crate) refreshed: Instant,
-}
-
-/// Registry of the jobs of this VM and of other VMs' reports.
+/// Registry of the jobs of this VM and of those of other VMs.
 #[derive(Debug, Default)]
 pub(crate) struct JobRegistry {
     entries: Mutex<Vec<Arc<JobEntry>>>, // Sorted by id.
-    reports: Mutex<Vec<JobReport>>,     // Sorted by id.
+    directory: Mutex<JobDirectory>,
+    unconfirmed: Mutex<Vec<JobId>>, // Jobs of this VM that another VM knows from the store only.
     /// Signals that items may be startable or must be stopped.
     pub(crate) work: Notify,
 }
@@ -189,6 +164,7 @@
         match entries.binary_search_by(|known| known.id.cmp(&entry.id)) {
             Ok(index) => Some(entries[index].clone()),
             Err(index) => {
+                lock(&self.directory).record_own(&entry.id);
                 entries.insert(index, entry);
                 None
             }
@@ -200,70 +176,64 @@
         lock(&self.entries).retain(|entry| entry.id != id);
     }
 
-    /// Records a report of another VM about its job, unless the known report supersedes it.
-    pub(crate) fn record(&self, report: JobReport) {
-        let mut reports = lock(&self.reports);
-        match reports.binary_search_by(|known| known.id.cmp(&report.id)) {
-            Ok(index) if reports[index].supersedes(&report) => {}
-            Ok(index) => reports[index] = report,
-            Err(index) => reports.insert(index, report),
-        }
+    /// Changes what is known of the jobs of other VMs.
+    pub(crate) fn update_directory(&self, change: impl FnOnce(&mut JobDirectory)) {
+        change(&mut lock(&self.directory));
     }
 
-    /// Returns the last report about a job.
-    pub(crate) fn report(&self, id: &str) -> Option<JobReport> {
-        let reports = lock(&self.reports);
-        let found = reports.binary_search_by(|report| report.id.as_str().cmp(id));
-        Some(reports[found.ok()?].clone())
+    /// Reads what is known of the jobs of other VMs.
+    pub(crate) fn read_directory<T>(&self, read: impl FnOnce(&JobDirectory) -> T) -> T {
+        read(&lock(&self.directory))
     }
 
-    /// Postpones the takeover of a job as if its runner had just reported it.
-    pub(crate) fn postpone_takeover(&self, id: &str, now: Instant) {
-        let mut reports = lock(&self.reports);
-        let found = reports.binary_search_by(|report| report.id.as_str().cmp(id));
-        if let Ok(index) = found {
-            reports[index].refreshed = now;
-        }
+    /// Returns whether a job is known, of this VM or of another one.
+    pub(crate) fn is_known(&self, id: &str) -> bool {
+        self.find(id).is_some() || lock(&self.directory).find(id).is_some()
     }
 
-    /// Returns the reports of other VMs.
-    pub(crate) fn reports(&self) -> Vec<JobReport> {
-        lock(&self.reports).clone()
+    /// Returns the process that last reported a job of another VM.
+    pub(crate) fn runner(&self, id: &str) -> Option<JobRunner> {
+        lock(&self.directory).find(id)?.runner
     }
 
-    /// Removes reports after their lifetime, and closed jobs after the retention of results.
+    /// Makes the next heartbeat report a job of this VM although its status is unchanged.
+    pub(crate) fn confirm(&self, id: &str) {
+        lock(&self.unconfirmed).push(id.into());
+    }
+
+    /// Returns and removes the jobs of this VM that the next heartbeat has to report.
+    pub(crate) fn take_unconfirmed(&self) -> Vec<JobId> {
+        std::mem::take(&mut lock(&self.unconfirmed))
+    }
+
+    /// Removes records of other VMs' jobs after their lifetime, and closed jobs after the retention of results.
     pub(crate) fn remove_expired(&self, retention: Duration, now: Instant) {
-        lock(&self.reports).retain(|report| now < report.refreshed + REPORT_LIFETIME);
         let is_expired = |entry: &JobEntry| {
             now > entry.submitted + retention && lock(&entry.progress).is_closed()
         };
-        lock(&self.entries).retain(|entry| !is_expired(entry));
+        let mut entries = lock(&self.entries);
+        let mut directory = lock(&self.directory);
+        directory.remove_expired(now);
+        for entry in entries.iter().filter(|entry| is_expired(entry)) {
+            directory.record_closed(&entry.id, now);
+        }
+        entries.retain(|entry| !is_expired(entry));
     }
 
-    /// Returns the tokens of the unfinished items of an account, over the jobs of this VM and the reported ones.
+    /// Returns the tokens of the unfinished items of an account, over the jobs of this VM and of other VMs.
     fn waiting_tokens(&self, account: u64) -> u64 {
         let entries = lock(&self.entries);
         let own = entries.iter().filter(|entry| entry.account() == account);
         let own: u64 = own.map(|entry| entry.waiting_tokens()).sum();
-        let reports = lock(&self.reports);
-        let others = reports.iter().filter(|report| {
-            report.account == account
-                && !report.closed
+        let directory = lock(&self.directory);
+        let others = directory.records().iter().filter(|record| {
+            record.account == account
+                && !record.closed
                 && entries
-                    .binary_search_by(|entry| entry.id.cmp(&report.id))
+                    .binary_search_by(|entry| entry.id.cmp(&record.id))
                     .is_err()
         });
-        own + others.map(|report| report.waiting_tokens).sum::<u64>()
-    }
-}
-
-impl JobReport {
-    /// Returns whether this report takes precedence over one of a competing runner: of two runners, the one that
-    /// has stored more chunks continues.
-    fn supersedes(&self, other: &JobReport) -> bool {
-        self.vm != other.vm
-            && self.chunks > other.chunks
-            && other.refreshed < self.refreshed + COMPETING_REPORT_LIFETIME
+        own + others.map(|record| record.waiting_tokens).sum::<u64>()
     }
 }
 
@@ -310,7 +280,7 @@
 }
 
 /// Returns the hash of a workspace and a route.
-fn account(workspace: &str, host: &str, prefix: &str) -> u64 {
+pub(crate) fn account(workspace: &str, host: &str, prefix: &str) -> u64 {
     let route = score(hash_name(host), hash_name(prefix));
     score(hash_name(workspace), route)
 }
@@ -347,7 +317,7 @@
 ) -> CallerResult {
     let malformed =
         |cause: CompactString| RefusalResponse::not_run(RefusalReason::RequestMalformed, cause);
-    if state.jobs.find(&caller.id).is_some() || state.jobs.report(&caller.id).is_some() {
+    if state.jobs.is_known(&caller.id) {
         counter!("jobs_resent_total").increment(1);
         return Ok(accepted(&caller.id));
     }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 mod item_run;
 mod item_scheduler;
 mod job_reads;
+mod job_watch;
 mod jobs;
 mod links;
 mod listener;
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -327,13 +327,13 @@
 
 /// Announces a job's cancellation to the VM that runs it; the other VMs learn of it from the store.
 pub(crate) fn announce_cancellation(state: &Arc<FleetState>, id: &str) {
-    let Some(report) = state.jobs.report(id) else {
+    let Some(runner) = state.jobs.runner(id) else {
         return;
     };
     let (state, id) = (state.clone(), CompactString::from(id));
     tokio::spawn(async move {
         let body = Body::JobEnd(JobCancelRequest { id: id.to_string() });
-        if let Err(error) = request(&state, report.vm, body, CANCEL_TIMEOUT).await {
+        if let Err(error) = request(&state, runner.vm, body, CANCEL_TIMEOUT).await {
             info!(job = id.as_str(), error = error.to_string().as_str(); "announcing a cancellation failed");
         }
     });
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -187,6 +187,12 @@
     !is_covered(state)
 }
 
+/// Returns whether this VM ranks first among the VMs that watch the store.
+pub(crate) fn is_first_watcher(state: &FleetState) -> bool {
+    let follows = lock(&state.members).own().follows;
+    follows && watchers_before(state) == 0
+}
+
 fn watchers_before(state: &FleetState) -> usize {
     lock(&state.members).watchers_before(hash_name("follow"), Instant::now())
 }
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -19,9 +19,10 @@
         JobProgress,
         ResultChunk, //
     },
-    member::{
-        effective_silence,
-        MemberTable, //
+    job_directory::{
+        JobRecord,
+        TakeoverView,
+        RUNNER_TIMEOUT, //
     },
     rank::hash_name,
     sync::lock,
@@ -49,10 +50,10 @@
         load_results,
         parse_object, //
     },
+    job_watch::ORPHAN_AGE,
     jobs::{
         stop_job,
         JobEntry,
-        JobReport,
         CANCELLATION_KIND,
         CHECKPOINT_KIND,
         JOB_KIND, //
@@ -63,19 +64,12 @@
     },
 };
 
-/// Time without heartbeats of a job's runner after which another VM takes the job over.
-const RUNNER_TIMEOUT: Duration = Duration::from_millis(1000);
-
-/// Time without heartbeats of a whole failure domain after which its jobs are taken over. A domain is partitioned
-/// more often than lost, and its VMs continue to run their jobs during a partition.
-const DOMAIN_TIMEOUT: Duration = Duration::from_millis(6500);
-
-/// Time within which a reachable VM reports every job that it runs.
-const JOB_REPORT_PERIOD: Duration = Duration::from_millis(2500);
-
 /// Interval of the checks for jobs whose runner is gone.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Delay per rank before a VM takes over a job that it found in the store.
+const RANK_WAIT: Duration = Duration::from_millis(400);
+
 /// Longest wait after the start of a VM for reports of other VMs' jobs; also the delay before listing the jobs
 /// is retried.
 const START_WAIT: Duration = Duration::from_millis(600);
@@ -83,12 +77,6 @@
 /// Time within which every reachable VM sends a full heartbeat to a VM that joins.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(160);
 
-/// Delay per rank before a VM takes a job over, so that VMs of higher rank can do so first.
-const RANK_WAIT: Duration = Duration::from_millis(400);
-
-/// Age beyond which a job found in the store is not taken over at the start.
-const ORPHAN_AGE: Duration = Duration::from_secs(600);
-
 /// Takes over jobs whose runner is gone, until the VM shuts down.
 pub(crate) async fn watch_runners(state: Arc<FleetState>) {
     let mut timer = TimerService::default();
@@ -102,67 +90,41 @@
         if !lock(&state.members).reaches_half(now) {
             last_minority = Some(now);
         }
-        for report in state.jobs.reports() {
-            if !is_orphaned(&state, &report, last_minority, now) {
-                continue;
+        for job in orphans(&state, last_minority) {
+            // One job at a time limits the load on the store after the loss of a VM. The runner may report the job
+            // while others are taken over.
+            if is_orphaned(&state, &job, last_minority) {
+                take_over(&state, &job.id, job.submitted).await;
             }
-            let state = state.clone();
-            // One job at a time limits the load on the store after the loss of a VM.
-            take_over(&state, &report.id, report.submitted).await;
         }
     }
 }
 
-/// Returns whether this VM has to take a job over now. `last_minority` is when this VM last reached less than
-/// half of the fleet.
-fn is_orphaned(
-    state: &FleetState,
-    report: &JobReport,
-    last_minority: Option<Instant>,
-    now: Instant,
-) -> bool {
-    if report.closed
-        || state.jobs.find(&report.id).is_some()
-        || state.cancellations.contains(&report.id)
-    {
-        return false;
-    }
+/// Returns the jobs of other VMs that this VM has to take over now. `last_minority` is when this VM last reached less
+/// than half of the fleet.
+fn orphans(state: &FleetState, last_minority: Option<Instant>) -> Vec<JobRecord> {
     let members = lock(&state.members);
-    let since_minority =
-        last_minority.map_or(Duration::MAX, |last| now.saturating_duration_since(last));
-    let silence = effective_silence(time_since_report(&members, report, now), since_minority);
-    if silence < RUNNER_TIMEOUT {
-        return false;
-    }
-    let timeout = if members.is_domain_unreachable(report.vm, now) {
-        DOMAIN_TIMEOUT
-    } else {
-        RUNNER_TIMEOUT
+    let view = TakeoverView {
+        members: &members,
+        last_minority,
     };
-    let rank = members.own_rank(hash_name(&report.id), now);
-    silence >= timeout + RANK_WAIT * u32::try_from(rank).unwrap_or(u32::MAX)
+    state
+        .jobs
+        .read_directory(|directory| directory.orphans(view, Instant::now()))
 }
 
-/// Returns the time for which a job has had no known runner: its runner is unreachable, has restarted, or no
-/// longer reports the job.
-fn time_since_report(members: &MemberTable, report: &JobReport, now: Instant) -> Duration {
-    let since_report = now.saturating_duration_since(report.refreshed);
-    let Some(runner) = members.member(report.vm) else {
-        return since_report;
-    };
-    if runner.info.incarnation != report.incarnation {
-        return since_report;
-    }
-    if runner.is_reachable(now) {
-        // A VM that became reachable again reports its jobs within `JOB_REPORT_PERIOD`.
-        let since = report.refreshed.max(runner.since);
-        return now
-            .saturating_duration_since(since)
-            .saturating_sub(JOB_REPORT_PERIOD);
+fn is_orphaned(state: &FleetState, job: &JobRecord, last_minority: Option<Instant>) -> bool {
+    if state.jobs.find(&job.id).is_some() || state.cancellations.contains(&job.id) {
+        return false;
     }
-    let last_heartbeat = runner.last_heartbeat.unwrap_or(report.refreshed);
-    now.saturating_duration_since(last_heartbeat)
-        .min(since_report)
+    let members = lock(&state.members);
+    let view = TakeoverView {
+        members: &members,
+        last_minority,
+    };
+    state
+        .jobs
+        .read_directory(|directory| directory.is_orphaned(&job.id, view, Instant::now()))
 }
 
 /// Takes a job over unless its runner reports it in time.
@@ -176,7 +138,7 @@
     tokio::spawn(async move {
         let rank = lock(&state.members).own_rank(hash_name(&id), Instant::now());
         sleep(wait + RANK_WAIT * u32::try_from(rank).unwrap_or(0)).await;
-        if state.jobs.report(&id).is_none() && state.jobs.find(&id).is_none() {
+        if !state.jobs.is_known(&id) {
             take_over(&state, &id, Instant::now()).await;
         }
     });
@@ -198,8 +160,7 @@
     for (id, spec) in manifests {
         let manifest: JobManifest = serde_json::from_value(spec).unwrap_or_default();
         let age = Duration::from_millis(wall_ms().saturating_sub(manifest.submitted_ms));
-        let known = state.jobs.report(&id).is_some() || state.jobs.find(&id).is_some();
-        if age > ORPHAN_AGE || known || state.cancellations.contains(&id) {
+        if age > ORPHAN_AGE || state.jobs.is_known(&id) || state.cancellations.contains(&id) {
             continue;
         }
         take_over_by_rank(&state, &id, Duration::ZERO);
@@ -250,14 +211,21 @@
             );
             start_job(state, entry);
         }
-        Ok(None) => state.jobs.postpone_takeover(id, Instant::now()),
+        Ok(None) => postpone(state, id),
         Err(error) => {
-            state.jobs.postpone_takeover(id, Instant::now());
+            postpone(state, id);
             warn!(job = id, error = error.to_string().as_str(); "job takeover failed");
         }
     }
 }
 
+fn postpone(state: &FleetState, id: &str) {
+    let now = Instant::now();
+    state
+        .jobs
+        .update_directory(|directory| directory.postpone_takeover(id, now));
+}
+
 /// Loads a job and makes this process its runner by a fencing chunk, unless the job was cancelled or another VM
 /// has just taken it over. A finished job is loaded without a fence: this VM reports it, and the others don't
 /// have to read it from the store.
@@ -310,6 +278,10 @@
     let listed: usize = chunks.iter().map(|chunk| chunk.results.len()).sum();
     let is_finished = listed >= manifest.items;
     if !is_finished && is_cancelled(state, id).await? {
+        let now = Instant::now();
+        state
+            .jobs
+            .update_directory(|directory| directory.record_closed(id, now));
         return Ok(None);
     }
     let items = load_items(state, &manifest).await?;
@@ -356,7 +328,7 @@
 
 /// Resolves a conflict with another VM that reports a job of this VM: the VM with more stored chunks continues,
 /// with equal numbers the one with the greater hash.
-pub(crate) fn resolve_duplicate(state: &Arc<FleetState>, report: &JobReport) {
+pub(crate) fn resolve_duplicate(state: &Arc<FleetState>, report: &JobRecord) {
     let Some(entry) = state.jobs.find(&report.id) else {
         return;
     };
@@ -367,7 +339,9 @@
     if closed || entry.released.load(Ordering::Relaxed) {
         return;
     }
-    let other_preferred = report.vm > state.vm_hash;
+    let other_preferred = report
+        .runner
+        .is_some_and(|runner| runner.vm > state.vm_hash);
     if report.chunks > chunks || (report.chunks == chunks && other_preferred) {
         info!(job = report.id.as_str(), chunks, theirs = report.chunks; "job released to a competing runner");
         release(state, &entry);
