Claim a job without a runner until it has one (LOST)

Cause: a submission ended with its caller's connection, between the manifest and the start of the job, and a job without a report was claimed by a task that tried once. Logs of the untouched code: ten of ten lost jobs have one line "job takeover failed" with a 503 of the store, and none after it.

Ruled out: claims whose answers are lost (no result chunk of a lost job is in the store), repeats that don't claim.

Now: the listing after a start, a repeated submission and a read record the job, and the loop that takes over lost VMs' jobs claims it by rank, again after each failure, up to four jobs at a time. A submission is stored by a task of its own.

--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -44,6 +44,7 @@
 use crate::{
     admission::CallerResult,
     caller::CallerRequest,
+    job_watch,
     jobs::{
         JobEntry,
         INPUT_KIND,
@@ -241,6 +242,9 @@
     if stored.manifest.workspace != workspace {
         return Err(unknown_job(id));
     }
+    if !stored.is_complete() {
+        job_watch::record_manifest(state, id, &stored.manifest);
+    }
     if !stored.is_complete() && stored.read.elapsed() >= CACHE_LIFETIME {
         let more = load_chunks(state, id, stored.next_chunk()).await;
         stored.chunks.extend(more.map_err(store_unavailable)?);
--- a/fleet/src/job_watch.rs
+++ b/fleet/src/job_watch.rs
@@ -16,7 +16,10 @@
     backend::Revision,
     error::ServeError,
     job::JobManifest,
-    job_directory::JobRecord, //
+    job_directory::{
+        JobRecord,
+        UNREPORTED_TIMEOUT, //
+    },
 };
 use log::{
     info,
@@ -103,29 +106,83 @@
     Ok(batch.version.max(after))
 }
 
+/// Lists the jobs in the store once after the start of this VM, with retries. All VMs may have restarted, so jobs that
+/// no VM has reported by now are due at once.
+pub(crate) async fn list_jobs(state: Arc<FleetState>) {
+    let objects = loop {
+        match state.platform.list(JOB_KIND, |object| object).await {
+            Ok((objects, _)) => break objects,
+            Err(error) => {
+                warn!(error = error.to_string().as_str(); "listing jobs failed");
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    };
+    let now = Instant::now();
+    let refreshed = now.checked_sub(UNREPORTED_TIMEOUT).unwrap_or(now);
+    let jobs = unknown_jobs(&state, objects, refreshed);
+    state.jobs.update_directory(|directory| {
+        for job in jobs {
+            directory.record_unreported(job);
+        }
+    });
+    state.jobs.found.notify_one();
+}
+
+/// Records a job that this VM found in the store, unless it is known.
+pub(crate) fn record_manifest(state: &FleetState, id: &str, manifest: &JobManifest) {
+    if state.jobs.is_known(id) || state.cancellations.contains(id) {
+        return;
+    }
+    if let Some(record) = unreported_record(id, manifest, Instant::now()) {
+        state
+            .jobs
+            .update_directory(|directory| directory.record_found(record));
+    }
+}
+
 /// Records the jobs that no VM has reported.
 fn record_manifests(state: &FleetState, objects: Vec<PlatformObject>) {
-    let present = objects.into_iter().filter(|object| !object.deleted);
-    for object in present {
-        if state.jobs.is_known(&object.name) || state.cancellations.contains(&object.name) {
-            continue;
+    let jobs = unknown_jobs(state, objects, Instant::now());
+    state.jobs.update_directory(|directory| {
+        for job in jobs {
+            directory.record_found(job);
         }
+    });
+}
+
+/// Returns records of the jobs that are neither known nor cancelled; malformed manifests are logged.
+fn unknown_jobs(
+    state: &FleetState,
+    objects: Vec<PlatformObject>,
+    refreshed: Instant,
+) -> Vec<JobRecord> {
+    let unknown = objects.into_iter().filter(|object| {
+        !object.deleted
+            && !state.jobs.is_known(&object.name)
+            && !state.cancellations.contains(&object.name)
+    });
+    let records = unknown.filter_map(|object| {
         match parse_object::<JobManifest>(&object.name, object.spec) {
-            Ok(manifest) => record_manifest(state, &object.name, &manifest),
+            Ok(manifest) => unreported_record(&object.name, &manifest, refreshed),
             Err(error) => {
                 warn!(job = object.name.as_str(), error = error.to_string().as_str(); "malformed manifest");
+                None
             }
         }
-    }
+    });
+    records.collect()
 }
 
-fn record_manifest(state: &FleetState, id: &str, manifest: &JobManifest) {
+/// Returns the record of a job that no VM has reported since `refreshed`; `None` if the job is too old.
+fn unreported_record(id: &str, manifest: &JobManifest, refreshed: Instant) -> Option<JobRecord> {
+    // Clocks of VMs agree well enough to age a job whose runner isn't known.
     let age = Duration::from_millis(wall_ms().saturating_sub(manifest.submitted_ms));
     if age > ORPHAN_AGE {
-        return;
+        return None;
     }
     let now = Instant::now();
-    let record = JobRecord {
+    Some(JobRecord {
         id: id.into(),
         runner: None,
         submitted: now.checked_sub(age).unwrap_or(now),
@@ -133,9 +190,6 @@
         account: account(&manifest.workspace, &manifest.host, &manifest.prefix),
         closed: false,
         chunks: 0,
-        refreshed: now,
-    };
-    state
-        .jobs
-        .update_directory(|directory| directory.record_found(record));
+        refreshed,
+    })
 }
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -69,6 +69,7 @@
     },
     caller::CallerRequest,
     job_reads,
+    job_watch,
     response::local_response,
     state::{
         wall_ms,
@@ -143,6 +144,8 @@
     unconfirmed: Mutex<Vec<JobId>>, // Jobs of this VM that another VM knows from the store only.
     /// Signals that items may be startable or must be stopped.
     pub(crate) work: Notify,
+    /// Signals that jobs without a runner were found in the store.
+    pub(crate) found: Notify,
 }
 
 impl JobRegistry {
@@ -350,16 +353,38 @@
         submitted_ms: wall_ms(),
         digest: hash_name(&String::from_utf8_lossy(&body)),
     };
-    store_job(state, caller, manifest, items).await
+    let job = SubmittedJob {
+        id: caller.id.as_str().into(),
+        manifest,
+        items,
+        arrived: caller.arrived,
+        until: (caller.arrived + SUBMIT_LIMIT).min(caller.deadline),
+    };
+    // A task of its own, since this one ends when the caller disconnects: the job may be stored by then.
+    let storing = tokio::spawn(store_job(state.clone(), job));
+    storing.await.unwrap_or_else(|error| {
+        let cause = error.to_string();
+        Err(RefusalResponse::unknown(RefusalReason::JobUnsettled, cause))
+    })
 }
 
-async fn store_job(
-    state: &Arc<FleetState>,
-    caller: &CallerRequest,
+/// A job that passed the checks of its submission.
+struct SubmittedJob {
+    id: JobId,
     manifest: JobManifest,
     items: Vec<JobItem>,
-) -> CallerResult {
-    let until = (caller.arrived + SUBMIT_LIMIT).min(caller.deadline);
+    arrived: Instant,
+    until: Instant, // End of the attempts to store the job.
+}
+
+async fn store_job(state: Arc<FleetState>, job: SubmittedJob) -> CallerResult {
+    let SubmittedJob {
+        id,
+        manifest,
+        items,
+        arrived,
+        until,
+    } = job;
     let limit = usize::try_from(state.settings.value_bytes / PART_DIVISOR).unwrap_or(usize::MAX);
     let parts = split_items(items.clone(), limit);
     let manifest = JobManifest {
@@ -370,13 +395,13 @@
         let name = part_object_name(&manifest.input, index);
         let value = serde_json::to_value(part).unwrap_or_default();
         // A part without a manifest has no effect; the job is accepted once its manifest is stored.
-        let stored = create_object(state, INPUT_KIND, &name, &value, until).await;
+        let stored = create_object(&state, INPUT_KIND, &name, &value, until).await;
         stored.map_err(|error| not_stored(&error))?;
     }
     let value = serde_json::to_value(&manifest).unwrap_or_default();
-    match create_object(state, JOB_KIND, &caller.id, &value, until).await {
+    match create_object(&state, JOB_KIND, &id, &value, until).await {
         Ok(()) => {}
-        Err(ServeError::Conflict(..)) => return confirm_existing(state, caller, &manifest).await,
+        Err(ServeError::Conflict(..)) => return confirm_existing(&state, &id, &manifest).await,
         Err(error) if error.is_ambiguous() => {
             return Err(RefusalResponse::unknown(
                 RefusalReason::JobUnsettled,
@@ -386,28 +411,24 @@
         Err(error) => return Err(not_stored(&error)),
     }
     info!(
-        job = caller.id.as_str(),
+        job = id.as_str(),
         workspace = manifest.workspace.as_str(),
         items = manifest.items,
         tokens = manifest.tokens,
-        age_ms = millis(caller.arrived.elapsed());
+        age_ms = millis(arrived.elapsed());
         "job accepted"
     );
     counter!("jobs_accepted_total").increment(1);
-    let entry = Arc::new(JobEntry::new(&caller.id, manifest, items, caller.arrived));
+    let entry = Arc::new(JobEntry::new(&id, manifest, items, arrived));
     if state.jobs.insert(entry.clone()).is_none() {
-        takeover::start_job(state, entry);
+        takeover::start_job(&state, entry);
     }
-    Ok(accepted(&caller.id))
+    Ok(accepted(&id))
 }
 
 /// Acknowledges the submission of a job whose manifest exists already if both have the same content.
-async fn confirm_existing(
-    state: &Arc<FleetState>,
-    caller: &CallerRequest,
-    manifest: &JobManifest,
-) -> CallerResult {
-    let known = state.platform.get(JOB_KIND, &caller.id).await;
+async fn confirm_existing(state: &FleetState, id: &str, manifest: &JobManifest) -> CallerResult {
+    let known = state.platform.get(JOB_KIND, id).await;
     let known = known.map_err(|error| {
         RefusalResponse::unknown(RefusalReason::JobUnsettled, error.to_string())
     })?;
@@ -416,8 +437,8 @@
         let detail = "a job with this id and different content exists";
         return Err(RefusalResponse::not_run(RefusalReason::JobConflict, detail));
     }
-    takeover::take_over_if_orphaned(state, &caller.id);
-    Ok(accepted(&caller.id))
+    job_watch::record_manifest(state, id, &known);
+    Ok(accepted(id))
 }
 
 /// Creates an object, with retries until a deadline. Lost responses do no harm, since an existing object of that
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -15,22 +15,23 @@
     error::ServeError,
     job::{
         JobCheckpoint,
-        JobManifest,
         JobProgress,
         ResultChunk, //
     },
     job_directory::{
         JobRecord,
-        TakeoverView,
-        RUNNER_TIMEOUT, //
+        TakeoverView, //
     },
-    rank::hash_name,
     sync::lock,
     timer::{
         millis,
         TimerService, //
     },
 };
+use futures_util::{
+    stream,
+    StreamExt, //
+};
 use log::{
     info,
     warn, //
@@ -50,13 +51,15 @@
         load_results,
         parse_object, //
     },
-    job_watch::ORPHAN_AGE,
+    job_watch::{
+        self,
+        ORPHAN_AGE, //
+    },
     jobs::{
         stop_job,
         JobEntry,
         CANCELLATION_KIND,
-        CHECKPOINT_KIND,
-        JOB_KIND, //
+        CHECKPOINT_KIND, //
     },
     state::{
         wall_ms,
@@ -67,11 +70,10 @@
 /// Interval of the checks for jobs whose runner is gone.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Delay per rank before a VM takes over a job that it found in the store.
-const RANK_WAIT: Duration = Duration::from_millis(400);
+/// Maximum number of jobs that are taken over concurrently, which limits the load on the store after the loss of a VM.
+const MAX_TAKEOVERS: usize = 4;
 
-/// Longest wait after the start of a VM for reports of other VMs' jobs; also the delay before listing the jobs
-/// is retried.
+/// Longest wait after the start of a VM for reports of other VMs' jobs.
 const START_WAIT: Duration = Duration::from_millis(600);
 
 /// Time within which every reachable VM sends a full heartbeat to a VM that joins.
@@ -79,10 +81,20 @@
 
 /// Takes over jobs whose runner is gone, until the VM shuts down.
 pub(crate) async fn watch_runners(state: Arc<FleetState>) {
+    wait_for_fleet(&state).await;
+    tokio::spawn(job_watch::list_jobs(state.clone()));
     let mut timer = TimerService::default();
     let mut ticks = timer.subscribe(CHECK_INTERVAL);
     let mut last_minority = None;
-    while ticks.next().await.is_some() {
+    loop {
+        tokio::select! {
+            tick = ticks.next() => {
+                if tick.is_none() {
+                    return;
+                }
+            }
+            () = state.jobs.found.notified() => {}
+        }
         if state.is_shutting_down() {
             return;
         }
@@ -90,13 +102,15 @@
         if !lock(&state.members).reaches_half(now) {
             last_minority = Some(now);
         }
-        for job in orphans(&state, last_minority) {
-            // One job at a time limits the load on the store after the loss of a VM. The runner may report the job
-            // while others are taken over.
-            if is_orphaned(&state, &job, last_minority) {
-                take_over(&state, &job.id, job.submitted).await;
+        let orphans = stream::iter(orphans(&state, last_minority));
+        let state = &state;
+        let taken = orphans.for_each_concurrent(MAX_TAKEOVERS, |job| async move {
+            // The runner may have reported the job while others were taken over.
+            if is_orphaned(state, &job, last_minority) {
+                take_over(state, &job.id, job.submitted).await;
             }
-        }
+        });
+        taken.await;
     }
 }
 
@@ -127,46 +141,6 @@
         .read_directory(|directory| directory.is_orphaned(&job.id, view, Instant::now()))
 }
 
-/// Takes a job over unless its runner reports it in time.
-pub(crate) fn take_over_if_orphaned(state: &Arc<FleetState>, id: &str) {
-    take_over_by_rank(state, id, RUNNER_TIMEOUT);
-}
-
-/// Takes a job over after a wait and a delay by this VM's rank, unless another VM reports it by then.
-fn take_over_by_rank(state: &Arc<FleetState>, id: &str, wait: Duration) {
-    let (state, id) = (state.clone(), compact_str::CompactString::from(id));
-    tokio::spawn(async move {
-        let rank = lock(&state.members).own_rank(hash_name(&id), Instant::now());
-        sleep(wait + RANK_WAIT * u32::try_from(rank).unwrap_or(0)).await;
-        if !state.jobs.is_known(&id) {
-            take_over(&state, &id, Instant::now()).await;
-        }
-    });
-}
-
-/// Takes over jobs in the store that have no runner; called once after the start.
-pub(crate) async fn find_orphans(state: Arc<FleetState>) {
-    wait_for_fleet(&state).await;
-    let manifests = loop {
-        let convert = |object: boragerill::api::PlatformObject| (object.name, object.spec);
-        match state.platform.list(JOB_KIND, convert).await {
-            Ok((manifests, _)) => break manifests,
-            Err(error) => {
-                warn!(error = error.to_string().as_str(); "listing jobs failed");
-                sleep(START_WAIT).await;
-            }
-        }
-    };
-    for (id, spec) in manifests {
-        let manifest: JobManifest = serde_json::from_value(spec).unwrap_or_default();
-        let age = Duration::from_millis(wall_ms().saturating_sub(manifest.submitted_ms));
-        if age > ORPHAN_AGE || state.jobs.is_known(&id) || state.cancellations.contains(&id) {
-            continue;
-        }
-        take_over_by_rank(&state, &id, Duration::ZERO);
-    }
-}
-
 /// Waits until every VM of the fleet had time to report its jobs.
 async fn wait_for_fleet(state: &FleetState) {
     let until = Instant::now() + START_WAIT;
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -203,7 +203,6 @@
     tokio::spawn(register(state.clone()));
     tokio::spawn(Arc::new(ItemScheduler::default()).run(state.clone()));
     tokio::spawn(takeover::watch_runners(state.clone()));
-    tokio::spawn(takeover::find_orphans(state.clone()));
     tokio::spawn(job_watch::watch_jobs(state.clone()));
     tokio::spawn(quarantine_store::keep_stored(state.clone()));
     tokio::spawn(version_store::keep_stored(state.clone()));
--- a/standins/src/standard_store.rs
+++ b/standins/src/standard_store.rs
@@ -62,6 +62,10 @@
     pub lost_write_responses: u32,
     /// Delay of each call.
     pub delay: Duration,
+    /// Delay of the response to a write that has been executed.
+    pub write_response_delay: Duration,
+    /// Kind of objects whose calls fail with status 503, without being executed.
+    pub failing_kind: Option<&'static str>,
 }
 
 #[derive(Clone, Debug)]
@@ -207,6 +211,9 @@
             return response((status, json!({})));
         }
         let (kind, name, is_status) = split_path(&path);
+        if faults.failing_kind.is_some_and(|failing| failing == kind) {
+            return response((503, json!({})));
+        }
         if method == Method::GET {
             return response(self.get(&kind, name.as_deref(), &query).await);
         }
@@ -215,6 +222,7 @@
         if self.take_lost_response() {
             sleep(LOST_RESPONSE_TIMEOUT).await;
         }
+        sleep(faults.write_response_delay).await;
         response(result)
     }
 
