--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod api;
 pub mod backend;
 pub mod batch;
+pub mod cancellation;
 pub mod catalog;
 pub mod chunk;
 pub mod config;
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -178,7 +178,7 @@
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             catalog: self.state.catalog.version(),
             backends: self.state.backends.read(|table| table.through()),
-            ends: self.state.cancellations.through(),
+            ends: lock(&self.state.cancellations).through(),
             demands: demands.into_iter().map(service_demand).collect(),
             ..Default::default()
         }
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -289,7 +289,7 @@
         let state = &self.state;
         let catalog = heartbeat.catalog > state.catalog.version();
         let backends = heartbeat.backends > state.backends.read(|table| table.through())
-            || heartbeat.ends > state.cancellations.through();
+            || heartbeat.ends > lock(&state.cancellations).through();
         if !catalog && !backends || self.fetching.swap(true, Ordering::Relaxed) {
             return;
         }
--- a/fleet/src/job_watch.rs
+++ b/fleet/src/job_watch.rs
@@ -131,7 +131,7 @@
 
 /// Records a job that this VM found in the store, unless it is known.
 pub(crate) fn record_manifest(state: &FleetState, id: &str, manifest: &JobManifest) {
-    if state.jobs.is_known(id) || state.cancellations.contains(id) {
+    if state.jobs.is_known(id) || state.is_cancelled(id) {
         return;
     }
     if let Some(record) = unreported_record(id, manifest, Instant::now()) {
@@ -158,9 +158,7 @@
     refreshed: Instant,
 ) -> Vec<JobRecord> {
     let unknown = objects.into_iter().filter(|object| {
-        !object.deleted
-            && !state.jobs.is_known(&object.name)
-            && !state.cancellations.contains(&object.name)
+        !object.deleted && !state.jobs.is_known(&object.name) && !state.is_cancelled(&object.name)
     });
     let records = unknown.filter_map(|object| {
         match parse_object::<JobManifest>(&object.name, object.spec) {
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -13,6 +13,8 @@
 
 use boragerill::{
     api::Expected,
+    backend::Revision,
+    cancellation::JobCancellation,
     catalog::{
         BatchTerms,
         CatalogRoute, //
@@ -400,7 +402,7 @@
     }
     let value = serde_json::to_value(&manifest).unwrap_or_default();
     match create_object(&state, JOB_KIND, &id, &value, until).await {
-        Ok(()) => {}
+        Ok(_) => {}
         Err(ServeError::Conflict(..)) => return confirm_existing(&state, &id, &manifest).await,
         Err(error) if error.is_ambiguous() => {
             return Err(RefusalResponse::unknown(
@@ -441,7 +443,7 @@
     Ok(accepted(id))
 }
 
-/// Creates an object, with retries until a deadline. Lost responses do no harm, since an existing object of that
+/// Creates an object, with retries until a deadline, and returns its revision. Lost responses do no harm, since an existing object of that
 /// name has the same content or is reported as a conflict.
 ///
 /// # Errors
@@ -453,7 +455,7 @@
     name: &str,
     value: &Value,
     until: Instant,
-) -> Result<(), ServeError> {
+) -> Result<Revision, ServeError> {
     let mut ambiguous = None;
     let mut backoff = BACKOFF_MIN;
     loop {
@@ -462,7 +464,7 @@
             .platform
             .put_confirmed(kind, name, Expected::Absent, "", value);
         let error = match timeout(remaining, writing).await {
-            Ok(Ok(_)) => return Ok(()),
+            Ok(Ok(receipt)) => return Ok(receipt.version),
             Ok(Err(error @ ServeError::Conflict(..))) => return Err(error),
             Ok(Err(error)) => error,
             Err(_) => ServeError::Timeout(
@@ -504,22 +506,28 @@
     workspace: &str,
 ) -> CallerResult {
     job_reads::check_owner(state, id, workspace).await?;
-    if !state.cancellations.contains(id) {
+    if !state.is_cancelled(id) {
         stop_job(state, id);
         crate::peers::announce_cancellation(state, id);
         let until = (caller.arrived + SUBMIT_LIMIT).min(caller.deadline);
         let value = json!({ "workspace": workspace });
-        match create_object(state, CANCELLATION_KIND, id, &value, until).await {
-            Ok(()) | Err(ServeError::Conflict(..)) => {}
+        let revision = match create_object(state, CANCELLATION_KIND, id, &value, until).await {
+            Ok(revision) | Err(ServeError::Conflict(_, _, revision)) => revision,
             Err(error) => {
                 return Err(RefusalResponse::unknown(
                     RefusalReason::JobUnsettled,
                     error.to_string(),
                 ));
             }
-        }
-        info!(job = id, workspace; "job cancelled by its client");
-        state.cancellations.apply(vec![(0, id.into())], 0);
+        };
+        info!(job = id, workspace, revision; "job cancelled by its client");
+        let cancellation = JobCancellation {
+            revision,
+            job: id.into(),
+        };
+        lock(&state.cancellations).insert(cancellation);
+        // This VM may have taken the job over meanwhile.
+        stop_job(state, id);
     }
     Ok(local_response(
         200,
@@ -528,10 +536,42 @@
     ))
 }
 
+/// Records cancellations that are complete up to a revision, and stops the jobs that this VM runs.
+pub(crate) fn apply_cancellations(
+    state: &FleetState,
+    cancellations: Vec<JobCancellation>,
+    through: Revision,
+    source: &str,
+) {
+    let added = lock(&state.cancellations).apply(cancellations, through);
+    for job in added {
+        info!(job = job.as_str(), through, source; "job cancellation received");
+        stop_job(state, &job);
+    }
+}
+
+/// Stops the jobs of this VM that are known to be cancelled, whichever way the cancellation took.
+pub(crate) fn stop_cancelled_jobs(state: &FleetState) {
+    for entry in state.jobs.all() {
+        let is_closed = lock(&entry.progress).is_closed();
+        if !is_closed && state.is_cancelled(&entry.id) {
+            stop_job(state, &entry.id);
+        }
+    }
+}
+
 /// Stops a cancelled job if this VM runs it.
 pub(crate) fn stop_job(state: &FleetState, id: &str) {
     if let Some(entry) = state.jobs.find(id) {
-        lock(&entry.progress).cancel();
+        let running = {
+            let mut progress = lock(&entry.progress);
+            let was_closed = progress.is_closed();
+            progress.cancel();
+            (!was_closed).then(|| progress.unfinished().count())
+        };
+        if let Some(unfinished) = running {
+            info!(job = id, unfinished; "cancelled job stopped");
+        }
         entry.changed.notify_waiters();
         entry.ended.notify_waiters();
         state.jobs.work.notify_one();
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,7 +7,6 @@
 mod attempt;
 mod backends;
 mod caller;
-mod cancellations;
 mod checkpoint;
 mod commit;
 mod crash_watch;
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -17,6 +17,7 @@
         BackendChange,
         BackendServer, //
     },
+    cancellation::JobCancellation,
     error::{
         ServeError,
         Step, //
@@ -170,16 +171,16 @@
     let (through, changes) = state
         .backends
         .read(|table| (table.through(), table.changes_since(request.backends_after)));
-    let cancelled = state.cancellations.since(request.ends_after);
+    let cancellations = lock(&state.cancellations);
+    let ends = cancellations.since(request.ends_after);
     BackendChangesResponse {
         backends_through: through,
         backends: changes.iter().map(backend_record).collect(),
-        ends_through: state.cancellations.through(),
-        ends: cancelled
-            .into_iter()
-            .map(|(revision, id)| CancelledJob {
-                id: id.to_string(),
-                revision,
+        ends_through: cancellations.through(),
+        ends: ends
+            .map(|cancellation| CancelledJob {
+                id: cancellation.job.to_string(),
+                revision: cancellation.revision,
             })
             .collect(),
     }
@@ -358,7 +359,7 @@
 pub(crate) async fn fetch_backends(state: &FleetState, address: &str) -> Result<(), ServeError> {
     let request = Body::BackendAsk(BackendChangesRequest {
         backends_after: state.backends.read(|table| table.through()),
-        ends_after: state.cancellations.through(),
+        ends_after: lock(&state.cancellations).through(),
     });
     let response = state.links.request(address, request, FETCH_TIMEOUT).await?;
     let Body::BackendAnswer(response) = response else {
@@ -370,11 +371,11 @@
     state
         .backends
         .update(|table| table.apply_reported(changes, response.backends_through, now));
-    let cancelled = response.ends.into_iter();
-    let cancelled = cancelled.map(|job| (job.revision, job.id.into())).collect();
-    for id in state.cancellations.apply(cancelled, response.ends_through) {
-        jobs::stop_job(state, &id);
-    }
+    let cancelled = response.ends.into_iter().map(|job| JobCancellation {
+        revision: job.revision,
+        job: job.id.into(),
+    });
+    jobs::apply_cancellations(state, cancelled.collect(), response.ends_through, address);
     Ok(())
 }
 
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -22,6 +22,7 @@
 use arc_swap::ArcSwapOption;
 use boragerill::{
     backend::BackendTable,
+    cancellation::CancellationTable,
     catalog::{
         Catalog,
         CatalogVersion,
@@ -62,7 +63,6 @@
         BackendRegistry,
         BackendState, //
     },
-    cancellations::CancellationRegistry,
     jobs::JobRegistry,
     links::PeerLinks,
     quarantine::QuarantineRegistry,
@@ -169,7 +169,7 @@
     /// Batch jobs.
     pub(crate) jobs: JobRegistry,
     /// Jobs that their clients cancelled.
-    pub(crate) cancellations: CancellationRegistry,
+    pub(crate) cancellations: Mutex<CancellationTable>,
     /// Streams that callers may take up again.
     pub(crate) streams: StreamRegistry,
     /// Cache of jobs that other VMs run and this VM read from the store.
@@ -227,7 +227,7 @@
             quarantine: Arc::default(),
             links: PeerLinks::default(),
             jobs: JobRegistry::default(),
-            cancellations: CancellationRegistry::default(),
+            cancellations: Mutex::default(),
             streams: StreamRegistry::default(),
             read_cache: ReadCache::default(),
             incarnation,
@@ -252,6 +252,11 @@
         (servers, views)
     }
 
+    /// Returns whether a job is known to be cancelled.
+    pub(crate) fn is_cancelled(&self, job: &str) -> bool {
+        lock(&self.cancellations).contains(job)
+    }
+
     /// Returns whether this VM would know of a server that has registered: the store or most VMs respond.
     pub(crate) fn is_current(&self, now: Instant) -> bool {
         let is_available = !self.backends.read(BackendTable::is_store_unavailable);
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -21,6 +21,7 @@
         BackendChange,
         Revision, //
     },
+    cancellation::JobCancellation,
     error::ServeError,
     rank::hash_name,
     sync::lock,
@@ -37,7 +38,8 @@
 
 use crate::{
     jobs::{
-        stop_job,
+        apply_cancellations,
+        stop_cancelled_jobs,
         CANCELLATION_KIND, //
     },
     state::{
@@ -214,7 +216,7 @@
 }
 
 /// Removes backend servers that did not register again in time, idle connections, old drain announcements,
-/// quarantines and jobs periodically until the process ends.
+/// quarantines and jobs, and stops cancelled jobs, periodically until the process ends.
 pub(crate) async fn prune_periodically(state: Arc<FleetState>) {
     loop {
         sleep(EXPIRY_CHECK_INTERVAL).await;
@@ -237,6 +239,7 @@
         state.quarantine.review(now);
         let retention = Duration::from_secs_f64(state.settings.results_kept_s);
         state.jobs.remove_expired(retention, now);
+        stop_cancelled_jobs(&state);
     }
 }
 
@@ -284,12 +287,11 @@
         WatchedKind::Backends => apply_backends(state, objects, through, is_listing),
         WatchedKind::Cancellations => {
             let present = objects.into_iter().filter(|object| !object.deleted);
-            let cancelled = present
-                .map(|object| (object.version, object.name))
-                .collect();
-            for id in state.cancellations.apply(cancelled, through) {
-                stop_job(state, &id);
-            }
+            let cancelled = present.map(|object| JobCancellation {
+                revision: object.version,
+                job: object.name,
+            });
+            apply_cancellations(state, cancelled.collect(), through, "store");
         }
     }
     state.backends.changed.notify_one();
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -128,7 +128,7 @@
 }
 
 fn is_orphaned(state: &FleetState, job: &JobRecord, last_minority: Option<Instant>) -> bool {
-    if state.jobs.find(&job.id).is_some() || state.cancellations.contains(&job.id) {
+    if state.jobs.find(&job.id).is_some() || state.is_cancelled(&job.id) {
         return false;
     }
     let members = lock(&state.members);
@@ -230,7 +230,7 @@
 
 /// Starts the tasks of a job that this VM runs, unless the job was cancelled since it was loaded.
 pub(crate) fn start_job(state: &Arc<FleetState>, entry: Arc<JobEntry>) {
-    if state.cancellations.contains(&entry.id) {
+    if state.is_cancelled(&entry.id) {
         info!(job = entry.id.as_str(); "job cancelled during takeover");
         stop_job(state, &entry.id);
         return;
@@ -284,7 +284,7 @@
 
 /// Returns whether a job was cancelled, by the registry or else the store.
 async fn is_cancelled(state: &FleetState, id: &str) -> Result<bool, ServeError> {
-    if state.cancellations.contains(id) {
+    if state.is_cancelled(id) {
         return Ok(true);
     }
     match state.platform.get(CANCELLATION_KIND, id).await {
--- a/standins/src/standard_store.rs
+++ b/standins/src/standard_store.rs
@@ -62,6 +62,8 @@
     pub lost_write_responses: u32,
     /// Delay of each call.
     pub delay: Duration,
+    /// Delay of the response to a watch call, after its events.
+    pub watch_response_delay: Duration,
     /// Delay of the response to a write that has been executed.
     pub write_response_delay: Duration,
     /// Kind of objects whose calls fail with status 503, without being executed.
@@ -244,7 +246,10 @@
         }
         if let Some(after) = integer_parameter(query, "watch") {
             let wait = integer_parameter(query, "wait_ms").unwrap_or(0);
-            return self.watch(kind, after, Duration::from_millis(wait)).await;
+            let response = self.watch(kind, after, Duration::from_millis(wait)).await;
+            let delay = lock(&self.state).faults.watch_response_delay;
+            sleep(delay).await;
+            return response;
         }
         let state = lock(&self.state);
         let after = text_parameter(query, "after").unwrap_or_default();
