Answer with the complete list of servers where removals aren't held (DRAIN)

Callers would see: requests lost with a server whose entry was removed long before, at VMs that hadn't heard of it yet when another VM started.

A VM that has listed the servers holds none of removals before its listing, and a table keeps the newest 512. The receiver took the answer for complete and never asked again.

Now: a table knows since when it holds all removals, and otherwise answers with the complete list, which replaces what the receiver knows.

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -91,6 +91,7 @@
 pub struct BackendTable {
     through: Revision,
     entries: Vec<BackendEntry>,       // Sorted by id.
+    removals_since: Revision,         // All removals after this revision are held as tombstones.
     available_since: Option<Instant>, // End of the store's last outage.
     unavailable: bool,
 }
@@ -167,22 +168,54 @@
         if through < self.through {
             return;
         }
+        let removals = self.removals(&listed, through);
+        let changes = removals.into_iter().chain(listed).collect();
+        self.apply(changes, through, now);
+        // A listing doesn't tell which servers were registered and removed before it.
+        self.removals_since = through;
+    }
+
+    /// Returns removals of the servers in use that a complete list as of `through` lacks.
+    fn removals(&self, listed: &[BackendChange], through: Revision) -> Vec<BackendChange> {
         let mut ids: Vec<&ServerId> = listed.iter().map(|change| &change.id).collect();
         ids.sort();
-        let removed: Vec<ServerId> = self
-            .entries
-            .iter()
-            .filter(|entry| entry.server.is_some() && ids.binary_search(&&entry.id).is_err())
-            .map(|entry| entry.id.clone())
-            .collect();
-        let removals = removed.into_iter().map(|id| BackendChange {
-            id,
+        let in_use = self.entries.iter().filter(|entry| entry.server.is_some());
+        let removed = in_use.filter(|entry| ids.binary_search(&&entry.id).is_err());
+        let removals = removed.map(|entry| BackendChange {
+            id: entry.id.clone(),
             revision: through,
             server: None,
             missing: false,
         });
-        let changes = removals.chain(listed).collect();
-        self.apply(changes, through, now);
+        removals.collect()
+    }
+
+    /// Returns whether [`BackendTable::changes_since`] returns all changes after a revision. Otherwise the table no longer
+    /// holds all removals, and only the complete list of entries tells which servers were removed.
+    pub fn holds_changes_since(&self, since: Revision) -> bool {
+        since >= self.removals_since
+    }
+
+    /// Applies the complete list of entries that another VM reported. Entries that it lacks are removed, unless they are
+    /// newer than the list.
+    pub fn replace_reported(
+        &mut self,
+        listed: Vec<BackendChange>,
+        through: Revision,
+        now: Instant,
+    ) {
+        if through < self.through {
+            return;
+        }
+        // A tombstone may belong to an earlier registration of a server than this table holds.
+        let listed: Vec<BackendChange> = listed
+            .into_iter()
+            .filter(|change| change.server.is_some())
+            .collect();
+        let removals = self.removals(&listed, through);
+        self.apply_all(removals, through, false, now);
+        self.apply_all(listed, through, false, now);
+        self.removals_since = through;
     }
 
     /// Returns the changes after a revision; removals only as far as their tombstones are still kept.
@@ -293,6 +326,7 @@
         }
         revisions.sort_unstable();
         let oldest = revisions[revisions.len() - TOMBSTONE_LIMIT];
+        self.removals_since = self.removals_since.max(oldest.saturating_sub(1));
         self.entries
             .retain(|entry| entry.server.is_some() || entry.revision >= oldest);
     }
--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -12,6 +12,20 @@
     Revision,
     REGISTRATION_GRACE, //
 };
+use proptest::{
+    prelude::*,
+    test_runner::RngSeed, //
+};
+use proptest_state_machine::{
+    prop_state_machine,
+    ReferenceStateMachine,
+    StateMachineTest, //
+};
+
+const VMS: usize = 3;
+
+/// Few enough that no batch of removals counts as an outage of the store.
+const SERVERS: usize = 2;
 
 fn server(id: &str) -> BackendServer {
     BackendServer {
@@ -253,3 +267,183 @@
     // assert
     assert_eq!(ids(&table), ["b", "c", "d"]);
 }
+
+// Guards against DRAIN: a VM that had missed more removals than a table keeps went on using the removed servers.
+#[test]
+fn vm_that_missed_many_removals_uses_no_removed_server() {
+    // arrange: both VMs know 700 servers, and one VM misses the removal of all but one
+    const SERVERS: Revision = 700;
+    let now = Instant::now();
+    let id = |number: Revision| format!("i-{number:03}");
+    let listed = (1..=SERVERS).map(|number| registered(&id(number), number));
+    let mut table = table_of(listed.collect(), SERVERS, now);
+    let mut behind = table.clone();
+    for number in 1..SERVERS {
+        table.apply(
+            vec![removed(&id(number), SERVERS + number)],
+            SERVERS + number,
+            now,
+        );
+    }
+
+    // act
+    let after = behind.through();
+    let is_complete = table.holds_changes_since(after);
+    behind.replace_reported(table.changes_since(0), table.through(), now);
+
+    // assert
+    assert!(!is_complete);
+    assert!(table.holds_changes_since(table.through()));
+    assert_eq!(ids(&behind), [id(SERVERS)]);
+    assert_eq!(behind.through(), table.through());
+}
+
+/// Events of the store and of VMs.
+#[derive(Clone, Debug)]
+enum TableEvent {
+    /// A server registers, or changes its entry.
+    Register { server: usize },
+    /// The entry of a server is removed.
+    Remove { server: usize },
+    /// A VM lists all entries.
+    List { vm: usize },
+    /// A VM receives the changes since its revision from the store.
+    Watch { vm: usize },
+    /// A VM receives the changes since its revision from another VM.
+    Fetch { from: usize, to: usize },
+}
+
+/// The store's entries, and its history.
+#[derive(Clone, Debug, Default)]
+struct StoreReference {
+    revision: Revision,
+    changes: Vec<BackendChange>,
+}
+
+impl StoreReference {
+    /// Returns the entries as of a revision, sorted by id.
+    fn entries(&self, through: Revision) -> Vec<BackendChange> {
+        let mut entries: Vec<BackendChange> = Vec::new();
+        let changes = self.changes.iter();
+        for change in changes.filter(|change| change.revision <= through) {
+            entries.retain(|entry| entry.id != change.id);
+            if change.server.is_some() {
+                entries.push(change.clone());
+            }
+        }
+        entries.sort_by(|one, other| one.id.cmp(&other.id));
+        entries
+    }
+}
+
+impl ReferenceStateMachine for StoreReference {
+    type State = StoreReference;
+    type Transition = TableEvent;
+
+    fn init_state() -> BoxedStrategy<StoreReference> {
+        Just(StoreReference::default()).boxed()
+    }
+
+    fn transitions(_state: &StoreReference) -> BoxedStrategy<TableEvent> {
+        let (vm, server) = (0..VMS, 0..SERVERS);
+        prop_oneof![
+            3 => server.clone().prop_map(|server| TableEvent::Register { server }),
+            3 => server.prop_map(|server| TableEvent::Remove { server }),
+            1 => vm.clone().prop_map(|vm| TableEvent::List { vm }),
+            2 => vm.clone().prop_map(|vm| TableEvent::Watch { vm }),
+            3 => (vm.clone(), vm).prop_map(|(from, to)| TableEvent::Fetch { from, to }),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: StoreReference, event: &TableEvent) -> StoreReference {
+        let change = match event {
+            TableEvent::Register { server } => registered(&format!("i-{server}"), 0),
+            TableEvent::Remove { server } => removed(&format!("i-{server}"), 0),
+            _ => return state,
+        };
+        state.revision += 1;
+        state.changes.push(BackendChange {
+            revision: state.revision,
+            ..change
+        });
+        state
+    }
+}
+
+struct TableTest;
+
+impl StateMachineTest for TableTest {
+    type SystemUnderTest = Vec<BackendTable>;
+    type Reference = StoreReference;
+
+    fn init_test(_state: &StoreReference) -> Vec<BackendTable> {
+        vec![BackendTable::default(); VMS]
+    }
+
+    fn apply(
+        mut tables: Vec<BackendTable>,
+        state: &StoreReference,
+        event: TableEvent,
+    ) -> Vec<BackendTable> {
+        let now = Instant::now();
+        match event {
+            TableEvent::List { vm } => {
+                tables[vm].replace(state.entries(state.revision), state.revision, now);
+            }
+            TableEvent::Watch { vm } => {
+                let after = tables[vm].through();
+                let newer = state
+                    .changes
+                    .iter()
+                    .filter(|change| change.revision > after);
+                // The store gives a deletion no revision of its own, so it takes the batch's.
+                let newer = newer.map(|change| BackendChange {
+                    revision: match change.server {
+                        Some(_) => change.revision,
+                        None => state.revision,
+                    },
+                    ..change.clone()
+                });
+                let newer: Vec<BackendChange> = newer.collect();
+                if !newer.is_empty() {
+                    tables[vm].apply(newer, state.revision, now);
+                }
+            }
+            TableEvent::Fetch { from, to } => {
+                let after = tables[to].through();
+                let through = tables[from].through();
+                if through > after && tables[from].holds_changes_since(after) {
+                    let changes = tables[from].changes_since(after);
+                    tables[to].apply_reported(changes, through, now);
+                } else if through > after {
+                    let listed = tables[from].changes_since(0);
+                    tables[to].replace_reported(listed, through, now);
+                }
+            }
+            TableEvent::Register { .. } | TableEvent::Remove { .. } => {}
+        }
+        tables
+    }
+
+    fn check_invariants(tables: &Vec<BackendTable>, state: &StoreReference) {
+        for table in tables {
+            let expected = state.entries(table.through());
+            let expected: Vec<String> = expected.iter().map(|entry| entry.id.to_string()).collect();
+            assert_eq!(ids(table), expected, "through {}", table.through());
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(45),
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against DRAIN: a VM that had listed the servers after the removal of one passed no removal on to a VM that
+    // still knew the server, which took its table for complete and went on using the server.
+    #[test]
+    fn tables_hold_the_servers_of_the_revision_that_they_state(sequential 1..60 => TableTest);
+}
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -168,14 +168,17 @@
     state: &FleetState,
     request: &BackendChangesRequest,
 ) -> BackendChangesResponse {
-    let (through, changes) = state
-        .backends
-        .read(|table| (table.through(), table.changes_since(request.backends_after)));
+    let (through, changes, is_full) = state.backends.read(|table| {
+        let is_full = !table.holds_changes_since(request.backends_after);
+        let after = if is_full { 0 } else { request.backends_after };
+        (table.through(), table.changes_since(after), is_full)
+    });
     let cancellations = lock(&state.cancellations);
     let ends = cancellations.since(request.ends_after);
     BackendChangesResponse {
         backends_through: through,
         backends: changes.iter().map(backend_record).collect(),
+        backends_full: is_full,
         ends_through: cancellations.through(),
         ends: ends
             .map(|cancellation| CancelledJob {
@@ -368,9 +371,11 @@
     let changes: Vec<BackendChange> = response.backends.into_iter().map(backend_change).collect();
     crate::store_watch::log_changes(&changes, address);
     let now = Instant::now();
-    state
-        .backends
-        .update(|table| table.apply_reported(changes, response.backends_through, now));
+    let through = response.backends_through;
+    state.backends.update(|table| match response.backends_full {
+        true => table.replace_reported(changes, through, now),
+        false => table.apply_reported(changes, through, now),
+    });
     let cancelled = response.ends.into_iter().map(|job| JobCancellation {
         revision: job.revision,
         job: job.id.into(),
