--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -61,7 +61,8 @@
     sync::Notify,
     time::{
         sleep,
-        timeout, //
+        timeout,
+        timeout_at, //
     },
 };
 
@@ -108,9 +109,12 @@
 /// Retry delay for callers whose unfinished items hold as many tokens as allowed.
 const BACKLOG_RETRY: Duration = Duration::from_millis(1500);
 
-/// Longest time for which a write of a submission or cancellation is retried.
+/// Longest time for which a write of a submission is retried, and for which a client waits for a cancellation.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(3000);
 
+/// Longest time for which a write of a cancellation is retried. Longer than its caller waits, since the job has stopped.
+const CANCEL_LIMIT: Duration = Duration::from_secs(30);
+
 /// First back-off before a write to the store is retried; doubles up to `BACKOFF_MAX`.
 const BACKOFF_MIN: Duration = Duration::from_millis(60);
 
@@ -510,24 +514,19 @@
         stop_job(state, id);
         crate::peers::announce_cancellation(state, id);
         let until = (caller.arrived + SUBMIT_LIMIT).min(caller.deadline);
-        let value = json!({ "workspace": workspace });
-        let revision = match create_object(state, CANCELLATION_KIND, id, &value, until).await {
-            Ok(revision) | Err(ServeError::Conflict(_, _, revision)) => revision,
-            Err(error) => {
-                return Err(RefusalResponse::unknown(
-                    RefusalReason::JobUnsettled,
-                    error.to_string(),
-                ));
-            }
-        };
-        info!(job = id, workspace, revision; "job cancelled by its client");
-        let cancellation = JobCancellation {
-            revision,
-            job: id.into(),
-        };
-        lock(&state.cancellations).insert(cancellation);
-        // This VM may have taken the job over meanwhile.
-        stop_job(state, id);
+        // A task of its own, since this one ends when the caller disconnects: the job has stopped already.
+        let storing = tokio::spawn(store_cancellation(
+            state.clone(),
+            id.into(),
+            workspace.into(),
+        ));
+        if timeout_at(until.into(), storing).await.is_err() {
+            let detail = "the cancellation isn't stored yet";
+            return Err(RefusalResponse::unknown(
+                RefusalReason::JobUnsettled,
+                detail,
+            ));
+        }
     }
     Ok(local_response(
         200,
@@ -536,6 +535,27 @@
     ))
 }
 
+/// Stores a cancellation, with retries for [`CANCEL_LIMIT`] whether its caller still waits or not.
+async fn store_cancellation(state: Arc<FleetState>, id: JobId, workspace: CompactString) {
+    let until = Instant::now() + CANCEL_LIMIT;
+    let value = json!({ "workspace": workspace });
+    let revision = match create_object(&state, CANCELLATION_KIND, &id, &value, until).await {
+        Ok(revision) | Err(ServeError::Conflict(_, _, revision)) => revision,
+        Err(error) => {
+            warn!(job = id.as_str(), error = error.to_string().as_str(); "storing a cancellation failed");
+            return;
+        }
+    };
+    info!(job = id.as_str(), workspace = workspace.as_str(), revision; "job cancelled by its client");
+    let cancellation = JobCancellation {
+        revision,
+        job: id.clone(),
+    };
+    lock(&state.cancellations).insert(cancellation);
+    // This VM may have taken the job over meanwhile.
+    stop_job(&state, &id);
+}
+
 /// Records cancellations that are complete up to a revision, and stops the jobs that this VM runs.
 pub(crate) fn apply_cancellations(
     state: &FleetState,
