--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -276,7 +276,11 @@
 /// Loads the checkpoint that an earlier runner stored, if any.
 async fn load_checkpoint(state: &FleetState, id: &str) -> Result<JobCheckpoint, ServeError> {
     match state.platform.get(CHECKPOINT_KIND, id).await {
-        Ok(object) => parse_object(id, object.spec),
+        // Items without a checkpoint run from the start, so a malformed one does no harm.
+        Ok(object) => Ok(parse_object(id, object.spec).unwrap_or_else(|error| {
+            warn!(job = id, error = error.to_string().as_str(); "malformed checkpoint");
+            JobCheckpoint::default()
+        })),
         Err(ServeError::Missing(..)) => Ok(JobCheckpoint::default()),
         Err(error) => Err(error),
     }
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -57,6 +57,7 @@
     handover,
     heartbeat::HeartbeatSocket,
     item_scheduler::ItemScheduler,
+    job_reads::parse_object,
     job_watch,
     listener::{
         self,
@@ -259,7 +260,13 @@
     let (known, _) = state.platform.list(MEMBER_KIND, |object| object).await?;
     let now = Instant::now();
     for object in &known {
-        let record: MemberRecord = serde_json::from_value(object.spec.clone()).unwrap_or_default();
+        let record: MemberRecord = match parse_object(&object.name, object.spec.clone()) {
+            Ok(record) => record,
+            Err(error) => {
+                warn!(error = error.to_string().as_str(); "malformed registration of a VM");
+                continue;
+            }
+        };
         let info = MemberInfo {
             vm: object.name.clone(),
             address: record.address.into(),
--- a/standins/src/standard_store.rs
+++ b/standins/src/standard_store.rs
@@ -50,6 +50,9 @@
 /// Delay of a response that counts as lost.
 const LOST_RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Begins a spec that stands for bytes, as hexadecimal digits.
+const BYTES_MARK: &str = "bytes of another writer: ";
+
 /// Faults that the store injects.
 #[derive(Clone, Debug, Default)]
 pub struct StoreFaults {
@@ -150,6 +153,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes an object whose spec is the given bytes, which may be no valid JSON, as a faulty writer does.
+    pub fn write_bytes(&self, kind: &str, name: &str, spec: &[u8]) {
+        let digits: String = spec.iter().map(|byte| format!("{byte:02x}")).collect();
+        self.write(kind, name, json!(format!("{BYTES_MARK}{digits}")));
+    }
+
     /// Deletes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         lock(&self.state).remove(kind, name);
@@ -438,8 +447,23 @@
     text_parameter(query, name)?.parse().ok()
 }
 
+/// Returns the text of a response with the bytes of specs that were written as such.
+fn encode_body(body: &Value) -> Vec<u8> {
+    let text = body.to_string();
+    let mark = format!("\"{BYTES_MARK}");
+    let mut parts = text.split(&mark);
+    let mut encoded = parts.next().unwrap_or_default().as_bytes().to_vec();
+    for part in parts {
+        let (digits, rest) = part.split_once('"').unwrap_or((part, ""));
+        let bytes = (0..digits.len()).step_by(2);
+        encoded.extend(bytes.filter_map(|at| u8::from_str_radix(&digits[at..at + 2], 16).ok()));
+        encoded.extend_from_slice(rest.as_bytes());
+    }
+    encoded
+}
+
 fn response((status, body): StoreResponse) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    let mut response = Response::new(Full::new(Bytes::from(encode_body(&body))));
     *response.status_mut() = StatusCode::from_u16(status).expect("status");
     response
 }
