Soak of real VM processes: releases, restarts, leaving servers, busy processors

Starts up to some hundred VM processes on loopback addresses beside a store and backend servers, disturbs them by a seeded plan (configurations that grow, rolling restarts, kills, freezes, releases, leaving and crashing servers), and checks from what clients and servers saw: order of streams, configuration in force and never back, refusals, drain. Processes may be held to a share of the processor, or run beside busy threads.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod standard_server;
 pub mod standard_store;
 pub mod store;
+pub mod vm_process;
--- /dev/null
+++ b/standins/src/soak/config.rs
@@ -0,0 +1,68 @@
+//! Configurations that the operator writes during a run.
+
+use serde_json::{
+    json,
+    Value, //
+};
+
+/// Host of all routes.
+pub(crate) const HOST: &str = "soak.example";
+
+/// Service of all routes.
+pub(crate) const SERVICE: &str = "engine";
+
+/// API key of the only workspace.
+pub(crate) const KEY: &str = "key-of-soak";
+
+/// Route of streams that may be resumed, in all configurations.
+pub(crate) const RESUMABLE_PATH: &str = "/resumable/";
+
+/// Route of streams that may run once, in all configurations.
+pub(crate) const SINGLE_PATH: &str = "/single/";
+
+/// Returns the path prefix of an added route.
+pub(crate) fn added_path(number: usize) -> String {
+    format!("/added-{number:05}/")
+}
+
+/// Returns the configuration `version` with a number of added routes.
+pub(crate) fn config(version: u64, added: usize) -> Value {
+    let mut routes = vec![
+        route("resumable", RESUMABLE_PATH, true),
+        route("single", SINGLE_PATH, false),
+    ];
+    for number in 0..added {
+        let name = format!("r-{number:05}");
+        routes.push(route(&name, &added_path(number), true));
+    }
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": [{"name": SERVICE, "health_path": "/health", "max_connections": 500, "protocol": "h1", "tls": false}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "soak", "api_keys": [KEY], "priority": 1, "rate_per_s": 0, "burst": 0}],
+    })
+}
+
+fn route(name: &str, path: &str, resumable: bool) -> Value {
+    json!({
+        "name": name,
+        "host": HOST,
+        "path_prefix": path,
+        "kind": "streaming",
+        "timeout_ms": 5000,
+        "target_latency_ms": 300,
+        "priority": 0,
+        "service": SERVICE,
+        "max_attempts": if resumable { 3 } else { 1 },
+        "public": false,
+        "sticky": true,
+        "resumable": resumable,
+        "gap_target_ms": 500,
+    })
+}
--- /dev/null
+++ b/standins/src/soak/fleet.rs
@@ -0,0 +1,182 @@
+//! VMs of a run, each a process of its own on a loopback address.
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use nix::sys::signal::Signal;
+use reqwest::Client;
+use serde_json::json;
+use standins::{
+    ports::free_port,
+    vm_process::VmProcess, //
+};
+use tokio::time::sleep;
+
+/// Number of failure domains.
+pub(crate) const DOMAINS: usize = 3;
+
+/// Interval of the checks whether VMs are ready.
+const READY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Returns the name of a failure domain.
+pub(crate) fn domain(index: usize) -> String {
+    format!("domain-{}", index % DOMAINS)
+}
+
+/// Time in which a VM was disturbed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct VmFault {
+    /// Start of the fault.
+    pub(crate) from: Instant,
+    /// End of the fault; `None` while it lasts.
+    pub(crate) to: Option<Instant>,
+}
+
+/// One VM.
+pub(crate) struct SoakVm {
+    /// Address that clients connect to.
+    pub(crate) callers: SocketAddr,
+    /// Address of the readiness check.
+    pub(crate) ready: SocketAddr,
+    /// Faults so far.
+    pub(crate) faults: Vec<VmFault>,
+    process: VmProcess,
+}
+
+impl SoakVm {
+    /// Begins a fault.
+    pub(crate) fn begin_fault(&mut self) {
+        // The quota may have stopped the process.
+        self.signal(Signal::SIGCONT);
+        self.faults.push(VmFault {
+            from: Instant::now(),
+            to: None,
+        });
+    }
+
+    /// Ends the last fault.
+    pub(crate) fn end_fault(&mut self) {
+        if let Some(fault) = self.faults.last_mut() {
+            fault.to = Some(Instant::now());
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&mut self, signal: Signal) {
+        if self.process.is_running() {
+            self.process.signal(signal);
+        }
+    }
+
+    /// Sends a signal to the process unless a fault lasts; returns whether it did.
+    pub(crate) fn signal_undisturbed(&mut self, signal: Signal) -> bool {
+        let is_disturbed = self.faults.last().is_some_and(|fault| fault.to.is_none());
+        if !is_disturbed {
+            self.signal(signal);
+        }
+        !is_disturbed
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) {
+        self.process.kill();
+    }
+
+    /// Starts the process again.
+    pub(crate) fn restart(&mut self) -> io::Result<()> {
+        self.process.restart()
+    }
+
+    /// Returns whether the process has ended.
+    pub(crate) fn is_gone(&mut self) -> bool {
+        !self.process.is_running()
+    }
+
+    /// Returns whether the process has ended without being killed or stopped.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        let is_disturbed = self.faults.last().is_some_and(|fault| fault.to.is_none());
+        !is_disturbed && !self.process.is_running()
+    }
+
+    /// Returns whether no fault lay within `contact` before or after any moment from `from` to `to`.
+    pub(crate) fn is_in_touch(&self, from: Instant, to: Instant, contact: Duration) -> bool {
+        self.faults.iter().all(|fault| {
+            let begins_later = fault.from > to;
+            let ended_before = fault.to.is_some_and(|end| end + contact < from);
+            begins_later || ended_before
+        })
+    }
+}
+
+/// Starts `count` VMs of a program that use the store at an address. Settings and logs lie in a folder.
+pub(crate) fn start(
+    program: &Path,
+    store: SocketAddr,
+    count: usize,
+    folder: &Path,
+) -> io::Result<Vec<SoakVm>> {
+    let (peer_port, callers_port) = (free_port(), free_port());
+    let (ready_port, metrics_port) = (free_port(), free_port());
+    let run = std::process::id();
+    let ip = |index: usize| {
+        let (high, low) = (10 + (run / 250) % 200, 1 + run % 250);
+        format!("127.{high}.{low}.{}", index + 1)
+    };
+    let started = (0..count).map(|index| {
+        let address = ip(index);
+        let callers: SocketAddr = format!("{address}:{callers_port}").parse().expect("address");
+        let ready: SocketAddr = format!("{address}:{ready_port}").parse().expect("address");
+        let settings = json!({
+            "vm": format!("front-{index:02}"),
+            "domain": domain(index),
+            "address": address,
+            "callers": callers.to_string(),
+            "ready": ready.to_string(),
+            "peer_port": peer_port,
+            "metrics_port": metrics_port,
+            "seeds": (0..DOMAINS.min(count)).map(|seed| format!("{}:1", ip(seed))).collect::<Vec<_>>(),
+            "platform": format!("http://{store}"),
+            "first_start": true,
+            "grace_s": 8.0,
+            "rate_slack": 20.0,
+        });
+        let path: PathBuf = folder.join(format!("front-{index:02}.json"));
+        let log = path.with_extension("log");
+        Ok(SoakVm {
+            callers,
+            ready,
+            faults: Vec::new(),
+            process: VmProcess::start(program, &path, &settings, Some(&log))?,
+        })
+    });
+    started.collect()
+}
+
+/// Waits until the VMs at the given addresses are ready; returns whether they are within a limit.
+pub(crate) async fn wait_ready(client: &Client, ready: &[SocketAddr], limit: Duration) -> bool {
+    let until = Instant::now() + limit;
+    for address in ready {
+        let url = format!("http://{address}/ready");
+        loop {
+            let response = client.get(&url).send().await;
+            if response.is_ok_and(|response| response.status() == 200) {
+                break;
+            }
+            if Instant::now() > until {
+                return false;
+            }
+            sleep(READY_CHECK_INTERVAL).await;
+        }
+    }
+    true
+}
--- /dev/null
+++ b/standins/src/soak/main.rs
@@ -0,0 +1,105 @@
+//! Runs a fleet of real VM processes under load, disturbs it by a seeded plan, and checks what clients and backend
+//! servers saw.
+
+mod clients;
+mod config;
+mod fleet;
+mod oracle;
+mod plan;
+mod run;
+mod servers;
+
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+use crate::run::{
+    run_soak,
+    SoakOptions, //
+};
+
+const USAGE: &str = "\
+Runs VM processes under load and disturbs them by a seeded plan; exits with 1 if a rule was broken.
+
+    soak --program FILE [--vms N] [--servers N] [--seconds N] [--seed N] [--rate N] [--busy N] [--routes N] [--share X]
+         [--keep DIR]
+
+  --program FILE   the program of a VM
+  --vms N          number of VMs (6)
+  --servers N      number of backend servers (9)
+  --seconds N      length of the load (25)
+  --seed N         seed of the plan (1)
+  --rate N         requests a second at each VM (4)
+  --busy N         busy threads beside the fleet (0)
+  --routes N       routes that the large configuration adds (1972)
+  --share X        share of the time in which each VM's process runs (1.0)
+  --keep DIR       folder that keeps settings and logs
+";
+
+fn main() -> ExitCode {
+    let options = match read_options() {
+        Ok(Some(options)) => options,
+        Ok(None) => {
+            print!("{USAGE}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("soak: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(run_soak(options)),
+        Err(error) => Err(error),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("soak: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Reads the command line; `None` if help was asked for.
+fn read_options() -> Result<Option<SoakOptions>, pico_args::Error> {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains("--help") {
+        return Ok(None);
+    }
+    let default = SoakOptions::default();
+    Ok(Some(SoakOptions {
+        program: arguments.value_from_str::<_, PathBuf>("--program")?,
+        vms: arguments
+            .opt_value_from_str("--vms")?
+            .unwrap_or(default.vms),
+        servers: arguments
+            .opt_value_from_str("--servers")?
+            .unwrap_or(default.servers),
+        seconds: arguments
+            .opt_value_from_str("--seconds")?
+            .unwrap_or(default.seconds),
+        seed: arguments
+            .opt_value_from_str("--seed")?
+            .unwrap_or(default.seed),
+        rate: arguments
+            .opt_value_from_str("--rate")?
+            .unwrap_or(default.rate),
+        busy: arguments
+            .opt_value_from_str("--busy")?
+            .unwrap_or(default.busy),
+        routes: arguments
+            .opt_value_from_str("--routes")?
+            .unwrap_or(default.routes),
+        share: arguments
+            .opt_value_from_str("--share")?
+            .unwrap_or(default.share),
+        keep: arguments.opt_value_from_str("--keep")?,
+    }))
+}
--- /dev/null
+++ b/standins/src/soak/oracle.rs
@@ -0,0 +1,222 @@
+//! Checks what clients and backend servers saw against the rules of the platform standard.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use crate::{
+    clients::{
+        ClientRecord,
+        StreamOutcome, //
+    },
+    config::{
+        added_path,
+        RESUMABLE_PATH,
+        SINGLE_PATH, //
+    },
+    fleet::SoakVm,
+    servers::ServerArrival,
+};
+
+/// Time after the effect of a version within which a VM may still respond by an earlier one.
+const ROLLBACK_SLACK: Duration = Duration::from_millis(250);
+
+/// Number of violations of a rule that are described.
+const MAX_DESCRIBED: usize = 6;
+
+/// Bounds of the rules, as the deployments state them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RuleBounds {
+    /// Time after its acknowledgement within which a configuration is in force.
+    pub(crate) config: Duration,
+    /// Time after its acknowledgement within which a leaving server receives its last request.
+    pub(crate) drain: Duration,
+    /// Time after a fault for which a VM isn't judged by times.
+    pub(crate) contact: Duration,
+}
+
+/// A configuration that the store has acknowledged.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConfigChange {
+    /// Version.
+    pub(crate) version: u64,
+    /// Time of the acknowledgement.
+    pub(crate) acknowledged: Instant,
+    /// Number of added routes in it.
+    pub(crate) added: usize,
+}
+
+/// A server that left.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerLeave {
+    /// Id of the server.
+    pub(crate) server: String,
+    /// Time at which the store acknowledged that it leaves.
+    pub(crate) acknowledged: Instant,
+    /// Requests that it received.
+    pub(crate) arrivals: Vec<ServerArrival>,
+}
+
+/// What was seen during a run.
+pub(crate) struct RunRecord<'a> {
+    /// Start of the run.
+    pub(crate) start: Instant,
+    /// Bounds.
+    pub(crate) bounds: RuleBounds,
+    /// VMs with their faults.
+    pub(crate) vms: &'a [SoakVm],
+    /// Requests of clients, in the order of their ends.
+    pub(crate) requests: &'a [ClientRecord],
+    /// Configurations, in the order of their versions.
+    pub(crate) configs: &'a [ConfigChange],
+    /// Servers that left.
+    pub(crate) leaves: &'a [ServerLeave],
+}
+
+/// Violations of the rules, as descriptions.
+#[derive(Debug, Default)]
+pub(crate) struct RuleReport {
+    violations: Vec<(&'static str, String)>,
+}
+
+impl RuleReport {
+    fn add(&mut self, rule: &'static str, text: String) {
+        self.violations.push((rule, text));
+    }
+
+    /// Prints the number of violations of each rule and the first ones of each; returns whether there are none.
+    pub(crate) fn print(&self) -> bool {
+        let mut rules: Vec<&str> = self.violations.iter().map(|entry| entry.0).collect();
+        rules.sort_unstable();
+        rules.dedup();
+        for rule in &rules {
+            let of_rule = self.violations.iter().filter(|entry| entry.0 == *rule);
+            println!("{rule}: {} violations", of_rule.clone().count());
+            for (_, text) in of_rule.take(MAX_DESCRIBED) {
+                println!("    {text}");
+            }
+        }
+        rules.is_empty()
+    }
+}
+
+impl RunRecord<'_> {
+    /// Checks all rules.
+    pub(crate) fn check(&self) -> RuleReport {
+        let mut report = RuleReport::default();
+        for request in self.requests {
+            self.check_order(request, &mut report);
+            self.check_config(request, &mut report);
+        }
+        self.check_regressions(&mut report);
+        self.check_drains(&mut report);
+        report
+    }
+
+    fn describe(&self, request: &ClientRecord) -> String {
+        let at = |time: Instant| (time - self.start).as_secs_f64();
+        format!(
+            "{} {} at front-{:02}, sent {:.3}, ended {:.3}: {:?}",
+            request.id,
+            request.path,
+            request.vm,
+            at(request.sent),
+            at(request.ended),
+            request.outcome
+        )
+    }
+
+    fn check_order(&self, request: &ClientRecord, report: &mut RuleReport) {
+        if let StreamOutcome::Disordered(_) = request.outcome {
+            report.add("ORDER", self.describe(request));
+        }
+    }
+
+    /// Checks a refusal by a configuration against those that may be in force.
+    fn check_config(&self, request: &ClientRecord, report: &mut RuleReport) {
+        let StreamOutcome::Status(401 | 403 | 404) = request.outcome else {
+            return;
+        };
+        if request.path == RESUMABLE_PATH || request.path == SINGLE_PATH {
+            report.add("DENIED", self.describe(request));
+            return;
+        }
+        let since = self
+            .configs
+            .iter()
+            .find(|config| has_route(config, &request.path));
+        let Some(config) = since else {
+            return;
+        };
+        let vm = &self.vms[request.vm];
+        let is_due = request.sent > config.acknowledged + self.bounds.config;
+        if is_due && vm.is_in_touch(request.sent, request.ended, self.bounds.contact) {
+            let late = (request.sent - config.acknowledged).as_secs_f64();
+            let text = self.describe(request);
+            let version = config.version;
+            report.add(
+                "CONFIG",
+                format!("{text}, {late:.3} s after version {version}"),
+            );
+        }
+    }
+
+    /// Checks that no process responds by a configuration older than one whose effect was seen before.
+    fn check_regressions(&self, report: &mut RuleReport) {
+        for (index, vm) in self.vms.iter().enumerate() {
+            let requests = self.requests.iter().filter(|request| request.vm == index);
+            let mut newest: Option<(&str, Instant)> = None;
+            for request in requests.filter(|request| request.path.starts_with("/added")) {
+                match request.outcome {
+                    StreamOutcome::Complete
+                        if newest.is_none_or(|known| request.path.as_str() > known.0) =>
+                    {
+                        newest = Some((&request.path, request.ended));
+                    }
+                    StreamOutcome::Status(404) => {
+                        let Some((path, seen)) = newest else {
+                            continue;
+                        };
+                        let is_same = vm.is_in_touch(seen, request.ended, Duration::ZERO);
+                        let is_late = request.sent > seen + ROLLBACK_SLACK;
+                        if request.path.as_str() <= path && is_late && is_same {
+                            report.add("CONFIG regressed", self.describe(request));
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn check_drains(&self, report: &mut RuleReport) {
+        let mut senders: Vec<&ClientRecord> = self.requests.iter().collect();
+        senders.sort_by(|one, other| one.id.cmp(&other.id));
+        for leave in self.leaves {
+            let due = leave.acknowledged + self.bounds.drain;
+            for arrival in leave.arrivals.iter().filter(|arrival| arrival.at > due) {
+                let found = senders.binary_search_by(|sender| sender.id.cmp(&arrival.request));
+                let Ok(index) = found else {
+                    continue;
+                };
+                let request = senders[index];
+                let vm = &self.vms[request.vm];
+                let from = leave.acknowledged.min(request.sent);
+                if vm.is_in_touch(from, arrival.at, self.bounds.contact) {
+                    let late = (arrival.at - leave.acknowledged).as_secs_f64();
+                    let text = self.describe(request);
+                    let server = &leave.server;
+                    report.add(
+                        "DRAIN",
+                        format!("{server} {late:.3} s after its leave: {text}"),
+                    );
+                }
+            }
+        }
+    }
+}
+
+fn has_route(config: &ConfigChange, path: &str) -> bool {
+    config.added > 0 && path <= added_path(config.added - 1).as_str()
+}
--- /dev/null
+++ b/standins/src/soak/run.rs
@@ -0,0 +1,437 @@
+//! One run: starts store, servers, VMs and clients, carries the plan out, and checks the outcome.
+
+use std::{
+    io,
+    path::PathBuf,
+    sync::{
+        atomic::{
+            AtomicBool,
+            AtomicUsize,
+            Ordering, //
+        },
+        Arc,
+        Mutex, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::sync::lock;
+use nix::sys::signal::Signal;
+use rand::RngExt;
+use reqwest::Client;
+use standins::standard_store::StandardStore;
+use tokio::{
+    task::JoinSet,
+    time::{
+        sleep,
+        sleep_until, //
+    },
+};
+
+use crate::{
+    clients::{
+        SoakClients,
+        StreamOutcome, //
+    },
+    config::{
+        added_path,
+        config,
+        RESUMABLE_PATH,
+        SINGLE_PATH, //
+    },
+    fleet::{
+        self,
+        domain,
+        SoakVm, //
+    },
+    oracle::{
+        ConfigChange,
+        RuleBounds,
+        RunRecord,
+        ServerLeave, //
+    },
+    plan::{
+        make_plan,
+        PlanTerms,
+        SoakAction, //
+    },
+    servers::SoakServer,
+};
+
+/// Number of VMs from which on the bounds of large deployments hold.
+const LARGE_FLEET: usize = 60;
+
+/// Longest wait for all VMs to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time from the readiness of all VMs to the start of the load.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
+/// Interval of the requests at each VM that show which configuration is in force.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time in which a VM has to end after SIGTERM.
+const GRACE_TIME: Duration = Duration::from_secs(8);
+
+/// Time from the registration of a server to the leave of the server that it replaces.
+const RELEASE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Downtime of a server that doesn't come back.
+const FOREVER: Duration = Duration::from_secs(3600);
+
+/// Period of a quota of processor time.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time from the end of the load to the end of the run.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
+/// What a run consists of.
+#[derive(Clone, Debug)]
+pub(crate) struct SoakOptions {
+    /// Program of a VM.
+    pub(crate) program: PathBuf,
+    /// Number of VMs.
+    pub(crate) vms: usize,
+    /// Number of servers.
+    pub(crate) servers: usize,
+    /// Length of the load.
+    pub(crate) seconds: u64,
+    /// Seed of the plan.
+    pub(crate) seed: u64,
+    /// Requests a second at each VM.
+    pub(crate) rate: f64,
+    /// Number of busy threads beside the fleet.
+    pub(crate) busy: usize,
+    /// Number of routes that the large change adds.
+    pub(crate) routes: usize,
+    /// Share of the time in which each VM's process runs, as under a quota of processor time.
+    pub(crate) share: f64,
+    /// Folder that keeps settings and logs.
+    pub(crate) keep: Option<PathBuf>,
+}
+
+impl Default for SoakOptions {
+    fn default() -> SoakOptions {
+        SoakOptions {
+            program: PathBuf::new(),
+            vms: 6,
+            servers: 9,
+            seconds: 25,
+            seed: 1,
+            rate: 4.0,
+            busy: 0,
+            routes: 1972,
+            share: 1.0,
+            keep: None,
+        }
+    }
+}
+
+/// Everything that runs.
+struct SoakRun {
+    store: StandardStore,
+    servers: Mutex<Vec<Arc<SoakServer>>>,
+    vms: Mutex<Vec<SoakVm>>,
+    clients: SoakClients,
+    configs: Mutex<Vec<ConfigChange>>,
+    leaves: Mutex<Vec<(usize, Instant)>>, // Servers that leave, and when that was acknowledged.
+    added: AtomicUsize,                   // Added routes of the newest configuration.
+}
+
+/// Runs a soak, prints what was seen, and returns whether all rules were kept.
+pub(crate) async fn run_soak(options: SoakOptions) -> io::Result<bool> {
+    let folder = options.keep.clone().unwrap_or_else(|| {
+        std::env::temp_dir().join(format!("boragerill-soak-{}", std::process::id()))
+    });
+    std::fs::create_dir_all(&folder)?;
+    let run = Arc::new(start(&options, &folder).await?);
+    let busy = start_busy_threads(options.busy);
+    let begin = Instant::now();
+    let end = begin + Duration::from_secs(options.seconds);
+    let mut tasks = JoinSet::new();
+    for vm in 0..options.vms {
+        tasks.spawn(throttle(run.clone(), vm, options.share, end));
+        tasks.spawn(send_load(run.clone(), vm, options.rate, end));
+        tasks.spawn(send_probes(run.clone(), vm, end));
+    }
+    let plan = make_plan(PlanTerms {
+        vms: options.vms,
+        servers: options.servers,
+        length: Duration::from_secs(options.seconds),
+        routes: options.routes,
+        seed: options.seed,
+    });
+    for (at, action) in plan {
+        let run = run.clone();
+        tasks.spawn(async move {
+            sleep_until((begin + at).into()).await;
+            run.carry_out(action).await;
+        });
+    }
+    while tasks.join_next().await.is_some() {}
+    sleep(DRAIN_TIME).await;
+    busy.store(true, Ordering::Relaxed);
+    let kept = run.report(begin, options.vms);
+    if options.keep.is_none() {
+        std::fs::remove_dir_all(&folder)?;
+    }
+    Ok(kept)
+}
+
+/// Starts store, servers and VMs, and waits until the VMs are ready.
+async fn start(options: &SoakOptions, folder: &std::path::Path) -> io::Result<SoakRun> {
+    let store = StandardStore::start().await;
+    store.write("config", "main", config(1, 0));
+    let mut servers = Vec::new();
+    for index in 0..options.servers {
+        let server = SoakServer::start(format!("i-{index:03}"), "v1", domain(index)).await;
+        store.write("servers", &server.id, server.entry("ready", 1));
+        servers.push(Arc::new(server));
+    }
+    let vms = fleet::start(&options.program, store.address(), options.vms, folder)?;
+    let callers = vms.iter().map(|vm| vm.callers).collect();
+    let ready: Vec<_> = vms.iter().map(|vm| vm.ready).collect();
+    let client = Client::builder().no_proxy().timeout(Duration::from_secs(1));
+    let client = client.build().map_err(io::Error::other)?;
+    if !fleet::wait_ready(&client, &ready, READY_LIMIT).await {
+        return Err(io::Error::other("a VM isn't ready in time"));
+    }
+    sleep(SETTLE_TIME).await;
+    Ok(SoakRun {
+        store,
+        servers: Mutex::new(servers),
+        vms: Mutex::new(vms),
+        clients: SoakClients::new(callers),
+        configs: Mutex::new(vec![ConfigChange {
+            version: 1,
+            acknowledged: Instant::now(),
+            added: 0,
+        }]),
+        leaves: Mutex::default(),
+        added: AtomicUsize::new(0),
+    })
+}
+
+/// Starts threads that use a core each until the returned flag is set.
+fn start_busy_threads(count: usize) -> Arc<AtomicBool> {
+    let done: Arc<AtomicBool> = Arc::default();
+    for _ in 0..count {
+        let done = done.clone();
+        std::thread::spawn(move || {
+            let mut value = 1_u64;
+            while !done.load(Ordering::Relaxed) {
+                value = std::hint::black_box(value.wrapping_mul(6_364_136_223_846_793_005) + 1);
+            }
+        });
+    }
+    done
+}
+
+/// Lets a VM's process run for a share of each [`QUOTA_PERIOD`] only, until `end`.
+async fn throttle(run: Arc<SoakRun>, vm: usize, share: f64, end: Instant) {
+    if share >= 1.0 {
+        return;
+    }
+    let phase: f64 = rand::rng().random();
+    sleep(QUOTA_PERIOD.mul_f64(phase)).await;
+    while Instant::now() < end {
+        // A VM that is frozen or down by the plan isn't touched.
+        let is_running = run.with_vm(vm, |vm| vm.signal_undisturbed(Signal::SIGSTOP));
+        sleep(QUOTA_PERIOD.mul_f64(1.0 - share)).await;
+        if is_running {
+            run.with_vm(vm, |vm| vm.signal_undisturbed(Signal::SIGCONT));
+        }
+        sleep(QUOTA_PERIOD.mul_f64(share)).await;
+    }
+    run.with_vm(vm, |vm| vm.signal(Signal::SIGCONT));
+}
+
+/// Sends streams to a VM at a rate until `end`, each by a task of its own.
+async fn send_load(run: Arc<SoakRun>, vm: usize, rate: f64, end: Instant) {
+    let mut sending = JoinSet::new();
+    while Instant::now() < end {
+        let pause = rand::rng().random_range(0.4..1.6) / rate;
+        sleep(Duration::from_secs_f64(pause)).await;
+        let is_resumable = rand::rng().random_bool(0.7);
+        let path = if is_resumable {
+            RESUMABLE_PATH
+        } else {
+            SINGLE_PATH
+        };
+        let run = run.clone();
+        sending.spawn(async move { run.clients.send(vm, path, is_resumable).await });
+    }
+    while sending.join_next().await.is_some() {}
+}
+
+/// Sends requests on the newest route to a VM periodically until `end`.
+async fn send_probes(run: Arc<SoakRun>, vm: usize, end: Instant) {
+    let mut sending = JoinSet::new();
+    while Instant::now() < end {
+        sleep(PROBE_INTERVAL).await;
+        let added = run.added.load(Ordering::Relaxed);
+        if added > 0 {
+            let run = run.clone();
+            sending.spawn(async move {
+                run.clients.send(vm, &added_path(added - 1), false).await;
+            });
+        }
+    }
+    while sending.join_next().await.is_some() {}
+}
+
+impl SoakRun {
+    async fn carry_out(&self, action: SoakAction) {
+        match action {
+            SoakAction::AddRoutes(count) => self.add_routes(count),
+            SoakAction::Leave { server, lasts } => self.leave(server, lasts).await,
+            SoakAction::Replace { server, lasts } => {
+                let old = self.server(server);
+                let new = SoakServer::start(format!("{}-new", old.id), "v2", domain(server)).await;
+                self.store.write("servers", &new.id, new.entry("ready", 1));
+                lock(&self.servers).push(Arc::new(new));
+                sleep(RELEASE_PAUSE).await;
+                self.leave(server, lasts).await;
+            }
+            SoakAction::Remove { server, lasts } => {
+                let leaving = self.server(server);
+                self.store.remove("servers", &leaving.id);
+                lock(&self.leaves).push((server, Instant::now()));
+                sleep(lasts).await;
+                leaving.crash(FOREVER);
+            }
+            SoakAction::Crash { server, lasts } => self.server(server).crash(lasts),
+            SoakAction::Stop { vm, lasts } => self.stop(vm, lasts).await,
+            SoakAction::Kill { vm, lasts } => {
+                self.with_vm(vm, |vm| {
+                    vm.begin_fault();
+                    vm.kill();
+                });
+                sleep(lasts).await;
+                self.restart(vm);
+            }
+            SoakAction::Freeze { vm, lasts } => {
+                self.with_vm(vm, |vm| {
+                    vm.begin_fault();
+                    vm.signal(Signal::SIGSTOP);
+                });
+                sleep(lasts).await;
+                self.with_vm(vm, |vm| {
+                    vm.signal(Signal::SIGCONT);
+                    vm.end_fault();
+                });
+            }
+        }
+    }
+
+    fn server(&self, index: usize) -> Arc<SoakServer> {
+        lock(&self.servers)[index].clone()
+    }
+
+    /// Lets a server announce in its entry that it leaves, and ends it `lasts` later.
+    async fn leave(&self, server: usize, lasts: Duration) {
+        let leaving = self.server(server);
+        self.store
+            .write("servers", &leaving.id, leaving.entry("draining", 2));
+        lock(&self.leaves).push((server, Instant::now()));
+        sleep(lasts).await;
+        self.store.remove("servers", &leaving.id);
+        leaving.crash(FOREVER);
+    }
+
+    fn add_routes(&self, count: usize) {
+        let mut configs = lock(&self.configs);
+        let last = configs.last().copied();
+        let (version, added) = last.map_or((1, 0), |last| (last.version, last.added));
+        // Versions increase in uneven steps.
+        let (version, added) = (version + 1 + version % 3, added + count);
+        self.store.write("config", "main", config(version, added));
+        configs.push(ConfigChange {
+            version,
+            acknowledged: Instant::now(),
+            added,
+        });
+        self.added.store(added, Ordering::Relaxed);
+    }
+
+    async fn stop(&self, vm: usize, lasts: Duration) {
+        self.with_vm(vm, |vm| {
+            vm.begin_fault();
+            vm.signal(Signal::SIGTERM);
+        });
+        let until = Instant::now() + GRACE_TIME;
+        while Instant::now() < until && !self.with_vm(vm, |vm| vm.is_gone()) {
+            sleep(Duration::from_millis(50)).await;
+        }
+        self.with_vm(vm, SoakVm::kill);
+        sleep(lasts).await;
+        self.restart(vm);
+    }
+
+    fn restart(&self, vm: usize) {
+        self.with_vm(vm, |vm| {
+            if let Err(error) = vm.restart() {
+                eprintln!("starting a VM failed: {error}");
+            }
+            vm.end_fault();
+        });
+    }
+
+    fn with_vm<T>(&self, vm: usize, change: impl FnOnce(&mut SoakVm) -> T) -> T {
+        change(&mut lock(&self.vms)[vm])
+    }
+
+    /// Checks and prints what was seen; returns whether all rules were kept.
+    fn report(&self, start: Instant, vm_count: usize) -> bool {
+        let mut vms = lock(&self.vms);
+        let ended: Vec<usize> = (0..vm_count).filter(|&vm| vms[vm].has_ended()).collect();
+        let requests = self.clients.records();
+        let configs = lock(&self.configs);
+        let leaves = lock(&self.leaves);
+        let leaves: Vec<ServerLeave> = leaves
+            .iter()
+            .map(|&(server, acknowledged)| ServerLeave {
+                server: self.server(server).id.clone(),
+                acknowledged,
+                arrivals: lock(&self.server(server).arrivals).clone(),
+            })
+            .collect();
+        let record = RunRecord {
+            start,
+            bounds: bounds(vm_count),
+            vms: &vms,
+            requests: &requests,
+            configs: &configs,
+            leaves: &leaves,
+        };
+        let complete = requests
+            .iter()
+            .filter(|request| request.outcome == StreamOutcome::Complete);
+        println!(
+            "{} requests, {} complete, {} configurations, {} leaving servers",
+            requests.len(),
+            complete.count(),
+            configs.len(),
+            leaves.len()
+        );
+        for vm in &ended {
+            println!("front-{vm:02} ended by itself");
+        }
+        record.check().print() && ended.is_empty()
+    }
+}
+
+fn bounds(vms: usize) -> RuleBounds {
+    let (bound, contact) = match vms < LARGE_FLEET {
+        true => (2000, 3000),
+        false => (3000, 4000),
+    };
+    RuleBounds {
+        config: Duration::from_millis(bound),
+        drain: Duration::from_millis(bound),
+        contact: Duration::from_millis(contact),
+    }
+}
