Fetch newer state by itself, compressed, from any VM that has it (CONFIG, DRAIN)

Cause: a VM fetched newer states one at a time, whole, from the VM whose heartbeat came first. 65 VMs took half a megabyte each over one link of 30 to 200 Mbit/s and gave up after 0.8 s; meanwhile nothing else was fetched.

Ruled out: a source that is busy decoding (failures last over 2 s, and are few on real processes at 4% of a core). Lines of refusals and changes now tell the newest version known, for how long, and the source.

Now: configuration, servers and cancellations are fetched each by itself; any VM that stated a newer number may be asked, the own failure domain first, another one after 0.25 s. An answer with all servers is left out when a digest shows that the asking VM uses the same ones.

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -13,7 +13,10 @@
 
 use compact_str::CompactString;
 
-use crate::rank::hash_name;
+use crate::rank::{
+    hash_name,
+    score, //
+};
 
 /// Revision of the platform's store.
 pub type Revision = u64;
@@ -196,6 +199,24 @@
         since >= self.removals_since
     }
 
+    /// Returns a digest of the servers in use. Tables with equal digests hold the same entries.
+    pub fn digest(&self) -> u64 {
+        let in_use = self.entries.iter().filter(|entry| entry.server.is_some());
+        in_use.fold(0, |digest, entry| {
+            digest ^ score(entry.revision, hash_name(&entry.id))
+        })
+    }
+
+    /// Returns whether a change would change the table.
+    pub fn is_news(&self, change: &BackendChange) -> bool {
+        let found = self
+            .entries
+            .binary_search_by(|entry| entry.id.cmp(&change.id));
+        found.map_or(change.server.is_some(), |index| {
+            self.entries[index].revision < change.revision
+        })
+    }
+
     /// Applies the complete list of entries that another VM reported. Entries that it lacks are removed, unless they are
     /// newer than the list.
     pub fn replace_reported(
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod slot_wait;
 pub mod snapshot;
 pub mod stall;
+pub mod state_fetch;
 pub mod stream;
 pub mod stream_version;
 pub mod submit;
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -247,6 +247,21 @@
             .count()
     }
 
+    /// Returns whether another VM belongs to this VM's failure domain.
+    pub fn is_local(&self, vm: u64) -> bool {
+        self.member(vm)
+            .is_some_and(|member| member.info.domain == self.own.domain)
+    }
+
+    /// Returns this VM's rank for a task among the reachable VMs of its failure domain that aren't shutting down.
+    pub fn own_domain_rank(&self, task: u64, now: Instant) -> usize {
+        let own = score(task, hash_name(&self.own.vm));
+        self.reachable(now)
+            .filter(|member| member.info.domain == self.own.domain && !member.info.leaving)
+            .filter(|member| score(task, member.hash) > own)
+            .count()
+    }
+
     /// Returns the VM that ranks first for a task among this VM and the reachable VMs that aren't
     /// shutting down; `None` when this VM ranks first.
     pub fn first_ranked(&self, task: u64, now: Instant) -> Option<u64> {
--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -298,6 +298,24 @@
     assert_eq!(behind.through(), table.through());
 }
 
+#[test]
+fn digests_tell_apart_tables_with_other_servers_or_revisions() {
+    // arrange
+    let now = Instant::now();
+    let table = table_of(vec![registered("a", 1), registered("b", 2)], 2, now);
+    let listed_later = table_of(vec![registered("a", 1), registered("b", 2)], 9, now);
+    let changed = table_of(vec![registered("a", 1), registered("b", 3)], 3, now);
+    let mut removed_one = table.clone();
+
+    // act
+    removed_one.apply(vec![removed("a", 3)], 3, now);
+
+    // assert
+    assert_eq!(table.digest(), listed_later.digest());
+    assert_ne!(table.digest(), changed.digest());
+    assert_ne!(table.digest(), removed_one.digest());
+}
+
 /// Events of the store and of VMs.
 #[derive(Clone, Debug)]
 enum TableEvent {
@@ -413,7 +431,8 @@
             TableEvent::Fetch { from, to } => {
                 let after = tables[to].through();
                 let through = tables[from].through();
-                if through > after && tables[from].holds_changes_since(after) {
+                let is_same = tables[from].digest() == tables[to].digest();
+                if through > after && (is_same || tables[from].holds_changes_since(after)) {
                     let changes = tables[from].changes_since(after);
                     tables[to].apply_reported(changes, through, now);
                 } else if through > after {
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -64,6 +64,7 @@
         workspace_rate,
         FleetState, //
     },
+    state_fetch::FetchedState,
     stream_versions::pin_version,
     wire::CallerOperation, //
 };
@@ -108,12 +109,15 @@
     logger.responded = true;
     histogram!("answer_head_seconds").record(arrived.elapsed().as_secs_f64());
     result.unwrap_or_else(|refused| {
+        let fetches = &state.fetches;
         info!(
             request = id.as_str(),
             reason = refused.reason.name(),
             outcome = refused.state.name(),
             detail = refused.detail.as_str(),
             catalog = state.catalog.version(),
+            newest = fetches.newest(FetchedState::Catalog),
+            behind_ms = fetches.behind_since(FetchedState::Catalog).map(|since| millis(since.elapsed())),
             age_ms = millis(arrived.elapsed());
             "request refused"
         );
--- a/fleet/src/heartbeat.rs
+++ b/fleet/src/heartbeat.rs
@@ -114,7 +114,7 @@
             };
             match Heartbeat::decode(&buffer[..length]) {
                 Ok(heartbeat) => {
-                    if self.receiver.handle(&heartbeat, from) {
+                    if self.receiver.handle(&heartbeat) {
                         self.respond(from).await;
                     }
                 }
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -13,6 +13,8 @@
 };
 
 use boragerill::{
+    backend::Revision,
+    catalog::CatalogVersion,
     drain::DrainAnnouncement,
     generated::messages::{
         DrainNotice,
@@ -60,6 +62,15 @@
     unreported_jobs: Vec<JobStatus>, // Sorted by id.
     announcements: Vec<DrainAnnouncement>,
     info: MemberInfo,
+    numbers: StateNumbers,
+}
+
+/// Numbers of the states that other VMs fetch when they are newer than theirs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct StateNumbers {
+    catalog: CatalogVersion,
+    backends: Revision,
+    cancellations: Revision,
 }
 
 /// Builds the heartbeats of this VM.
@@ -104,6 +115,7 @@
         reported.unreported_jobs = self.unreported_jobs();
         reported.announcements = self.state.backends.drain_announcements();
         reported.info = info.clone();
+        reported.numbers = self.numbers();
         let mut heartbeat = Heartbeat {
             member: Some(member_entry(&info)),
             full: true,
@@ -137,8 +149,10 @@
         let mut heartbeat = Heartbeat::default();
         let limits = self.state.limits.add_changes(&mut heartbeat);
         let streams = self.state.streams.add_new(&mut heartbeat, &self.state);
+        let is_newer = self.has_newer_state(info.follows);
         let same = places.is_empty() && jobs.is_empty() && uses.is_empty() && leaving.is_empty();
         if same
+            && !is_newer
             && unreported_jobs.is_empty()
             && !limits
             && !streams
@@ -162,6 +176,25 @@
         Some(heartbeat)
     }
 
+    fn numbers(&self) -> StateNumbers {
+        StateNumbers {
+            catalog: self.state.catalog.version(),
+            backends: self.state.backends.read(|table| table.through()),
+            cancellations: lock(&self.state.cancellations).through(),
+        }
+    }
+
+    /// Returns whether a number has changed that has to be reported at once. Changes of servers are small, and all VMs
+    /// can fetch them from those that watch the store, so that the others report them periodically.
+    fn has_newer_state(&self, watches: bool) -> bool {
+        let numbers = self.numbers();
+        let before = std::mem::replace(&mut lock(&self.reported).numbers, numbers);
+        match watches {
+            true => before != numbers,
+            false => before.catalog != numbers.catalog,
+        }
+    }
+
     /// Returns the entries of all known VMs.
     pub(crate) fn known_members(&self) -> Vec<MemberEntry> {
         let members = lock(&self.state.members);
@@ -172,13 +205,14 @@
     /// Returns a heartbeat with only the fields that every heartbeat carries.
     fn minimal_heartbeat(&self) -> Heartbeat {
         let demands = self.state.backends.own_demands();
+        let numbers = self.numbers();
         Heartbeat {
             sender: self.state.vm_hash,
             incarnation: self.state.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-            catalog: self.state.catalog.version(),
-            backends: self.state.backends.read(|table| table.through()),
-            ends: lock(&self.state.cancellations).through(),
+            catalog: numbers.catalog,
+            backends: numbers.backends,
+            ends: numbers.cancellations,
             demands: demands.into_iter().map(service_demand).collect(),
             ..Default::default()
         }
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -1,14 +1,7 @@
 //! Applies the heartbeats of other VMs to the tables of this one.
 
 use std::{
-    net::SocketAddr,
-    sync::{
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        },
-        Arc,
-    },
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -17,7 +10,6 @@
 
 use boragerill::{
     drain::DrainAnnouncement,
-    error::ServeError,
     generated::messages::{
         DrainNotice,
         Heartbeat,
@@ -45,9 +37,12 @@
 use metrics::gauge;
 
 use crate::{
-    peers,
     quarantine_notice::read_news,
     state::FleetState,
+    state_fetch::{
+        record_number,
+        FetchedState, //
+    },
     takeover, //
 };
 
@@ -57,21 +52,17 @@
 /// Applies received heartbeats to the state of the process.
 pub(crate) struct HeartbeatReceiver {
     state: Arc<FleetState>,
-    fetching: Arc<AtomicBool>,
 }
 
 impl HeartbeatReceiver {
     /// Creates a receiver.
     pub(crate) fn new(state: Arc<FleetState>) -> HeartbeatReceiver {
-        HeartbeatReceiver {
-            state,
-            fetching: Arc::default(),
-        }
+        HeartbeatReceiver { state }
     }
 
     /// Applies a heartbeat, and returns whether its sender needs a full heartbeat at once: it asks to join,
     /// or it was unreachable or unknown until now.
-    pub(crate) fn handle(&self, heartbeat: &Heartbeat, from: SocketAddr) -> bool {
+    pub(crate) fn handle(&self, heartbeat: &Heartbeat) -> bool {
         let now = Instant::now();
         if heartbeat.sender == self.state.vm_hash {
             return false;
@@ -99,7 +90,7 @@
                 .record_drain_announcement(drain_announcement(notice, now));
         }
         self.state.quarantine.record_news(read_news(heartbeat, now));
-        self.fetch_newer(heartbeat, from);
+        self.record_numbers(heartbeat);
         heartbeat.joins || silence.is_some()
     }
 
@@ -283,41 +274,14 @@
         jobs.update_directory(|directory| directory.record_unreported(record));
     }
 
-    /// Fetches configuration, backend servers and cancelled jobs from a sender that knows newer ones, one
-    /// fetch at a time.
-    fn fetch_newer(&self, heartbeat: &Heartbeat, from: SocketAddr) {
-        let state = &self.state;
-        let catalog = heartbeat.catalog > state.catalog.version();
-        let backends = heartbeat.backends > state.backends.read(|table| table.through())
-            || heartbeat.ends > lock(&state.cancellations).through();
-        if !catalog && !backends || self.fetching.swap(true, Ordering::Relaxed) {
-            return;
-        }
-        let (state, address) = (state.clone(), from.to_string());
-        let fetching = self.fetching.clone();
-        tokio::spawn(async move {
-            let result = fetch(&state, &address, catalog, backends).await;
-            fetching.store(false, Ordering::Relaxed);
-            if let Err(error) = result {
-                info!(peer = address.as_str(), error = error.to_string().as_str(); "fetching newer state failed");
-            }
-        });
-    }
-}
-
-async fn fetch(
-    state: &FleetState,
-    address: &str,
-    catalog: bool,
-    backends: bool,
-) -> Result<(), ServeError> {
-    if catalog {
-        peers::fetch_catalog(state, address).await?;
-    }
-    if backends {
-        peers::fetch_backends(state, address).await?;
+    /// Records the numbers of the sender's states, which are fetched if they are newer.
+    fn record_numbers(&self, heartbeat: &Heartbeat) {
+        let (state, vm) = (&self.state, heartbeat.sender);
+        lock(&state.transfers).record(vm, heartbeat.catalog);
+        record_number(state, vm, FetchedState::Catalog, heartbeat.catalog);
+        record_number(state, vm, FetchedState::Backends, heartbeat.backends);
+        record_number(state, vm, FetchedState::Cancellations, heartbeat.ends);
     }
-    Ok(())
 }
 
 /// Converts the entry of a VM in a message.
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -59,6 +59,10 @@
 use tokio::net::TcpListener;
 
 use crate::{
+    catalog_store::{
+        apply_catalog_text,
+        unpack, //
+    },
     handover,
     job_reads,
     jobs,
@@ -67,6 +71,10 @@
         UNACKNOWLEDGED_TIMEOUT, //
     },
     state::FleetState,
+    store_watch::{
+        log_changes,
+        record_own_revisions, //
+    },
     stream_versions, //
 };
 
@@ -79,9 +87,6 @@
 /// Time after which a request that is safe to repeat is forwarded to the next VM.
 const RELAY_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Timeout of a request for configuration or backend servers to another VM.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Sends a request to another VM and returns its response.
 ///
 /// # Errors
@@ -154,14 +159,29 @@
 }
 
 fn catalog_response(state: &FleetState, request: &CatalogRequest) -> CatalogResponse {
-    let raw = state
-        .catalog
-        .raw()
-        .filter(|raw| raw.version > request.after);
-    raw.map_or_else(CatalogResponse::default, |raw| CatalogResponse {
-        version: raw.version,
-        spec: raw.spec.to_vec(),
-    })
+    let raw = state.catalog.raw();
+    let Some(raw) = raw.filter(|raw| raw.version > request.after) else {
+        return CatalogResponse::default();
+    };
+    let version = raw.version;
+    let Some(vm) = request.vm else {
+        return CatalogResponse {
+            version,
+            spec: raw.spec.to_vec(),
+            ..CatalogResponse::default()
+        };
+    };
+    if !lock(&state.transfers).begin(vm, version, Instant::now()) {
+        return CatalogResponse {
+            busy: true,
+            ..CatalogResponse::default()
+        };
+    }
+    CatalogResponse {
+        version,
+        packed: raw.packed().to_vec(),
+        ..CatalogResponse::default()
+    }
 }
 
 fn backend_changes_response(
@@ -169,7 +189,8 @@
     request: &BackendChangesRequest,
 ) -> BackendChangesResponse {
     let (through, changes, is_full) = state.backends.read(|table| {
-        let is_full = !table.holds_changes_since(request.backends_after);
+        let is_same = request.backends_digest == Some(table.digest());
+        let is_full = !table.holds_changes_since(request.backends_after) && !is_same;
         let after = if is_full { 0 } else { request.backends_after };
         (table.through(), table.changes_since(after), is_full)
     });
@@ -343,33 +364,74 @@
     });
 }
 
+/// Outcome of a request for newer state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FetchOutcome {
+    /// The response was applied.
+    Received,
+    /// The VM sends its state to too many others now.
+    Busy,
+}
+
 /// Fetches the configuration from a VM that has a newer one.
-pub(crate) async fn fetch_catalog(state: &FleetState, address: &str) -> Result<(), ServeError> {
-    let request = Body::CatalogAsk(CatalogRequest {
+///
+/// # Errors
+///
+/// Returns the error of the request, or `ServeError::Malformed`.
+pub(crate) async fn fetch_catalog(
+    state: &FleetState,
+    vm: u64,
+    limit: Duration,
+) -> Result<FetchOutcome, ServeError> {
+    let body = Body::CatalogAsk(CatalogRequest {
         after: state.catalog.version(),
+        vm: Some(state.vm_hash),
     });
-    let response = state.links.request(address, request, FETCH_TIMEOUT).await?;
-    let Body::CatalogAnswer(response) = response else {
-        return Ok(());
+    let Body::CatalogAnswer(response) = request(state, vm, body, limit).await? else {
+        return Err(unexpected_message(state, vm));
     };
+    if response.busy {
+        return Ok(FetchOutcome::Busy);
+    }
     if response.version > state.catalog.version() {
-        crate::store_watch::apply_catalog(state, response.spec.into(), "vm");
+        let source = vm_name(state, vm);
+        let spec = match response.packed.is_empty() {
+            true => response.spec.into(),
+            false => unpack(&response.packed, &source)?,
+        };
+        apply_catalog_text(state, spec, &source)?;
     }
-    Ok(())
+    Ok(FetchOutcome::Received)
 }
 
 /// Fetches changes of backend servers and cancelled jobs from a VM that knows newer ones.
-pub(crate) async fn fetch_backends(state: &FleetState, address: &str) -> Result<(), ServeError> {
-    let request = Body::BackendAsk(BackendChangesRequest {
-        backends_after: state.backends.read(|table| table.through()),
+///
+/// # Errors
+///
+/// Returns the error of the request, or `ServeError::Malformed`.
+pub(crate) async fn fetch_changes(
+    state: &FleetState,
+    vm: u64,
+    limit: Duration,
+) -> Result<FetchOutcome, ServeError> {
+    let (through, digest) = state
+        .backends
+        .read(|table| (table.through(), table.digest()));
+    let body = Body::BackendAsk(BackendChangesRequest {
+        backends_after: through,
         ends_after: lock(&state.cancellations).through(),
+        backends_digest: Some(digest),
     });
-    let response = state.links.request(address, request, FETCH_TIMEOUT).await?;
-    let Body::BackendAnswer(response) = response else {
-        return Ok(());
+    let Body::BackendAnswer(response) = request(state, vm, body, limit).await? else {
+        return Err(unexpected_message(state, vm));
     };
+    let source = vm_name(state, vm);
     let changes: Vec<BackendChange> = response.backends.into_iter().map(backend_change).collect();
-    crate::store_watch::log_changes(&changes, address);
+    let news: Vec<&BackendChange> = state.backends.read(|table| {
+        let news = changes.iter().filter(|change| table.is_news(change));
+        news.collect()
+    });
+    log_changes(news.into_iter(), &source);
     let now = Instant::now();
     let through = response.backends_through;
     state.backends.update(|table| match response.backends_full {
@@ -380,8 +442,24 @@
         revision: job.revision,
         job: job.id.into(),
     });
-    jobs::apply_cancellations(state, cancelled.collect(), response.ends_through, address);
-    Ok(())
+    jobs::apply_cancellations(state, cancelled.collect(), response.ends_through, &source);
+    record_own_revisions(state);
+    Ok(FetchOutcome::Received)
+}
+
+fn unexpected_message(state: &FleetState, vm: u64) -> ServeError {
+    let cause = "unexpected message type".into();
+    ServeError::Malformed(Step::Receive, vm_name(state, vm), cause)
+}
+
+/// Returns the name of a VM, for logs and errors.
+fn vm_name(state: &FleetState, vm: u64) -> CompactString {
+    let members = lock(&state.members);
+    let member = members.member(vm);
+    member.map_or_else(
+        || format_compact!("{vm:016x}"),
+        |member| member.info.vm.clone(),
+    )
 }
 
 fn backend_record(change: &BackendChange) -> BackendRecord {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -19,15 +19,10 @@
     },
 };
 
-use arc_swap::ArcSwapOption;
 use boragerill::{
     backend::BackendTable,
     cancellation::CancellationTable,
-    catalog::{
-        Catalog,
-        CatalogVersion,
-        CatalogWorkspace, //
-    },
+    catalog::CatalogWorkspace,
     member::{
         Incarnation,
         MemberInfo,
@@ -44,18 +39,17 @@
     settings::VmSettings,
     slot::SlotView,
     slot_wait::TimeoutTable,
+    state_fetch::TransferTable,
     stream_version::VersionKey,
     sync::lock,
     timer::millis,
     wait_estimate::WaitEstimator, //
 };
-use bytes::Bytes;
 use compact_str::{
     format_compact,
     CompactString, //
 };
 use log::info;
-use metrics::gauge;
 use tokio::sync::watch;
 
 use crate::{
@@ -63,11 +57,13 @@
         BackendRegistry,
         BackendState, //
     },
+    catalog_store::CatalogStore,
     jobs::JobRegistry,
     links::PeerLinks,
     quarantine::QuarantineRegistry,
     read_cache::ReadCache,
     server_limits::LimitRegistry,
+    state_fetch::FetchSources,
     stream_versions::StreamRegistry,
     wire::WireFormat, //
 };
@@ -75,67 +71,6 @@
 /// Share of the grace period during which a VM that is shutting down still accepts requests.
 const INTAKE_SHARE: f64 = 0.6;
 
-/// The configuration in force.
-#[derive(Debug)]
-pub(crate) struct CatalogStore {
-    current: ArcSwapOption<Catalog>,
-    raw: ArcSwapOption<RawCatalog>,
-    version: watch::Sender<CatalogVersion>,
-    applying: Mutex<()>,
-}
-
-/// A configuration as the platform keeps it.
-#[derive(Debug)]
-pub(crate) struct RawCatalog {
-    /// Version of the configuration.
-    pub(crate) version: CatalogVersion,
-    /// JSON text.
-    pub(crate) spec: Bytes,
-}
-
-impl Default for CatalogStore {
-    fn default() -> CatalogStore {
-        CatalogStore {
-            current: ArcSwapOption::empty(),
-            raw: ArcSwapOption::empty(),
-            version: watch::channel(0).0,
-            applying: Mutex::new(()),
-        }
-    }
-}
-
-impl CatalogStore {
-    /// Returns the configuration in force.
-    pub(crate) fn load(&self) -> Option<Arc<Catalog>> {
-        self.current.load_full()
-    }
-
-    /// Returns the configuration as the platform keeps it.
-    pub(crate) fn raw(&self) -> Option<Arc<RawCatalog>> {
-        self.raw.load_full()
-    }
-
-    /// Returns the version in force; zero when there is none.
-    pub(crate) fn version(&self) -> CatalogVersion {
-        *self.version.borrow()
-    }
-
-    /// Puts a configuration in force unless the current one is as new, and returns whether it did.
-    pub(crate) fn apply(&self, catalog: Catalog, spec: Bytes) -> bool {
-        let _applying = lock(&self.applying);
-        let version = catalog.version();
-        if version <= self.version() {
-            return false;
-        }
-        info!(version, routes = catalog.routes().len(); "configuration in force");
-        gauge!("catalog_version").set(version as f64);
-        self.raw.store(Some(Arc::new(RawCatalog { version, spec })));
-        self.current.store(Some(Arc::new(catalog)));
-        self.version.send_replace(version);
-        true
-    }
-}
-
 /// Shared state of the process.
 pub(crate) struct FleetState {
     /// Settings of the process.
@@ -146,6 +81,10 @@
     pub(crate) platform: PlatformClient,
     /// Configuration in force.
     pub(crate) catalog: CatalogStore,
+    /// VMs that have newer states than this one.
+    pub(crate) fetches: FetchSources,
+    /// Transfers of the configuration to other VMs.
+    pub(crate) transfers: Mutex<TransferTable>,
     /// Backend servers in use.
     pub(crate) backends: Arc<BackendRegistry>,
     /// Limits that backend servers state.
@@ -216,6 +155,8 @@
             format,
             platform,
             catalog: CatalogStore::default(),
+            fetches: FetchSources::default(),
+            transfers: Mutex::default(),
             backends: Arc::default(),
             limits: Arc::new(LimitRegistry::new(members.clone())),
             members,
--- /dev/null
+++ b/fleet/src/state_fetch.rs
@@ -0,0 +1,226 @@
+//! Fetches configuration, backend servers and cancellations from VMs that have newer ones.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    error::ServeError,
+    rank::hash_name,
+    state_fetch::{
+        FetchStep,
+        FetchTerms,
+        SourceTable,
+        StateNumber,
+        BUSY_TIME,
+        FAILED_TIME,
+        HEDGE_DELAY,
+        MAX_REQUESTS, //
+    },
+    sync::lock,
+};
+use futures_util::{
+    stream::FuturesUnordered,
+    StreamExt, //
+};
+use log::info;
+use metrics::counter;
+use tokio::{
+    sync::Notify,
+    time::sleep_until, //
+};
+
+use crate::{
+    peers::{
+        self,
+        FetchOutcome, //
+    },
+    state::FleetState,
+};
+
+/// Timeout of a request for a configuration, which may be large.
+pub(crate) const CATALOG_TIMEOUT: Duration = Duration::from_millis(2000);
+
+/// Timeout of a request for changes of backend servers and cancellations.
+pub(crate) const CHANGES_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// State that VMs fetch from each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FetchedState {
+    /// The configuration, numbered by its version.
+    Catalog,
+    /// Backend servers, numbered by the store's revision.
+    Backends,
+    /// Cancelled jobs, numbered by the store's revision.
+    Cancellations,
+}
+
+const FETCHED_STATES: [FetchedState; 3] = [
+    FetchedState::Catalog,
+    FetchedState::Backends,
+    FetchedState::Cancellations,
+];
+
+/// VMs that have a newer state of one kind.
+#[derive(Debug, Default)]
+struct StateSources {
+    table: Mutex<SourceTable>,
+    changed: Notify,
+}
+
+/// VMs that have a newer state, for each kind.
+#[derive(Debug, Default)]
+pub(crate) struct FetchSources {
+    sources: [StateSources; FETCHED_STATES.len()],
+}
+
+impl FetchSources {
+    fn of(&self, kind: FetchedState) -> &StateSources {
+        &self.sources[kind as usize]
+    }
+
+    /// Records that the own state has a new number.
+    pub(crate) fn record_own(&self, kind: FetchedState, own: StateNumber) {
+        lock(&self.of(kind).table).record_own(own);
+    }
+
+    /// Returns the newest number that any VM has stated.
+    pub(crate) fn newest(&self, kind: FetchedState) -> StateNumber {
+        lock(&self.of(kind).table).newest()
+    }
+
+    /// Returns since when a newer state than the own one has been known of, if there is one.
+    pub(crate) fn behind_since(&self, kind: FetchedState) -> Option<Instant> {
+        lock(&self.of(kind).table).behind_since()
+    }
+}
+
+/// Records the number of a state that a VM has stated in a heartbeat.
+pub(crate) fn record_number(state: &FleetState, vm: u64, kind: FetchedState, number: StateNumber) {
+    let own = own_number(state, kind);
+    if number <= own {
+        return;
+    }
+    let is_local = lock(&state.members).is_local(vm);
+    let sources = state.fetches.of(kind);
+    lock(&sources.table).record(vm, number, is_local, own, Instant::now());
+    sources.changed.notify_one();
+}
+
+/// Fetches newer states of all kinds until the process ends.
+pub(crate) fn start(state: &Arc<FleetState>) {
+    for kind in FETCHED_STATES {
+        tokio::spawn(keep_current(state.clone(), kind));
+    }
+}
+
+/// Fetches newer states of one kind until the process ends. Another VM is asked when a response takes long.
+async fn keep_current(state: Arc<FleetState>, kind: FetchedState) {
+    let sources = state.fetches.of(kind);
+    let mut requests = FuturesUnordered::new();
+    let mut next_request = Instant::now();
+    loop {
+        let step = next_step(&state, kind);
+        if step == FetchStep::Idle {
+            requests.clear();
+        }
+        let now = Instant::now();
+        if let (FetchStep::Ask(vm), true) = (
+            step,
+            requests.len() < MAX_REQUESTS && (requests.is_empty() || next_request <= now),
+        ) {
+            next_request = now + HEDGE_DELAY;
+            lock(&sources.table).postpone(vm, now + FAILED_TIME);
+            let state = state.clone();
+            requests.push(async move { (vm, fetch(&state, kind, vm).await) });
+            continue;
+        }
+        let wake = match step {
+            FetchStep::Idle => None,
+            FetchStep::Wait(until) => Some(until),
+            FetchStep::Ask(_) if requests.len() < MAX_REQUESTS => Some(next_request),
+            FetchStep::Ask(_) => None,
+        };
+        tokio::select! {
+            Some((vm, result)) = requests.next() => record_result(&state, kind, vm, result),
+            () = sources.changed.notified() => {}
+            () = sleep_until(wake.unwrap_or(now).into()), if wake.is_some() => {}
+        }
+    }
+}
+
+fn next_step(state: &FleetState, kind: FetchedState) -> FetchStep {
+    let now = Instant::now();
+    let number = own_number(state, kind);
+    let members = lock(&state.members);
+    let mut table = lock(&state.fetches.of(kind).table);
+    table.retain(|vm| {
+        members
+            .member(vm)
+            .is_some_and(|member| member.is_reachable(now))
+    });
+    // The changes of servers are small, so that every VM may fetch them from any other one.
+    let rank = match kind {
+        FetchedState::Catalog => members.own_domain_rank(hash_name("fetch"), now),
+        FetchedState::Backends | FetchedState::Cancellations => 0,
+    };
+    let terms = FetchTerms {
+        vm: state.vm_hash,
+        number,
+        rank,
+    };
+    table.next_step(terms, now)
+}
+
+async fn fetch(
+    state: &FleetState,
+    kind: FetchedState,
+    vm: u64,
+) -> Result<FetchOutcome, ServeError> {
+    match kind {
+        FetchedState::Catalog => peers::fetch_catalog(state, vm, CATALOG_TIMEOUT).await,
+        FetchedState::Backends | FetchedState::Cancellations => {
+            peers::fetch_changes(state, vm, CHANGES_TIMEOUT).await
+        }
+    }
+}
+
+fn record_result(
+    state: &FleetState,
+    kind: FetchedState,
+    vm: u64,
+    result: Result<FetchOutcome, ServeError>,
+) {
+    let now = Instant::now();
+    let mut table = lock(&state.fetches.of(kind).table);
+    match result {
+        Ok(FetchOutcome::Received) => table.postpone(vm, now),
+        Ok(FetchOutcome::Busy) => {
+            counter!("state_fetches_busy_total").increment(1);
+            table.postpone(vm, now + BUSY_TIME);
+        }
+        Err(error) => {
+            counter!("state_fetches_failed_total").increment(1);
+            table.postpone(vm, now + FAILED_TIME);
+            drop(table);
+            let kind = format!("{kind:?}");
+            info!(kind = kind.as_str(), error = error.to_string().as_str(); "fetching newer state failed");
+        }
+    }
+}
+
+/// Returns the number of this VM's own state.
+fn own_number(state: &FleetState, kind: FetchedState) -> StateNumber {
+    match kind {
+        FetchedState::Catalog => state.catalog.version(),
+        FetchedState::Backends => state.backends.read(|table| table.through()),
+        FetchedState::Cancellations => lock(&state.cancellations).through(),
+    }
+}
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -27,25 +27,22 @@
     sync::lock,
     timer::millis, //
 };
-use bytes::Bytes;
 use log::{
     info,
     warn, //
 };
 use metrics::counter;
-use serde_json::Value;
 use tokio::time::sleep;
 
 use crate::{
+    catalog_store::apply_catalog,
     jobs::{
         apply_cancellations,
         stop_cancelled_jobs,
         CANCELLATION_KIND, //
     },
-    state::{
-        workspace_rate,
-        FleetState, //
-    },
+    state::FleetState,
+    state_fetch::FetchedState,
 };
 
 /// Longest wait of one watch call of all watchers but the first.
@@ -292,6 +289,7 @@
                 job: object.name,
             });
             apply_cancellations(state, cancelled.collect(), through, "store");
+            record_own_revisions(state);
         }
     }
     state.backends.changed.notify_one();
@@ -303,29 +301,8 @@
         .into_iter()
         .filter(|object| object.name == name && !object.deleted);
     for object in named {
-        apply_catalog(state, object.spec.to_string().into(), "store");
-    }
-}
-
-/// Puts a configuration in force if it is newer than the current one.
-pub(crate) fn apply_catalog(state: &FleetState, spec: Bytes, source: &'static str) {
-    let parsed = serde_json::from_slice::<Value>(&spec).map_err(|error| error.to_string().into());
-    let decoded = parsed.and_then(|value| (state.format.decode_catalog)(&value));
-    let catalog = match decoded {
-        Ok(catalog) => catalog,
-        Err(cause) => {
-            counter!("catalogs_refused_total").increment(1);
-            warn!(source, cause = cause.as_str(); "invalid configuration");
-            return;
-        }
-    };
-    let rates: Vec<_> = catalog.workspaces().iter().map(workspace_rate).collect();
-    if state.catalog.apply(catalog, spec) {
-        let now = Instant::now();
-        let view = state.fleet_view(now);
-        lock(&state.rate_limiter).ensure_buckets(&rates, view, now);
-        state.backends.changed.notify_one();
-        state.jobs.work.notify_one();
+        let text = object.spec.to_string();
+        apply_catalog(state, &object.spec, text.into(), "store");
     }
 }
 
@@ -351,7 +328,7 @@
             missing: false,
         })
         .collect();
-    log_changes(&changes, "store");
+    log_changes(changes.iter(), "store");
     let now = Instant::now();
     state.backends.update(|table| {
         if is_listing {
@@ -360,10 +337,21 @@
             table.apply(changes, through, now);
         }
     });
+    record_own_revisions(state);
+}
+
+/// Records up to which revisions this VM knows the backend servers and cancellations.
+pub(crate) fn record_own_revisions(state: &FleetState) {
+    let through = state.backends.read(|table| table.through());
+    state.fetches.record_own(FetchedState::Backends, through);
+    let through = lock(&state.cancellations).through();
+    state
+        .fetches
+        .record_own(FetchedState::Cancellations, through);
 }
 
 /// Logs changes of backend servers and their source.
-pub(crate) fn log_changes(changes: &[BackendChange], source: &str) {
+pub(crate) fn log_changes<'a>(changes: impl Iterator<Item = &'a BackendChange>, source: &str) {
     for change in changes {
         let state = match &change.server {
             Some(server) if server.leaving => "leaving",
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -67,6 +67,7 @@
     quarantine_store,
     retirement,
     state::FleetState,
+    state_fetch,
     store_watch,
     takeover,
     version_store,
@@ -200,6 +201,7 @@
     start_peers(state, socket);
     tokio::spawn(peers::serve_peers(state.clone(), peers_listener));
     store_watch::start(state);
+    state_fetch::start(state);
     tokio::spawn(store_watch::prune_periodically(state.clone()));
     tokio::spawn(register(state.clone()));
     tokio::spawn(Arc::new(ItemScheduler::default()).run(state.clone()));
