Refuse nothing for good by a configuration known to be old (DENIED)

Callers saw: 404 or 401 for proper requests at VMs whose configuration was behind (the users' own runs).

Cause: what the configuration in force lacks was refused for good, although the VM knew from heartbeats that a newer one existed.

Now: such a request is refused as config_stale, 503, not run, with a time to return, until the newest known version is in force.

Evidence: stale_configuration::vm_that_is_behind_refuses_nothing_for_good failed on (404); its mutant is killed.

--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -69,7 +69,7 @@
     wire::CallerOperation, //
 };
 
-/// Retry delay for callers while this VM has no configuration yet.
+/// Retry delay for callers while this VM has no configuration yet, or waits for a newer one.
 const CONFIG_RETRY: Duration = Duration::from_millis(300);
 
 /// Retry delay for callers whose requests could outlast this VM's shutdown.
@@ -165,7 +165,7 @@
     })?;
     let operation = (state.format.classify)(parts);
     if operation != CallerOperation::Request && catalog.has_host(&caller.host) {
-        let workspace = authenticate(&catalog, &caller)?;
+        let workspace = authenticate(state, &catalog, &caller)?;
         return jobs::serve_call(state, &caller, operation, &workspace.name).await;
     }
     if state.rejects_new_requests() {
@@ -183,11 +183,11 @@
         ));
     }
     let found = catalog.find_route(&caller.host, caller.path());
-    let route = found
-        .ok_or_else(|| RefusalResponse::not_run(RefusalReason::RouteUnknown, caller.path()))?;
+    let route =
+        found.ok_or_else(|| refuse_unknown(state, RefusalReason::RouteUnknown, caller.path()))?;
     let workspace = match route.open || !catalog.needs_keys() {
         true => None,
-        false => Some(authenticate(&catalog, &caller)?),
+        false => Some(authenticate(state, &catalog, &caller)?),
     };
     let body = read_body(&catalog, parts, body).await?;
     if let RouteKind::Batch(terms) = &route.kind {
@@ -215,6 +215,7 @@
 ///
 /// Returns a refusal when the request carries no key or an unknown one.
 fn authenticate<'a>(
+    state: &FleetState,
     catalog: &'a Catalog,
     caller: &CallerRequest,
 ) -> Result<&'a CatalogWorkspace, RefusalResponse> {
@@ -224,7 +225,23 @@
         .ok_or_else(|| RefusalResponse::not_run(RefusalReason::KeyMissing, "authorization"))?;
     catalog
         .find_key(&hash_key(key))
-        .ok_or_else(|| RefusalResponse::not_run(RefusalReason::KeyUnknown, "authorization"))
+        .ok_or_else(|| refuse_unknown(state, RefusalReason::KeyUnknown, "authorization"))
+}
+
+/// Refuses a request for something that the configuration in force doesn't have. While a newer configuration is known
+/// of, which may have it, the request isn't refused for good.
+fn refuse_unknown(state: &FleetState, reason: RefusalReason, detail: &str) -> RefusalResponse {
+    let Some(since) = state.fetches.behind_since(FetchedState::Catalog) else {
+        return RefusalResponse::not_run(reason, detail);
+    };
+    let cause = format_compact!(
+        "{} in version {}, version {} is known of since {} ms: {detail}",
+        reason.name(),
+        state.catalog.version(),
+        state.fetches.newest(FetchedState::Catalog),
+        millis(since.elapsed())
+    );
+    RefusalResponse::not_run(RefusalReason::ConfigStale, cause).retry_after(CONFIG_RETRY)
 }
 
 /// Takes a token from the workspace's rate limit; waits while the decision is pending.
