Don't take a watch that was cut off for an outage of the store (DRAIN)

Cause: each failed call marked the store as unavailable until the next answer, which a watch of a kind that doesn't change gets after 20 s or never; entries that are removed meanwhile are kept.

Ruled out: a removal that doesn't arrive (the log has it at once).

Now: a watch that was cut off is followed by a call that doesn't wait, and that one's outcome counts. A connection whose peer acknowledges nothing counts as a timeout, not as closed.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod timer;
 mod units;
 pub mod wait_estimate;
+pub mod watch_health;
 
 /// Types generated from `boragerill/schema` by the `codegen` crate.
 #[expect(missing_docs, dead_code, clippy::all)]
--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -593,7 +593,7 @@
         if error.is_connect() {
             return ServeError::Unreachable(Step::Connect, peer, root_cause(error));
         }
-        if error.is_timeout() {
+        if error.is_timeout() || is_unacknowledged(error) {
             return ServeError::Timeout(step, peer);
         }
         ServeError::Unreachable(Step::Receive, peer, root_cause(error))
@@ -622,6 +622,19 @@
     )
 }
 
+/// Returns whether a connection failed since its peer acknowledged nothing for long.
+fn is_unacknowledged(error: &reqwest::Error) -> bool {
+    let mut cause: Option<&dyn std::error::Error> = Some(error);
+    while let Some(inner) = cause {
+        let io = inner.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|error| error.kind() == std::io::ErrorKind::TimedOut) {
+            return true;
+        }
+        cause = inner.source();
+    }
+    false
+}
+
 /// Returns the innermost source of an HTTP error, which names the actual failure.
 pub fn root_cause(error: &reqwest::Error) -> CompactString {
     let mut cause: &dyn std::error::Error = error;
--- /dev/null
+++ b/boragerill/src/watch_health.rs
@@ -0,0 +1,50 @@
+//! Whether the platform's store is available, as one watch of it shows.
+//!
+//! The store may cut off a watch that waits, and the next call waits again unless something changes. A watch that was cut
+//! off says nothing about the store, so the next call doesn't wait: its outcome does.
+
+/// Outcome of a call of a watch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WatchOutcome {
+    /// The store responded.
+    Answered,
+    /// The connection was closed while the call waited.
+    CutOff,
+    /// The call was rejected, timed out, or couldn't be sent.
+    Failed,
+}
+
+/// What the outcome shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreHealth {
+    /// The store is available.
+    Available,
+    /// The next call will show it.
+    Unknown,
+    /// The store is unavailable.
+    Unavailable,
+}
+
+/// Calls of one watch so far.
+#[derive(Clone, Debug, Default)]
+pub struct WatchHealth {
+    is_uncertain: bool, // Whether the store hasn't responded since the last failure.
+}
+
+impl WatchHealth {
+    /// Returns whether the next call has to be answered at once rather than wait for a change.
+    pub fn needs_answer(&self) -> bool {
+        self.is_uncertain
+    }
+
+    /// Records the outcome of a call.
+    pub fn record(&mut self, outcome: WatchOutcome) -> StoreHealth {
+        let was_uncertain =
+            std::mem::replace(&mut self.is_uncertain, outcome != WatchOutcome::Answered);
+        match outcome {
+            WatchOutcome::Answered => StoreHealth::Available,
+            WatchOutcome::CutOff if !was_uncertain => StoreHealth::Unknown,
+            WatchOutcome::CutOff | WatchOutcome::Failed => StoreHealth::Unavailable,
+        }
+    }
+}
--- /dev/null
+++ b/boragerill/tests/watch_health.rs
@@ -0,0 +1,60 @@
+//! Tests of what calls of a watch show about the store.
+
+use boragerill::watch_health::{
+    StoreHealth,
+    WatchHealth,
+    WatchOutcome, //
+};
+
+// Guards against DRAIN: a store that cut off waiting watches counted as unavailable until something changed in it, and
+// servers that were removed meanwhile stayed in use.
+#[test]
+fn watches_that_are_cut_off_again_and_again_are_no_outage() {
+    // arrange
+    let mut health = WatchHealth::default();
+
+    for _ in 0..5 {
+        // act
+        let cut = health.record(WatchOutcome::CutOff);
+        let needs_answer = health.needs_answer();
+        let answered = health.record(WatchOutcome::Answered);
+
+        // assert
+        assert_eq!(cut, StoreHealth::Unknown);
+        assert!(needs_answer);
+        assert_eq!(answered, StoreHealth::Available);
+        assert!(!health.needs_answer());
+    }
+}
+
+#[test]
+fn store_that_closes_the_next_call_as_well_is_unavailable() {
+    // arrange
+    let mut health = WatchHealth::default();
+    health.record(WatchOutcome::CutOff);
+
+    // act
+    let closed = health.record(WatchOutcome::CutOff);
+    let again = health.record(WatchOutcome::CutOff);
+
+    // assert
+    assert_eq!(closed, StoreHealth::Unavailable);
+    assert_eq!(again, StoreHealth::Unavailable);
+    assert!(health.needs_answer());
+}
+
+#[test]
+fn rejected_call_shows_an_outage_at_once() {
+    // arrange
+    let mut health = WatchHealth::default();
+
+    // act
+    let rejected = health.record(WatchOutcome::Failed);
+    let needs_answer = health.needs_answer();
+    let answered = health.record(WatchOutcome::Answered);
+
+    // assert
+    assert_eq!(rejected, StoreHealth::Unavailable);
+    assert!(needs_answer);
+    assert_eq!(answered, StoreHealth::Available);
+}
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -22,10 +22,18 @@
         Revision, //
     },
     cancellation::JobCancellation,
-    error::ServeError,
+    error::{
+        ServeError,
+        Step, //
+    },
     rank::hash_name,
     sync::lock,
-    timer::millis, //
+    timer::millis,
+    watch_health::{
+        StoreHealth,
+        WatchHealth,
+        WatchOutcome, //
+    },
 };
 use log::{
     info,
@@ -52,6 +60,9 @@
 /// store compacts its history; the next call detects this.
 const FIRST_WATCHER_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Shortest time from a watch call that is cut off to the next call.
+const SHORT_WATCH: Duration = Duration::from_millis(300);
+
 /// First back-off after a failed call; doubles up to `BACKOFF_MAX`.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 
@@ -122,6 +133,7 @@
 async fn watch_kind(state: Arc<FleetState>, watch_state: Arc<WatchState>, kind: WatchedKind) {
     let mut backoff = BACKOFF_MIN;
     let mut through = None;
+    let mut health = WatchHealth::default();
     loop {
         if is_covered(&state) {
             lock(&state.members).own_mut().follows = false;
@@ -134,11 +146,20 @@
         if through.is_none() && !wait_for_turn(&state).await {
             continue;
         }
+        let started = Instant::now();
         let result = match through {
             None => list(&state, kind).await,
-            Some(after) => watch(&state, kind, after).await,
+            Some(after) => watch(&state, kind, after, health.needs_answer()).await,
         };
-        watch_state.record(kind, result.is_ok() || is_compacted(&result));
+        let store = health.record(outcome(&result));
+        if store == StoreHealth::Unknown {
+            counter!("platform_watches_cut_off_total").increment(1);
+            info!(kind = kind_name(&state, kind), waited_ms = millis(started.elapsed()); "watch cut off, checking the store");
+            // A store that cuts calls off at once isn't called all the time.
+            sleep(SHORT_WATCH.saturating_sub(started.elapsed())).await;
+            continue;
+        }
+        watch_state.record(kind, store == StoreHealth::Available);
         let healthy = watch_state.is_healthy();
         lock(&state.members).own_mut().follows = healthy;
         match result {
@@ -162,8 +183,13 @@
     }
 }
 
-fn is_compacted(result: &Result<Revision, ServeError>) -> bool {
-    matches!(result, Err(ServeError::Compacted(..)))
+/// Returns what the result of a call shows. A call that is closed before its response was waiting for a change.
+fn outcome(result: &Result<Revision, ServeError>) -> WatchOutcome {
+    match result {
+        Ok(_) | Err(ServeError::Compacted(..)) => WatchOutcome::Answered,
+        Err(ServeError::Unreachable(Step::Receive, ..)) => WatchOutcome::CutOff,
+        Err(_) => WatchOutcome::Failed,
+    }
 }
 
 /// Returns whether this VM has its first state and enough VMs of higher rank watch the store.
@@ -259,9 +285,11 @@
     state: &FleetState,
     kind: WatchedKind,
     after: Revision,
+    needs_answer: bool,
 ) -> Result<Revision, ServeError> {
     let name = kind_name(state, kind);
     let wait = match watchers_before(state) {
+        _ if needs_answer => Duration::ZERO,
         0 => FIRST_WATCHER_TIMEOUT,
         _ => WATCH_TIMEOUT,
     };
--- a/standins/src/standard_store.rs
+++ b/standins/src/standard_store.rs
@@ -3,7 +3,7 @@
 //! Tests inject faults at run time.
 
 use std::{
-    convert::Infallible,
+    io,
     net::SocketAddr,
     sync::{
         Arc,
@@ -65,6 +65,8 @@
     pub lost_write_responses: u32,
     /// Delay of each call.
     pub delay: Duration,
+    /// Time after which the connection of a waiting watch call is closed.
+    pub watch_cut_after: Option<Duration>,
     /// Delay of the response to a watch call, after its events.
     pub watch_response_delay: Duration,
     /// Delay of the response to a write that has been executed.
@@ -194,7 +196,7 @@
     async fn serve(self, stream: TcpStream) {
         let service = service_fn(|request: Request<Incoming>| {
             let store = self.clone();
-            async move { Ok::<_, Infallible>(store.respond(request).await) }
+            async move { store.respond_or_cut(request).await }
         });
         // An error means that the client has closed the connection.
         let _ = http1::Builder::new()
@@ -202,6 +204,25 @@
             .await;
     }
 
+    /// Responds to a call, unless it is a watch that waits for longer than the faults allow.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection has to be closed.
+    async fn respond_or_cut(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, io::Error> {
+        let limit = lock(&self.state).faults.watch_cut_after;
+        let is_watch = request.uri().query().unwrap_or_default().contains("watch=");
+        let Some(limit) = limit.filter(|_| is_watch) else {
+            return Ok(self.respond(request).await);
+        };
+        timeout(limit, self.respond(request))
+            .await
+            .map_err(|_| io::ErrorKind::ConnectionAborted.into())
+    }
+
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
