Filter the headers of items as those of callers (LOST)

Cause: headers that only the system may set were forwarded from items; each server's 421 then counts as another server at its address.

Evidence: jobs::headers_that_only_the_system_sets_are_not_taken_from_items failed before (0 results after 20 s).

--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -58,7 +58,10 @@
         BackendState,
         RequestClass, //
     },
-    caller::set_workspace,
+    caller::{
+        forwardable_headers,
+        set_workspace, //
+    },
     crash_watch::{
         record_lost_request,
         LostRequest, //
@@ -345,6 +348,7 @@
             headers.insert(name, value);
         }
     }
+    let mut headers = forwardable_headers(names, &headers);
     let mut set = |name: &HeaderName, value: &str| {
         if let Ok(value) = HeaderValue::from_str(value) {
             headers.insert(name.clone(), value);
