Share which items of a job can never be done (BUDGET)

Cause: that an item can never be done is known to its runner alone until the result is stored; each runner that is lost meanwhile takes it along.

Ruled out: a second run by one runner, a stored result that isn't read.

Now: reports of jobs and handovers name the abandoned items whose results aren't stored, and the next runner lists them without a run.

--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -457,6 +457,21 @@
         }
     }
 
+    /// Returns the positions of the abandoned items whose results aren't stored.
+    pub fn abandoned(&self) -> Vec<usize> {
+        let is_abandoned =
+            |index: &usize| self.items[*index].phase == ItemPhase::Finished(JobOutcome::Failed);
+        (0..self.items.len()).filter(is_abandoned).collect()
+    }
+
+    /// Abandons the items that an earlier runner has abandoned.
+    pub fn adopt_abandoned(&mut self, abandoned: &[usize]) {
+        let count = self.items.len();
+        for &index in abandoned.iter().filter(|&&index| index < count) {
+            self.abandon_item(index);
+        }
+    }
+
     /// Records that the output of a running item is complete.
     pub fn complete(&mut self, index: usize) {
         let item = &mut self.items[index];
--- a/boragerill/src/job_directory.rs
+++ b/boragerill/src/job_directory.rs
@@ -73,6 +73,8 @@
     pub closed: bool,
     /// Number of stored chunks of results.
     pub chunks: u32,
+    /// Positions of the items that were abandoned and whose results weren't stored.
+    pub abandoned: Vec<usize>,
     /// When the last report arrived, the job was found, or a takeover was postponed.
     pub refreshed: Instant,
 }
@@ -173,6 +175,7 @@
                     account: 0,
                     closed: true,
                     chunks: 0,
+                    abandoned: Vec::new(),
                     refreshed: now,
                 },
             ),
--- a/boragerill/tests/job_directory.rs
+++ b/boragerill/tests/job_directory.rs
@@ -65,6 +65,7 @@
         account: 7,
         closed: false,
         chunks: 0,
+        abandoned: Vec::new(),
         refreshed: now,
     }
 }
--- a/boragerill/tests/jobs.rs
+++ b/boragerill/tests/jobs.rs
@@ -490,3 +490,24 @@
     assert_eq!(limits, expected.map(Duration::from_millis));
     assert_eq!(other, Duration::from_millis(1500));
 }
+
+// Guards against BUDGET: each runner of a job sent an item that can never be done to one more server.
+#[test]
+fn new_runner_adopts_the_items_that_were_abandoned() {
+    // arrange
+    let mut first = new_progress();
+    first.start_item(FAILING_ITEM, VERSION);
+    first.abandon_item(FAILING_ITEM);
+
+    // act
+    let mut second = new_progress();
+    second.adopt_abandoned(&[FAILING_ITEM, ITEMS + 7]);
+
+    // assert
+    assert_eq!(first.abandoned(), [FAILING_ITEM]);
+    assert_eq!(second.abandoned(), [FAILING_ITEM]);
+    assert!(!second.startable(Instant::now()).contains(&FAILING_ITEM));
+    let (number, chunk) = second.next_chunk("runner").expect("chunk");
+    assert_eq!((number, chunk.results.len()), (0, 1));
+    assert_eq!(chunk.results[0].outcome, JobOutcome::Failed);
+}
--- a/fleet/src/handover.rs
+++ b/fleet/src/handover.rs
@@ -67,6 +67,7 @@
         id: entry.id.to_string(),
         age_ms: u32::try_from(millis(entry.submitted.elapsed())).unwrap_or(u32::MAX),
         partials: partials(entry),
+        abandoned: encode_positions(&lock(&entry.progress).abandoned()),
     });
     match peers::request(state, target, body, HANDOVER_TIMEOUT).await {
         Ok(Body::JobDone(done)) if done.done => {
@@ -92,6 +93,18 @@
     outputs.collect()
 }
 
+/// Converts positions of items for a message.
+pub(crate) fn encode_positions(positions: &[usize]) -> Vec<u32> {
+    let encoded = positions.iter().map(|&position| u32::try_from(position));
+    encoded.flatten().collect()
+}
+
+/// Converts positions of items in a message.
+pub(crate) fn item_positions(positions: &[u32]) -> Vec<usize> {
+    let decoded = positions.iter().map(|&position| usize::try_from(position));
+    decoded.flatten().collect()
+}
+
 fn checkpoint_of(partials: Vec<ItemOutput>) -> JobCheckpoint {
     let outputs = partials.into_iter().map(|output| PartialOutput {
         item: usize::try_from(output.item).unwrap_or(usize::MAX),
@@ -125,7 +138,11 @@
         }
     };
     let checkpoint = checkpoint_of(handover.partials);
-    lock(&entry.progress).adopt_checkpoint(checkpoint);
+    {
+        let mut progress = lock(&entry.progress);
+        progress.adopt_checkpoint(checkpoint);
+        progress.adopt_abandoned(&item_positions(&handover.abandoned));
+    }
     if state.jobs.insert(entry.clone()).is_none() {
         info!(job = entry.id.as_str(); "job handover accepted");
         start_job(state, entry);
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -36,6 +36,7 @@
 };
 
 use crate::{
+    handover::encode_positions,
     jobs::JobEntry,
     quarantine_notice::add_news,
     state::FleetState, //
@@ -311,7 +312,10 @@
 }
 
 fn is_same_status(a: &JobStatus, b: &JobStatus) -> bool {
-    a.chunks == b.chunks && a.closed == b.closed && a.waiting_tokens == b.waiting_tokens
+    a.chunks == b.chunks
+        && a.closed == b.closed
+        && a.waiting_tokens == b.waiting_tokens
+        && a.abandoned == b.abandoned
 }
 
 fn job_status(entry: &JobEntry, now: Instant) -> JobStatus {
@@ -325,6 +329,7 @@
         account: entry.account(),
         closed: progress.is_closed(),
         chunks: progress.chunks(),
+        abandoned: encode_positions(&progress.abandoned()),
     }
 }
 
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -37,6 +37,7 @@
 use metrics::gauge;
 
 use crate::{
+    handover::item_positions,
     quarantine_notice::read_news,
     state::FleetState,
     state_fetch::{
@@ -244,6 +245,7 @@
             account: job.account,
             closed: job.closed,
             chunks: job.chunks,
+            abandoned: item_positions(&job.abandoned),
             refreshed: now,
         };
         takeover::resolve_duplicate(&self.state, &report);
@@ -269,6 +271,7 @@
             account: job.account,
             closed: false,
             chunks: 0,
+            abandoned: Vec::new(),
             refreshed: now.checked_sub(ANNOUNCE_DELAY).unwrap_or(now),
         };
         jobs.update_directory(|directory| directory.record_unreported(record));
--- a/fleet/src/job_watch.rs
+++ b/fleet/src/job_watch.rs
@@ -188,6 +188,7 @@
         account: account(&manifest.workspace, &manifest.host, &manifest.prefix),
         closed: false,
         chunks: 0,
+        abandoned: Vec::new(),
         refreshed,
     })
 }
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -107,7 +107,7 @@
         let taken = orphans.for_each_concurrent(MAX_TAKEOVERS, |job| async move {
             // The runner may have reported the job while others were taken over.
             if is_orphaned(state, &job, last_minority) {
-                take_over(state, &job.id, job.submitted).await;
+                take_over(state, &job).await;
             }
         });
         taken.await;
@@ -160,9 +160,11 @@
 }
 
 /// Takes a job over from its state in the store and runs it.
-pub(crate) async fn take_over(state: &Arc<FleetState>, id: &str, submitted: Instant) {
-    match claim_job(state, id, submitted).await {
+async fn take_over(state: &Arc<FleetState>, job: &JobRecord) {
+    let id = job.id.as_str();
+    match claim_job(state, id, job.submitted).await {
         Ok(Some(entry)) => {
+            lock(&entry.progress).adopt_abandoned(&job.abandoned);
             if state.jobs.insert(entry.clone()).is_some() {
                 return;
             }
