--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod platform;
 pub mod ports;
 pub mod service;
+pub mod soak;
 pub mod standard_server;
 pub mod standard_store;
 pub mod store;
--- a/standins/src/soak/clients.rs
+++ b/standins/src/soak/clients.rs
@@ -22,7 +22,7 @@
     Response, //
 };
 
-use crate::{
+use super::{
     config::{
         HOST,
         KEY, //
--- a/standins/src/soak/config.rs
+++ b/standins/src/soak/config.rs
@@ -20,6 +20,9 @@
 /// Route of streams that may run once, in all configurations.
 pub(crate) const SINGLE_PATH: &str = "/single/";
 
+/// Route of batch jobs.
+pub(super) const BATCH_PATH: &str = "/batch/";
+
 /// Returns the path prefix of an added route.
 pub(crate) fn added_path(number: usize) -> String {
     format!("/added-{number:05}/")
@@ -30,6 +33,7 @@
     let mut routes = vec![
         route("resumable", RESUMABLE_PATH, true),
         route("single", SINGLE_PATH, false),
+        batch_route(),
     ];
     for number in 0..added {
         let name = format!("r-{number:05}");
@@ -49,6 +53,19 @@
     })
 }
 
+fn batch_route() -> Value {
+    let mut route = route("batch", BATCH_PATH, true);
+    for (field, value) in [
+        ("kind", json!("batch")),
+        ("completion_target_ms", json!(18000)),
+        ("max_queue_s", json!(60.0)),
+        ("cap", json!(0)),
+    ] {
+        route[field] = value;
+    }
+    route
+}
+
 fn route(name: &str, path: &str, resumable: bool) -> Value {
     json!({
         "name": name,
--- a/standins/src/soak/fleet.rs
+++ b/standins/src/soak/fleet.rs
@@ -13,13 +13,13 @@
     },
 };
 
-use nix::sys::signal::Signal;
-use reqwest::Client;
-use serde_json::json;
-use standins::{
+use crate::{
     ports::free_port,
     vm_process::VmProcess, //
 };
+use nix::sys::signal::Signal;
+use reqwest::Client;
+use serde_json::json;
 use tokio::time::sleep;
 
 /// Number of failure domains.
@@ -42,6 +42,13 @@
     pub(crate) to: Option<Instant>,
 }
 
+impl VmFault {
+    /// Returns whether the fault lies outside of a time, and ended `contact` before it or earlier.
+    pub(crate) fn leaves_out(&self, from: Instant, to: Instant, contact: Duration) -> bool {
+        self.from > to || self.to.is_some_and(|end| end + contact < from)
+    }
+}
+
 /// One VM.
 pub(crate) struct SoakVm {
     /// Address that clients connect to.
@@ -110,11 +117,9 @@
 
     /// Returns whether no fault lay within `contact` before or after any moment from `from` to `to`.
     pub(crate) fn is_in_touch(&self, from: Instant, to: Instant, contact: Duration) -> bool {
-        self.faults.iter().all(|fault| {
-            let begins_later = fault.from > to;
-            let ended_before = fault.to.is_some_and(|end| end + contact < from);
-            begins_later || ended_before
-        })
+        self.faults
+            .iter()
+            .all(|fault| fault.leaves_out(from, to, contact))
     }
 }
 
--- a/standins/src/soak/oracle.rs
+++ b/standins/src/soak/oracle.rs
@@ -5,7 +5,7 @@
     Instant, //
 };
 
-use crate::{
+use super::{
     clients::{
         ClientRecord,
         StreamOutcome, //
@@ -15,13 +15,23 @@
         RESUMABLE_PATH,
         SINGLE_PATH, //
     },
-    fleet::SoakVm,
+    fleet::{
+        SoakVm,
+        VmFault, //
+    },
+    jobs::{
+        JobOutcome,
+        JobState, //
+    },
     servers::ServerArrival,
 };
 
 /// Time after the effect of a version within which a VM may still respond by an earlier one.
 const ROLLBACK_SLACK: Duration = Duration::from_millis(250);
 
+/// Time after the acknowledgement of its end within which items of a job may still reach servers.
+const CANCEL_TIME: Duration = Duration::from_secs(3);
+
 /// Number of violations of a rule that are described.
 const MAX_DESCRIBED: usize = 6;
 
@@ -72,6 +82,12 @@
     pub(crate) configs: &'a [ConfigChange],
     /// Servers that left.
     pub(crate) leaves: &'a [ServerLeave],
+    /// Outages of the store.
+    pub(crate) outages: &'a [VmFault],
+    /// Batch jobs.
+    pub(crate) jobs: &'a [JobOutcome],
+    /// Requests of items that reached any server.
+    pub(crate) arrivals: &'a [ServerArrival],
 }
 
 /// Violations of the rules, as descriptions.
@@ -111,9 +127,20 @@
         }
         self.check_regressions(&mut report);
         self.check_drains(&mut report);
+        self.check_jobs(&mut report);
         report
     }
 
+    /// Returns whether neither the VM nor the store was disturbed within the time of contact.
+    fn is_in_touch(&self, vm: &SoakVm, from: Instant, to: Instant) -> bool {
+        let contact = self.bounds.contact;
+        vm.is_in_touch(from, to, contact)
+            && self
+                .outages
+                .iter()
+                .all(|outage| outage.leaves_out(from, to, contact))
+    }
+
     fn describe(&self, request: &ClientRecord) -> String {
         let at = |time: Instant| (time - self.start).as_secs_f64();
         format!(
@@ -151,7 +178,7 @@
         };
         let vm = &self.vms[request.vm];
         let is_due = request.sent > config.acknowledged + self.bounds.config;
-        if is_due && vm.is_in_touch(request.sent, request.ended, self.bounds.contact) {
+        if is_due && self.is_in_touch(vm, request.sent, request.ended) {
             let late = (request.sent - config.acknowledged).as_secs_f64();
             let text = self.describe(request);
             let version = config.version;
@@ -190,6 +217,37 @@
         }
     }
 
+    /// Checks that accepted jobs end, with complete results in order, and that cancelled ones stop.
+    fn check_jobs(&self, report: &mut RuleReport) {
+        for job in self.jobs {
+            match &job.state {
+                JobState::Complete | JobState::Refused => {}
+                JobState::Cancelled(acknowledged) => {
+                    self.check_cancelled(&job.id, *acknowledged, report);
+                }
+                JobState::Incomplete(cause) => report.add("LOST", format!("{}: {cause}", job.id)),
+                JobState::Wrong(cause) => report.add("MIXED", format!("{}: {cause}", job.id)),
+            }
+        }
+    }
+
+    fn check_cancelled(&self, id: &str, acknowledged: Instant, report: &mut RuleReport) {
+        let due = acknowledged + CANCEL_TIME;
+        let late = self.arrivals.iter().filter(|arrival| {
+            let is_late = arrival.at > due && arrival.request.starts_with(id);
+            // It isn't known which VM sent an item.
+            let mut vms = self.vms.iter();
+            is_late && vms.all(|vm| self.is_in_touch(vm, acknowledged, arrival.at))
+        });
+        for arrival in late {
+            let time = (arrival.at - acknowledged).as_secs_f64();
+            report.add(
+                "UNASKED",
+                format!("{} {time:.3} s after the end", arrival.request),
+            );
+        }
+    }
+
     fn check_drains(&self, report: &mut RuleReport) {
         let mut senders: Vec<&ClientRecord> = self.requests.iter().collect();
         senders.sort_by(|one, other| one.id.cmp(&other.id));
@@ -203,7 +261,7 @@
                 let request = senders[index];
                 let vm = &self.vms[request.vm];
                 let from = leave.acknowledged.min(request.sent);
-                if vm.is_in_touch(from, arrival.at, self.bounds.contact) {
+                if self.is_in_touch(vm, from, arrival.at) {
                     let late = (arrival.at - leave.acknowledged).as_secs_f64();
                     let text = self.describe(request);
                     let server = &leave.server;
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -47,6 +47,16 @@
         /// Downtime.
         lasts: Duration,
     },
+    /// The store rejects all calls for `lasts`.
+    StoreOutage {
+        /// Length.
+        lasts: Duration,
+    },
+    /// The store cuts off watches that have waited for `after`, from now on.
+    CutWatches {
+        /// Time for which a watch may wait.
+        after: Duration,
+    },
     /// A VM gets SIGTERM, and starts again `lasts` after its end.
     Stop {
         /// Index of the VM.
@@ -152,6 +162,15 @@
         };
         at(&mut plan, random.random_range(2.0..length - 4.0), action);
     }
+    if random.random_bool(0.5) {
+        let after = Duration::from_secs_f64(random.random_range(0.5..8.0));
+        at(&mut plan, 0.0, SoakAction::CutWatches { after });
+    }
+    if random.random_bool(0.5) {
+        let lasts = Duration::from_secs_f64(random.random_range(0.5..5.0));
+        let seconds = random.random_range(2.0..length - 6.0);
+        at(&mut plan, seconds, SoakAction::StoreOutage { lasts });
+    }
     plan.sort_by_key(|entry| entry.0);
     plan
 }
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     path::PathBuf,
     sync::{
         atomic::{
@@ -18,11 +19,11 @@
     },
 };
 
+use crate::standard_store::StandardStore;
 use boragerill::sync::lock;
 use nix::sys::signal::Signal;
 use rand::RngExt;
 use reqwest::Client;
-use standins::standard_store::StandardStore;
 use tokio::{
     task::JoinSet,
     time::{
@@ -31,7 +32,7 @@
     },
 };
 
-use crate::{
+use super::{
     clients::{
         SoakClients,
         StreamOutcome, //
@@ -45,7 +46,12 @@
     fleet::{
         self,
         domain,
-        SoakVm, //
+        SoakVm,
+        VmFault, //
+    },
+    jobs::{
+        is_item,
+        JobClients, //
     },
     oracle::{
         ConfigChange,
@@ -58,7 +64,10 @@
         PlanTerms,
         SoakAction, //
     },
-    servers::SoakServer,
+    servers::{
+        ServerArrival,
+        SoakServer, //
+    },
 };
 
 /// Number of VMs from which on the bounds of large deployments hold.
@@ -82,6 +91,9 @@
 /// Downtime of a server that doesn't come back.
 const FOREVER: Duration = Duration::from_secs(3600);
 
+/// Interval between submissions of jobs.
+const JOB_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Period of a quota of processor time.
 const QUOTA_PERIOD: Duration = Duration::from_millis(100);
 
@@ -90,27 +102,27 @@
 
 /// What a run consists of.
 #[derive(Clone, Debug)]
-pub(crate) struct SoakOptions {
+pub struct SoakOptions {
     /// Program of a VM.
-    pub(crate) program: PathBuf,
+    pub program: PathBuf,
     /// Number of VMs.
-    pub(crate) vms: usize,
+    pub vms: usize,
     /// Number of servers.
-    pub(crate) servers: usize,
+    pub servers: usize,
     /// Length of the load.
-    pub(crate) seconds: u64,
+    pub seconds: u64,
     /// Seed of the plan.
-    pub(crate) seed: u64,
+    pub seed: u64,
     /// Requests a second at each VM.
-    pub(crate) rate: f64,
+    pub rate: f64,
     /// Number of busy threads beside the fleet.
-    pub(crate) busy: usize,
+    pub busy: usize,
     /// Number of routes that the large change adds.
-    pub(crate) routes: usize,
+    pub routes: usize,
     /// Share of the time in which each VM's process runs, as under a quota of processor time.
-    pub(crate) share: f64,
+    pub share: f64,
     /// Folder that keeps settings and logs.
-    pub(crate) keep: Option<PathBuf>,
+    pub keep: Option<PathBuf>,
 }
 
 impl Default for SoakOptions {
@@ -138,11 +150,17 @@
     clients: SoakClients,
     configs: Mutex<Vec<ConfigChange>>,
     leaves: Mutex<Vec<(usize, Instant)>>, // Servers that leave, and when that was acknowledged.
-    added: AtomicUsize,                   // Added routes of the newest configuration.
+    outages: Mutex<Vec<VmFault>>,         // Outages of the store.
+    jobs: JobClients,
+    added: AtomicUsize, // Added routes of the newest configuration.
 }
 
 /// Runs a soak, prints what was seen, and returns whether all rules were kept.
-pub(crate) async fn run_soak(options: SoakOptions) -> io::Result<bool> {
+///
+/// # Errors
+///
+/// Returns the error of a file or process, or one if a VM isn't ready in time.
+pub async fn run_soak(options: SoakOptions) -> io::Result<bool> {
     let folder = options.keep.clone().unwrap_or_else(|| {
         std::env::temp_dir().join(format!("boragerill-soak-{}", std::process::id()))
     });
@@ -152,6 +170,7 @@
     let begin = Instant::now();
     let end = begin + Duration::from_secs(options.seconds);
     let mut tasks = JoinSet::new();
+    tasks.spawn(submit_jobs(run.clone(), end));
     for vm in 0..options.vms {
         tasks.spawn(throttle(run.clone(), vm, options.share, end));
         tasks.spawn(send_load(run.clone(), vm, options.rate, end));
@@ -192,7 +211,7 @@
         servers.push(Arc::new(server));
     }
     let vms = fleet::start(&options.program, store.address(), options.vms, folder)?;
-    let callers = vms.iter().map(|vm| vm.callers).collect();
+    let callers: Vec<SocketAddr> = vms.iter().map(|vm| vm.callers).collect();
     let ready: Vec<_> = vms.iter().map(|vm| vm.ready).collect();
     let client = Client::builder().no_proxy().timeout(Duration::from_secs(1));
     let client = client.build().map_err(io::Error::other)?;
@@ -204,13 +223,15 @@
         store,
         servers: Mutex::new(servers),
         vms: Mutex::new(vms),
-        clients: SoakClients::new(callers),
+        clients: SoakClients::new(callers.clone()),
         configs: Mutex::new(vec![ConfigChange {
             version: 1,
             acknowledged: Instant::now(),
             added: 0,
         }]),
         leaves: Mutex::default(),
+        outages: Mutex::default(),
+        jobs: JobClients::new(callers),
         added: AtomicUsize::new(0),
     })
 }
@@ -267,6 +288,20 @@
     while sending.join_next().await.is_some() {}
 }
 
+/// Submits jobs to VMs in turn until `end`, cancels some of them, and reads the others until they are complete.
+async fn submit_jobs(run: Arc<SoakRun>, end: Instant) {
+    let mut jobs = JoinSet::new();
+    for number in 0.. {
+        sleep(JOB_INTERVAL).await;
+        if Instant::now() >= end {
+            break;
+        }
+        let run = run.clone();
+        jobs.spawn(async move { run.jobs.run_job(number).await });
+    }
+    while jobs.join_next().await.is_some() {}
+}
+
 /// Sends requests on the newest route to a VM periodically until `end`.
 async fn send_probes(run: Arc<SoakRun>, vm: usize, end: Instant) {
     let mut sending = JoinSet::new();
@@ -304,6 +339,20 @@
                 leaving.crash(FOREVER);
             }
             SoakAction::Crash { server, lasts } => self.server(server).crash(lasts),
+            SoakAction::StoreOutage { lasts } => {
+                let from = Instant::now();
+                lock(&self.outages).push(VmFault { from, to: None });
+                self.store
+                    .set_faults(|faults| faults.error_status = Some(503));
+                sleep(lasts).await;
+                self.store.set_faults(|faults| faults.error_status = None);
+                if let Some(outage) = lock(&self.outages).last_mut() {
+                    outage.to = Some(Instant::now());
+                }
+            }
+            SoakAction::CutWatches { after } => self
+                .store
+                .set_faults(|faults| faults.watch_cut_after = Some(after)),
             SoakAction::Stop { vm, lasts } => self.stop(vm, lasts).await,
             SoakAction::Kill { vm, lasts } => {
                 self.with_vm(vm, |vm| {
@@ -384,6 +433,17 @@
         change(&mut lock(&self.vms)[vm])
     }
 
+    /// Returns the requests of items that reached any server.
+    fn item_arrivals(&self) -> Vec<ServerArrival> {
+        let servers = lock(&self.servers);
+        let arrivals = servers.iter().flat_map(|server| {
+            let arrivals = lock(&server.arrivals);
+            let items = arrivals.iter().filter(|arrival| is_item(&arrival.request));
+            items.cloned().collect::<Vec<_>>()
+        });
+        arrivals.collect()
+    }
+
     /// Checks and prints what was seen; returns whether all rules were kept.
     fn report(&self, start: Instant, vm_count: usize) -> bool {
         let mut vms = lock(&self.vms);
@@ -406,14 +466,18 @@
             requests: &requests,
             configs: &configs,
             leaves: &leaves,
+            outages: &lock(&self.outages),
+            jobs: &self.jobs.records(),
+            arrivals: &self.item_arrivals(),
         };
         let complete = requests
             .iter()
             .filter(|request| request.outcome == StreamOutcome::Complete);
         println!(
-            "{} requests, {} complete, {} configurations, {} leaving servers",
+            "{} requests, {} complete, {} jobs, {} configurations, {} leaving servers",
             requests.len(),
             complete.count(),
+            record.jobs.len(),
             configs.len(),
             leaves.len()
         );
--- a/standins/src/soak/servers.rs
+++ b/standins/src/soak/servers.rs
@@ -13,12 +13,7 @@
     },
 };
 
-use boragerill::sync::lock;
-use serde_json::{
-    json,
-    Value, //
-};
-use standins::standard_server::{
+use crate::standard_server::{
     event_chunk,
     first_event,
     rejection,
@@ -28,8 +23,13 @@
     ResponseStep,
     StandardServer, //
 };
+use boragerill::sync::lock;
+use serde_json::{
+    json,
+    Value, //
+};
 
-use crate::config::SERVICE;
+use super::config::SERVICE;
 
 /// Number of the last event of every stream.
 pub(crate) const LAST_EVENT: u64 = 18;
--- a/standins/src/soak/main.rs
+++ b/standins/src/soak_main.rs
@@ -1,20 +1,12 @@
 //! Runs a fleet of real VM processes under load, disturbs it by a seeded plan, and checks what clients and backend
 //! servers saw.
 
-mod clients;
-mod config;
-mod fleet;
-mod oracle;
-mod plan;
-mod run;
-mod servers;
-
 use std::{
     path::PathBuf,
     process::ExitCode, //
 };
 
-use crate::run::{
+use standins::soak::{
     run_soak,
     SoakOptions, //
 };
