--- a/boragerill/src/state_fetch.rs
+++ b/boragerill/src/state_fetch.rs
@@ -33,6 +33,9 @@
 /// Longest delay before a VM of another failure domain is asked.
 const MAX_REMOTE_DELAY: Duration = Duration::from_millis(250);
 
+/// Time for which a newer state counts as existing after a VM has last stated it.
+const STATED_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Maximum number of VMs to which a large state is sent at once.
 const MAX_TRANSFERS: usize = 4;
 
@@ -76,10 +79,11 @@
     sources: Vec<StateSource>, // Sorted by VM.
     newest: StateNumber,
     behind_since: Option<Instant>,
+    last_stated: Option<Instant>, // When any VM last stated a newer number than the own one.
 }
 
 impl SourceTable {
-    /// Records the number that a VM has stated, if it is newer than the own one.
+    /// Records the number that a VM has stated; a VM that has restarted may state a lower one than before.
     pub fn record(
         &mut self,
         vm: u64,
@@ -88,12 +92,20 @@
         own: StateNumber,
         now: Instant,
     ) {
+        let found = self.sources.binary_search_by_key(&vm, |source| source.vm);
         if number <= own {
+            if let Ok(index) = found {
+                self.sources.remove(index);
+            }
             return;
         }
+        if self.behind_since(now).is_none() {
+            self.behind_since = Some(now);
+            self.newest = number;
+        }
         self.newest = self.newest.max(number);
-        self.behind_since.get_or_insert(now);
-        match self.sources.binary_search_by_key(&vm, |source| source.vm) {
+        self.last_stated = Some(now);
+        match found {
             Ok(index) => self.sources[index].number = number,
             Err(index) => self.sources.insert(
                 index,
@@ -120,9 +132,17 @@
         self.newest
     }
 
-    /// Returns since when a newer state than the own one has been known of, if there is one.
-    pub fn behind_since(&self) -> Option<Instant> {
-        self.behind_since
+    /// Returns since when a newer state than the own one has been known of, if any VM has stated one lately.
+    pub fn behind_since(&self, now: Instant) -> Option<Instant> {
+        let is_stated = self
+            .last_stated
+            .is_some_and(|stated| now < stated + STATED_LIFETIME);
+        self.behind_since.filter(|_| is_stated)
+    }
+
+    /// Returns whether this VM knows of any VM that has a newer state.
+    pub fn is_empty(&self) -> bool {
+        self.sources.is_empty()
     }
 
     /// Records that a VM isn't asked before a time.
--- a/boragerill/tests/state_fetch.rs
+++ b/boragerill/tests/state_fetch.rs
@@ -53,7 +53,44 @@
     assert_eq!(step, FetchStep::Ask(3));
     assert_eq!(current, FetchStep::Idle);
     assert_eq!(table.newest(), 9);
-    assert!(table.behind_since().is_none());
+    assert!(table.behind_since(now).is_none());
+}
+
+#[test]
+fn vm_that_restarted_without_its_state_is_not_asked() {
+    // arrange
+    let now = Instant::now();
+    let mut table = SourceTable::default();
+    table.record(1, 8, true, 5, now);
+
+    // act
+    table.record(1, 0, true, 5, now);
+    let step = table.next_step(terms(7, 5, 0), now);
+
+    // assert
+    assert_eq!(step, FetchStep::Idle);
+    assert!(table.is_empty());
+    assert!(table.behind_since(now).is_some());
+}
+
+#[test]
+fn number_that_no_vm_states_any_more_is_forgotten() {
+    // arrange
+    let now = Instant::now();
+    let mut table = SourceTable::default();
+    table.record(1, 1000, true, 5, now);
+
+    // act
+    let soon = table.behind_since(now + Duration::from_secs(9));
+    let later = now + Duration::from_secs(11);
+    let forgotten = table.behind_since(later);
+    table.record(2, 8, true, 5, later);
+
+    // assert
+    assert_eq!(soon, Some(now));
+    assert_eq!(forgotten, None);
+    assert_eq!(table.behind_since(later), Some(later));
+    assert_eq!(table.newest(), 8);
 }
 
 #[test]
--- a/fleet/src/state_fetch.rs
+++ b/fleet/src/state_fetch.rs
@@ -62,6 +62,17 @@
     Cancellations,
 }
 
+impl FetchedState {
+    /// Returns the name used in logs.
+    fn name(self) -> &'static str {
+        match self {
+            FetchedState::Catalog => "catalog",
+            FetchedState::Backends => "backends",
+            FetchedState::Cancellations => "cancellations",
+        }
+    }
+}
+
 const FETCHED_STATES: [FetchedState; 3] = [
     FetchedState::Catalog,
     FetchedState::Backends,
@@ -98,14 +109,14 @@
 
     /// Returns since when a newer state than the own one has been known of, if there is one.
     pub(crate) fn behind_since(&self, kind: FetchedState) -> Option<Instant> {
-        lock(&self.of(kind).table).behind_since()
+        lock(&self.of(kind).table).behind_since(Instant::now())
     }
 }
 
 /// Records the number of a state that a VM has stated in a heartbeat.
 pub(crate) fn record_number(state: &FleetState, vm: u64, kind: FetchedState, number: StateNumber) {
     let own = own_number(state, kind);
-    if number <= own {
+    if number <= own && lock(&state.fetches.of(kind).table).is_empty() {
         return;
     }
     let is_local = lock(&state.members).is_local(vm);
@@ -139,7 +150,11 @@
             next_request = now + HEDGE_DELAY;
             lock(&sources.table).postpone(vm, now + FAILED_TIME);
             let state = state.clone();
-            requests.push(async move { (vm, fetch(&state, kind, vm).await) });
+            requests.push(async move {
+                let before = own_number(&state, kind);
+                let result = fetch(&state, kind, vm).await;
+                (vm, before, result)
+            });
             continue;
         }
         let wake = match step {
@@ -149,7 +164,10 @@
             FetchStep::Ask(_) => None,
         };
         tokio::select! {
-            Some((vm, result)) = requests.next() => record_result(&state, kind, vm, result),
+            Some((vm, before, result)) = requests.next() => {
+                let is_newer = own_number(&state, kind) > before;
+                record_result(&state, kind, vm, result, is_newer);
+            }
             () = sources.changed.notified() => {}
             () = sleep_until(wake.unwrap_or(now).into()), if wake.is_some() => {}
         }
@@ -192,16 +210,20 @@
     }
 }
 
+/// Records the result of a request; `is_newer` tells whether the own state is newer now than before the request.
 fn record_result(
     state: &FleetState,
     kind: FetchedState,
     vm: u64,
     result: Result<FetchOutcome, ServeError>,
+    is_newer: bool,
 ) {
     let now = Instant::now();
     let mut table = lock(&state.fetches.of(kind).table);
     match result {
-        Ok(FetchOutcome::Received) => table.postpone(vm, now),
+        Ok(FetchOutcome::Received) if is_newer => table.postpone(vm, now),
+        // A VM that has restarted may not have the state any more that it stated before.
+        Ok(FetchOutcome::Received) => table.postpone(vm, now + FAILED_TIME),
         Ok(FetchOutcome::Busy) => {
             counter!("state_fetches_busy_total").increment(1);
             table.postpone(vm, now + BUSY_TIME);
@@ -210,8 +232,7 @@
             counter!("state_fetches_failed_total").increment(1);
             table.postpone(vm, now + FAILED_TIME);
             drop(table);
-            let kind = format!("{kind:?}");
-            info!(kind = kind.as_str(), error = error.to_string().as_str(); "fetching newer state failed");
+            info!(kind = kind.name(), error = error.to_string().as_str(); "fetching newer state failed");
         }
     }
 }
