Reproduce CONFIG and DRAIN: a fleet that is behind while its watchers wait at a silent store

A relay between each VM process and the store holds bytes back, and acknowledges them, as a store does that turns machines away silently. While it does so for the three VMs that watch the store, the other three refuse a route with 404 and send requests to a leaving server, both more than 2 s after they were acknowledged.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod launch;
 pub mod platform;
 pub mod ports;
+pub mod relay;
 pub mod service;
 pub mod soak;
 pub mod standard_server;
