Logs and metrics tell a VM that is behind from one that cannot know it

The refusal's line named the version in force and the newest that any VM has stated. When no VM states a newer one, it couldn't tell a current VM from a fleet that is behind as a whole. Each VM now records when the store, or a VM that watches it, last confirmed each state as the newest: unconfirmed_ms on the line of a refusal, state_unconfirmed_seconds by kind, and a line when a state has been unconfirmed for over 1 s. Changes of whether a VM states that it watches the store are logged.

--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -118,6 +118,7 @@
             catalog = state.catalog.version(),
             newest = fetches.newest(FetchedState::Catalog),
             behind_ms = fetches.behind_since(FetchedState::Catalog).map(|since| millis(since.elapsed())),
+            unconfirmed_ms = fetches.unconfirmed_for(FetchedState::Catalog).map(millis),
             age_ms = millis(arrived.elapsed());
             "request refused"
         );
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -42,7 +42,8 @@
     state::FleetState,
     state_fetch::{
         record_number,
-        FetchedState, //
+        FetchedState,
+        StatedNumber, //
     },
     takeover, //
 };
@@ -281,9 +282,22 @@
     fn record_numbers(&self, heartbeat: &Heartbeat) {
         let (state, vm) = (&self.state, heartbeat.sender);
         lock(&state.transfers).record(vm, heartbeat.catalog);
-        record_number(state, vm, FetchedState::Catalog, heartbeat.catalog);
-        record_number(state, vm, FetchedState::Backends, heartbeat.backends);
-        record_number(state, vm, FetchedState::Cancellations, heartbeat.ends);
+        let watches = lock(&state.members)
+            .member(vm)
+            .is_some_and(|member| member.info.follows);
+        for (kind, number) in [
+            (FetchedState::Catalog, heartbeat.catalog),
+            (FetchedState::Backends, heartbeat.backends),
+            (FetchedState::Cancellations, heartbeat.ends),
+        ] {
+            let stated = StatedNumber {
+                vm,
+                watches,
+                kind,
+                number,
+            };
+            record_number(state, stated);
+        }
     }
 }
 
--- a/fleet/src/state_fetch.rs
+++ b/fleet/src/state_fetch.rs
@@ -2,6 +2,10 @@
 
 use std::{
     sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
         Arc,
         Mutex, //
     },
@@ -25,13 +29,17 @@
         MAX_REQUESTS, //
     },
     sync::lock,
+    timer::millis,
 };
 use futures_util::{
     stream::FuturesUnordered,
     StreamExt, //
 };
 use log::info;
-use metrics::counter;
+use metrics::{
+    counter,
+    gauge, //
+};
 use tokio::{
     sync::Notify,
     time::sleep_until, //
@@ -51,6 +59,9 @@
 /// Timeout of a request for changes of backend servers and cancellations.
 pub(crate) const CHANGES_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time without a confirmation after which a state is reported as unconfirmed.
+const UNCONFIRMED_REPORT_TIME: Duration = Duration::from_secs(1);
+
 /// State that VMs fetch from each other.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum FetchedState {
@@ -84,6 +95,8 @@
 struct StateSources {
     table: Mutex<SourceTable>,
     changed: Notify,
+    confirmed: Mutex<Option<Instant>>, // When the own state was last known to be the newest.
+    is_reported: AtomicBool,           // Whether it was logged that the state isn't confirmed.
 }
 
 /// VMs that have a newer state, for each kind.
@@ -107,15 +120,48 @@
         lock(&self.of(kind).table).newest()
     }
 
+    /// Records that the own state is the newest one, by a response of the store or a VM that watches it.
+    pub(crate) fn confirm(&self, kind: FetchedState) {
+        *lock(&self.of(kind).confirmed) = Some(Instant::now());
+    }
+
+    /// Returns how long ago the own state was last known to be the newest one; `None` if it never was.
+    pub(crate) fn unconfirmed_for(&self, kind: FetchedState) -> Option<Duration> {
+        let confirmed = *lock(&self.of(kind).confirmed);
+        confirmed.map(|confirmed| confirmed.elapsed())
+    }
+
     /// Returns since when a newer state than the own one has been known of, if there is one.
     pub(crate) fn behind_since(&self, kind: FetchedState) -> Option<Instant> {
         lock(&self.of(kind).table).behind_since(Instant::now())
     }
 }
 
+/// Number of a state that a VM has stated in a heartbeat.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StatedNumber {
+    /// Hash of the VM's name.
+    pub(crate) vm: u64,
+    /// Whether the VM watches the store.
+    pub(crate) watches: bool,
+    /// Kind of the state.
+    pub(crate) kind: FetchedState,
+    /// Number of the state.
+    pub(crate) number: StateNumber,
+}
+
 /// Records the number of a state that a VM has stated in a heartbeat.
-pub(crate) fn record_number(state: &FleetState, vm: u64, kind: FetchedState, number: StateNumber) {
+pub(crate) fn record_number(state: &FleetState, stated: StatedNumber) {
+    let StatedNumber {
+        vm,
+        watches,
+        kind,
+        number,
+    } = stated;
     let own = own_number(state, kind);
+    if watches && number <= own {
+        state.fetches.confirm(kind);
+    }
     if number <= own && lock(&state.fetches.of(kind).table).is_empty() {
         return;
     }
@@ -125,6 +171,22 @@
     sources.changed.notify_one();
 }
 
+/// Logs states that have just become unconfirmed or confirmed, and sets their metrics.
+pub(crate) fn report_confirmations(state: &FleetState) {
+    for kind in FETCHED_STATES {
+        let Some(unconfirmed) = state.fetches.unconfirmed_for(kind) else {
+            continue;
+        };
+        gauge!("state_unconfirmed_seconds", "kind" => kind.name()).set(unconfirmed.as_secs_f64());
+        let is_unconfirmed = unconfirmed > UNCONFIRMED_REPORT_TIME;
+        let is_reported = &state.fetches.of(kind).is_reported;
+        if is_reported.swap(is_unconfirmed, Ordering::Relaxed) != is_unconfirmed {
+            let number = own_number(state, kind);
+            info!(kind = kind.name(), number, is_unconfirmed, unconfirmed_ms = millis(unconfirmed); "confirmation of a state changed");
+        }
+    }
+}
+
 /// Fetches newer states of all kinds until the process ends.
 pub(crate) fn start(state: &Arc<FleetState>) {
     for kind in FETCHED_STATES {
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -50,7 +50,10 @@
         CANCELLATION_KIND, //
     },
     state::FleetState,
-    state_fetch::FetchedState,
+    state_fetch::{
+        report_confirmations,
+        FetchedState, //
+    },
 };
 
 /// Longest wait of one watch call of all watchers but the first.
@@ -89,6 +92,17 @@
     Cancellations,
 }
 
+impl WatchedKind {
+    /// Returns the state that the objects of this kind make up.
+    fn fetched(self) -> FetchedState {
+        match self {
+            WatchedKind::Catalog => FetchedState::Catalog,
+            WatchedKind::Backends => FetchedState::Backends,
+            WatchedKind::Cancellations => FetchedState::Cancellations,
+        }
+    }
+}
+
 const WATCHED_KINDS: [WatchedKind; 3] = [
     WatchedKind::Catalog,
     WatchedKind::Backends,
@@ -136,7 +150,7 @@
     let mut health = WatchHealth::default();
     loop {
         if is_covered(&state) {
-            lock(&state.members).own_mut().follows = false;
+            set_follows(&state, false);
             through = None;
             // Responses of the store to other watchers show that it is available.
             record_store_response(&state, true);
@@ -160,10 +174,10 @@
             continue;
         }
         watch_state.record(kind, store == StoreHealth::Available);
-        let healthy = watch_state.is_healthy();
-        lock(&state.members).own_mut().follows = healthy;
+        set_follows(&state, watch_state.is_healthy());
         match result {
             Ok(revision) => {
+                state.fetches.confirm(kind.fetched());
                 through = Some(revision);
                 backoff = BACKOFF_MIN;
                 record_store_response(&state, true);
@@ -183,6 +197,14 @@
     }
 }
 
+/// Sets whether this VM states that it watches the store.
+fn set_follows(state: &FleetState, follows: bool) {
+    let before = std::mem::replace(&mut lock(&state.members).own_mut().follows, follows);
+    if before != follows {
+        info!(follows; "watching the store changed");
+    }
+}
+
 /// Returns what the result of a call shows. A call that is closed before its response was waiting for a change.
 fn outcome(result: &Result<Revision, ServeError>) -> WatchOutcome {
     match result {
@@ -263,6 +285,7 @@
         let retention = Duration::from_secs_f64(state.settings.results_kept_s);
         state.jobs.remove_expired(retention, now);
         stop_cancelled_jobs(&state);
+        report_confirmations(&state);
     }
 }
 
