--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -65,6 +65,7 @@
 mod units;
 pub mod wait_estimate;
 pub mod watch_health;
+pub mod watch_lease;
 
 /// Types generated from `boragerill/schema` by the `codegen` crate.
 #[expect(missing_docs, dead_code, clippy::all)]
--- a/boragerill/src/watch_health.rs
+++ b/boragerill/src/watch_health.rs
@@ -37,6 +37,11 @@
         self.is_uncertain
     }
 
+    /// Records that a call was abandoned while it waited, so that the next one has to be answered at once.
+    pub fn require_answer(&mut self) {
+        self.is_uncertain = true;
+    }
+
     /// Records the outcome of a call.
     pub fn record(&mut self, outcome: WatchOutcome) -> StoreHealth {
         let was_uncertain =
--- /dev/null
+++ b/boragerill/tests/watch_lease.rs
@@ -0,0 +1,155 @@
+//! Tests of the lease by which a VM that watches the store vouches for its state.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use boragerill::watch_lease::{
+    WatchLease,
+    RESPONSE_TIME, //
+};
+use proptest::prelude::*;
+
+const KINDS: usize = 3;
+
+/// Time within which the lease of the first watcher lapses after the store has fallen silent: with the time of a heartbeat
+/// and of another VM's call, changes still arrive within 2 s.
+const LAPSE_TIME: Duration = Duration::from_millis(1000);
+
+/// One watcher whose calls the store answers at once, in steps of a millisecond, until it falls silent.
+struct WatcherModel {
+    lease: WatchLease,
+    ends: [Option<Instant>; KINDS],
+    start: Instant,
+}
+
+impl WatcherModel {
+    fn new(start: Instant) -> WatcherModel {
+        WatcherModel {
+            lease: WatchLease::new(KINDS),
+            ends: [None; KINDS],
+            start,
+        }
+    }
+
+    /// Ends due calls with an answer and begins the next ones; returns the number of calls that began.
+    fn step(&mut self, now: Instant, is_first: bool) -> usize {
+        let mut calls = 0;
+        for kind in 0..KINDS {
+            if self.ends[kind].is_some_and(|end| now < end) {
+                continue;
+            }
+            self.lease.end_call(kind, true, now);
+            let wait = self.lease.wait(kind, is_first, now - self.start);
+            self.lease.begin_call(kind, wait, now);
+            self.ends[kind] = Some(now + wait);
+            calls += 1;
+        }
+        calls
+    }
+}
+
+fn milliseconds(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+proptest! {
+    // Guards against CONFIG and DRAIN: a VM stated that it watched the store for up to 2.5 s after the store had fallen
+    // silent, and no other VM watched meanwhile.
+    #[test]
+    fn lease_of_the_first_watcher_lapses_soon_after_the_store_falls_silent(silent_after in 1500_u64..6000) {
+        // arrange
+        let start = Instant::now();
+        let mut watcher = WatcherModel::new(start);
+        for time in 0..silent_after {
+            watcher.step(start + milliseconds(time), true);
+        }
+        let silent = start + milliseconds(silent_after);
+
+        // act
+        let valid_before = watcher.lease.is_valid(silent);
+        let valid_after = watcher.lease.is_valid(silent + LAPSE_TIME);
+
+        // assert
+        prop_assert!(valid_before);
+        prop_assert!(!valid_after);
+    }
+
+    #[test]
+    fn lease_holds_while_the_store_answers(first_from in 0_u64..3000, seconds in 3_u64..40) {
+        // arrange
+        let start = Instant::now();
+        let mut watcher = WatcherModel::new(start);
+
+        for time in 0..seconds * 1000 {
+            // act
+            let now = start + milliseconds(time);
+            watcher.step(now, time >= first_from);
+
+            // assert
+            prop_assert!(watcher.lease.is_valid(now));
+        }
+    }
+}
+
+#[test]
+fn first_watcher_calls_once_a_second_for_each_kind() {
+    // arrange
+    let start = Instant::now();
+    let mut watcher = WatcherModel::new(start);
+
+    // act
+    let calls: usize = (0..30_000)
+        .map(|time| watcher.step(start + milliseconds(time), true))
+        .sum();
+
+    // assert
+    assert!((87..=93).contains(&calls), "{calls}");
+}
+
+// Guards against CONFIG and DRAIN: a VM that had stopped watching one kind went on vouching for it as soon as a call of
+// another kind was answered.
+#[test]
+fn lease_needs_an_answer_for_each_kind_after_it_was_released() {
+    // arrange
+    let now = Instant::now();
+    let mut lease = WatchLease::new(KINDS);
+    for kind in 0..KINDS {
+        lease.end_call(kind, true, now);
+    }
+    let valid_before = lease.is_valid(now);
+
+    // act
+    lease.release(0);
+    lease.end_call(1, true, now);
+    let valid_after = lease.is_valid(now);
+
+    // assert
+    assert!(valid_before);
+    assert!(!valid_after);
+}
+
+#[test]
+fn failed_or_overdue_call_ends_the_lease_until_one_is_answered() {
+    // arrange
+    let now = Instant::now();
+    let mut lease = WatchLease::new(1);
+    lease.end_call(0, true, now);
+
+    // act
+    let due = lease.begin_call(0, milliseconds(100), now);
+    let valid_until_due = lease.is_valid(due - milliseconds(1));
+    let valid_when_due = lease.is_valid(due);
+    lease.end_call(0, true, due + RESPONSE_TIME);
+    let valid_after_answer = lease.is_valid(due + RESPONSE_TIME);
+    lease.end_call(0, false, due + RESPONSE_TIME);
+    let valid_after_failure = lease.is_valid(due + RESPONSE_TIME);
+
+    // assert
+    assert_eq!(due, now + milliseconds(100) + RESPONSE_TIME);
+    assert!(valid_until_due);
+    assert!(!valid_when_due);
+    assert!(valid_after_answer);
+    assert!(!valid_after_failure);
+}
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -1,11 +1,9 @@
 //! Watches the platform's store for configuration, backend servers and cancelled jobs.
 
 use std::{
+    future::Future,
+    pin::pin,
     sync::{
-        atomic::{
-            AtomicU64,
-            Ordering, //
-        },
         Arc,
         Mutex, //
     },
@@ -34,13 +32,17 @@
         WatchHealth,
         WatchOutcome, //
     },
+    watch_lease::WatchLease,
 };
 use log::{
     info,
     warn, //
 };
 use metrics::counter;
-use tokio::time::sleep;
+use tokio::time::{
+    sleep,
+    timeout_at, //
+};
 
 use crate::{
     catalog_store::apply_catalog,
@@ -56,13 +58,6 @@
     },
 };
 
-/// Longest wait of one watch call of all watchers but the first.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Longest wait of one watch call of the first watcher. A call may miss changes without an error while the
-/// store compacts its history; the next call detects this.
-const FIRST_WATCHER_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// Shortest time from a watch call that is cut off to the next call.
 const SHORT_WATCH: Duration = Duration::from_millis(300);
 
@@ -72,8 +67,8 @@
 /// Longest back-off after a failed call.
 const BACKOFF_MAX: Duration = Duration::from_millis(1000);
 
-/// Interval at which a VM that doesn't watch checks whether enough others still do.
-const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which a VM checks whether it has to watch, and whether its calls may wait for long.
+const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Delay per rank before a VM replaces unreachable watchers, which may be reachable again by then.
 const TURN_WAIT: Duration = Duration::from_millis(50);
@@ -109,36 +104,64 @@
     WatchedKind::Cancellations,
 ];
 
-/// Outcome of this VM's last call to the store for each kind.
-#[derive(Debug, Default)]
-pub(crate) struct WatchState {
-    failing: AtomicU64, // Bit i is set while calls for kind i fail.
-    listed: AtomicU64,  // Bit i is set once kind i was listed.
-    since: Mutex<Option<Instant>>,
+/// What the tasks of the watched kinds share.
+#[derive(Debug)]
+struct WatchState {
+    lease: Mutex<WatchLease>,
+    started: Instant,
 }
 
 impl WatchState {
-    fn record(&self, kind: WatchedKind, answered: bool) {
-        let bit = 1 << kind as u64;
-        if answered {
-            self.failing.fetch_and(!bit, Ordering::Relaxed);
-            self.listed.fetch_or(bit, Ordering::Relaxed);
-        } else {
-            self.failing.fetch_or(bit, Ordering::Relaxed);
+    /// Carries a call out that waits for `wait` at the store. While its response is overdue, this VM doesn't state that it
+    /// watches.
+    async fn call(
+        &self,
+        state: &FleetState,
+        kind: WatchedKind,
+        wait: Duration,
+        call: impl Future<Output = Result<Revision, ServeError>>,
+    ) -> Result<Revision, ServeError> {
+        let begin = Instant::now();
+        let due = lock(&self.lease).begin_call(kind as usize, wait, begin);
+        let mut call = pin!(call);
+        if let Ok(result) = timeout_at(due.into(), &mut call).await {
+            return result;
         }
-        *lock(&self.since) = Some(Instant::now());
+        counter!("platform_responses_overdue_total").increment(1);
+        info!(kind = kind_name(state, kind), waited_ms = millis(begin.elapsed()); "response of the store overdue");
+        self.update_follows(state);
+        call.await
+    }
+
+    /// Records the outcome of a call.
+    fn end_call(&self, state: &FleetState, kind: WatchedKind, is_answered: bool) {
+        lock(&self.lease).end_call(kind as usize, is_answered, Instant::now());
+        self.update_follows(state);
+    }
+
+    /// Records that a kind isn't watched any more.
+    fn release(&self, state: &FleetState, kind: WatchedKind) {
+        lock(&self.lease).release(kind as usize);
+        self.update_follows(state);
     }
 
-    /// Returns whether every kind was listed and its last call succeeded.
-    fn is_healthy(&self) -> bool {
-        let all = (1 << WATCHED_KINDS.len()) - 1;
-        self.failing.load(Ordering::Relaxed) == 0 && self.listed.load(Ordering::Relaxed) == all
+    /// States to the other VMs whether this one watches the store.
+    fn update_follows(&self, state: &FleetState) {
+        let follows = lock(&self.lease).is_valid(Instant::now());
+        let before = std::mem::replace(&mut lock(&state.members).own_mut().follows, follows);
+        if before != follows {
+            info!(follows; "watching the store changed");
+            state.backends.changed.notify_one();
+        }
     }
 }
 
 /// Watches all kinds until the process ends.
 pub(crate) fn start(state: &Arc<FleetState>) {
-    let watch_state = Arc::new(WatchState::default());
+    let watch_state = Arc::new(WatchState {
+        lease: Mutex::new(WatchLease::new(WATCHED_KINDS.len())),
+        started: Instant::now(),
+    });
     for kind in WATCHED_KINDS {
         tokio::spawn(watch_kind(state.clone(), watch_state.clone(), kind));
     }
@@ -150,7 +173,7 @@
     let mut health = WatchHealth::default();
     loop {
         if is_covered(&state) {
-            set_follows(&state, false);
+            watch_state.release(&state, kind);
             through = None;
             // Responses of the store to other watchers show that it is available.
             record_store_response(&state, true);
@@ -161,9 +184,20 @@
             continue;
         }
         let started = Instant::now();
-        let result = match through {
-            None => list(&state, kind).await,
-            Some(after) => watch(&state, kind, after, health.needs_answer()).await,
+        let call = match through {
+            None => {
+                let listing = list(&state, kind);
+                Some(
+                    watch_state
+                        .call(&state, kind, Duration::ZERO, listing)
+                        .await,
+                )
+            }
+            Some(after) => watch(&state, &watch_state, kind, (after, health.needs_answer())).await,
+        };
+        let Some(result) = call else {
+            health.require_answer();
+            continue;
         };
         let store = health.record(outcome(&result));
         if store == StoreHealth::Unknown {
@@ -173,8 +207,7 @@
             sleep(SHORT_WATCH.saturating_sub(started.elapsed())).await;
             continue;
         }
-        watch_state.record(kind, store == StoreHealth::Available);
-        set_follows(&state, watch_state.is_healthy());
+        watch_state.end_call(&state, kind, store == StoreHealth::Available);
         match result {
             Ok(revision) => {
                 state.fetches.confirm(kind.fetched());
@@ -197,14 +230,6 @@
     }
 }
 
-/// Sets whether this VM states that it watches the store.
-fn set_follows(state: &FleetState, follows: bool) {
-    let before = std::mem::replace(&mut lock(&state.members).own_mut().follows, follows);
-    if before != follows {
-        info!(follows; "watching the store changed");
-    }
-}
-
 /// Returns what the result of a call shows. A call that is closed before its response was waiting for a change.
 fn outcome(result: &Result<Revision, ServeError>) -> WatchOutcome {
     match result {
@@ -234,6 +259,11 @@
     !is_covered(state)
 }
 
+/// Returns whether calls of a kind have to end soon, since no VM of higher rank watches.
+fn needs_short_calls(state: &FleetState) -> bool {
+    watchers_before(state) == 0
+}
+
 /// Returns whether this VM ranks first among the VMs that watch the store.
 pub(crate) fn is_first_watcher(state: &FleetState) -> bool {
     let follows = lock(&state.members).own().follows;
@@ -304,23 +334,48 @@
     Ok(through)
 }
 
+/// Watches a kind after a revision with one call; `None` if the call was abandoned in favour of one that doesn't wait. A call
+/// that needs an answer doesn't wait for changes.
 async fn watch(
     state: &FleetState,
+    watch_state: &WatchState,
     kind: WatchedKind,
-    after: Revision,
-    needs_answer: bool,
-) -> Result<Revision, ServeError> {
-    let name = kind_name(state, kind);
-    let wait = match watchers_before(state) {
-        _ if needs_answer => Duration::ZERO,
-        0 => FIRST_WATCHER_TIMEOUT,
-        _ => WATCH_TIMEOUT,
+    (after, needs_answer): (Revision, bool),
+) -> Option<Result<Revision, ServeError>> {
+    let is_short = needs_answer || needs_short_calls(state);
+    let wait = match needs_answer {
+        true => Duration::ZERO,
+        false => {
+            let elapsed = watch_state.started.elapsed();
+            lock(&watch_state.lease).wait(kind as usize, is_short, elapsed)
+        }
     };
-    let batch = state.platform.watch(&[name], after, wait).await?;
-    if !batch.events.is_empty() {
-        apply_objects(state, kind, batch.events, batch.version, false);
+    let events = async {
+        let name = kind_name(state, kind);
+        let batch = state.platform.watch(&[name], after, wait).await?;
+        if !batch.events.is_empty() {
+            apply_objects(state, kind, batch.events, batch.version, false);
+        }
+        Ok(batch.version.max(after))
+    };
+    tokio::select! {
+        result = watch_state.call(state, kind, wait, events) => Some(result),
+        () = wait_for_doubt(state), if !is_short => None,
+    }
+}
+
+/// Waits until a call that waits for long has to be replaced by one that is answered at once: a VM of higher rank watches
+/// no more, maybe since the store has fallen silent.
+async fn wait_for_doubt(state: &FleetState) {
+    let mut before = watchers_before(state);
+    loop {
+        sleep(WATCHER_CHECK_INTERVAL).await;
+        let now = watchers_before(state);
+        if now < before {
+            return;
+        }
+        before = now;
     }
-    Ok(batch.version.max(after))
 }
 
 fn apply_objects(
