Ask the store for what other VMs state and don't send (CONFIG)

A VM that knew of a newer configuration went by the old one for as long as the VMs that stated it didn't send it: it doesn't watch the store while three VMs of higher rank state that they do, and so it had one way only to become current.

Now a state that other VMs have stated for 0.75 s without sending it isn't covered by them: the VM asks the store itself, in turn by rank, so that not all VMs do so at once, and drops out again when it is current.

Evidence: stale_configuration::vm_asks_the_store_for_what_the_vms_that_watch_it_do_not_send.

--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -70,6 +70,9 @@
 /// Interval at which a VM checks whether it has to watch, and whether its calls may wait for long.
 const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which other VMs are asked for a newer state before the store is.
+const FETCH_TIME: Duration = Duration::from_millis(750);
+
 /// Delay per rank before a VM replaces unreachable watchers, which may be reachable again by then.
 const TURN_WAIT: Duration = Duration::from_millis(50);
 
@@ -172,7 +175,7 @@
     let mut through = None;
     let mut health = WatchHealth::default();
     loop {
-        if is_covered(&state) {
+        if is_covered(&state, kind) {
             watch_state.release(&state, kind);
             through = None;
             // Responses of the store to other watchers show that it is available.
@@ -180,7 +183,7 @@
             sleep(WATCHER_CHECK_INTERVAL).await;
             continue;
         }
-        if through.is_none() && !wait_for_turn(&state).await {
+        if through.is_none() && !wait_for_turn(&state, kind).await {
             continue;
         }
         let started = Instant::now();
@@ -239,29 +242,37 @@
     }
 }
 
-/// Returns whether this VM has its first state and enough VMs of higher rank watch the store.
-fn is_covered(state: &FleetState) -> bool {
+/// Returns whether this VM has its first state, gets newer ones from other VMs, and enough VMs of higher rank watch the
+/// store.
+fn is_covered(state: &FleetState, kind: WatchedKind) -> bool {
     if state.catalog.version() == 0 || state.backends.read(|table| table.through()) == 0 {
         return false;
     }
-    watchers_before(state) >= WATCHERS
+    watchers_before(state) >= WATCHERS && !is_behind(state, kind)
+}
+
+/// Returns whether other VMs haven't sent a newer state that they have stated for long.
+fn is_behind(state: &FleetState, kind: WatchedKind) -> bool {
+    let since = state.fetches.behind_since(kind.fetched());
+    since.is_some_and(|since| since.elapsed() > FETCH_TIME)
 }
 
 /// Waits for this VM's turn, by its rank, to replace watchers that became unreachable, and returns whether it
 /// is still needed. A VM without a configuration doesn't wait.
-async fn wait_for_turn(state: &FleetState) -> bool {
+async fn wait_for_turn(state: &FleetState, kind: WatchedKind) -> bool {
     if state.catalog.version() == 0 {
         return true;
     }
     let rank = lock(&state.members).own_rank(hash_name("follow"), Instant::now());
     let turn = rank.saturating_sub(WATCHERS - 1);
     sleep(TURN_WAIT * u32::try_from(turn).unwrap_or(u32::MAX)).await;
-    !is_covered(state)
+    !is_covered(state, kind)
 }
 
-/// Returns whether calls of a kind have to end soon, since no VM of higher rank watches.
-fn needs_short_calls(state: &FleetState) -> bool {
-    watchers_before(state) == 0
+/// Returns whether calls of a kind have to end soon, since no VM of higher rank watches, or other VMs don't send what
+/// they state.
+fn needs_short_calls(state: &FleetState, kind: WatchedKind) -> bool {
+    watchers_before(state) == 0 || is_behind(state, kind)
 }
 
 /// Returns whether this VM ranks first among the VMs that watch the store.
@@ -342,7 +353,7 @@
     kind: WatchedKind,
     (after, needs_answer): (Revision, bool),
 ) -> Option<Result<Revision, ServeError>> {
-    let is_short = needs_answer || needs_short_calls(state);
+    let is_short = needs_answer || needs_short_calls(state, kind);
     let wait = match needs_answer {
         true => Duration::ZERO,
         false => {
@@ -360,18 +371,18 @@
     };
     tokio::select! {
         result = watch_state.call(state, kind, wait, events) => Some(result),
-        () = wait_for_doubt(state), if !is_short => None,
+        () = wait_for_doubt(state, kind), if !is_short => None,
     }
 }
 
 /// Waits until a call that waits for long has to be replaced by one that is answered at once: a VM of higher rank watches
-/// no more, maybe since the store has fallen silent.
-async fn wait_for_doubt(state: &FleetState) {
+/// no more, maybe since the store has fallen silent, or other VMs don't send what they state.
+async fn wait_for_doubt(state: &FleetState, kind: WatchedKind) {
     let mut before = watchers_before(state);
     loop {
         sleep(WATCHER_CHECK_INTERVAL).await;
         let now = watchers_before(state);
-        if now < before {
+        if now < before || is_behind(state, kind) {
             return;
         }
         before = now;
