Refuse nothing for good by a configuration that isn't confirmed (CONFIG, DENIED)

Callers were refused with 404 or 401 by VMs that couldn't know whether their configuration was the newest: none that watches the store had confirmed it. 503 with Retry-After was the answer only where a newer version was known of.

What the configuration in force allows is served on, also in a failure domain that is cut off.

Evidence: silent_watchers::vms_refuse_nothing_for_good_while_no_vm_is_served_by_the_store, on real processes: 404 at all six VMs before, 503 with Retry-After now, known routes 200 throughout.

--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -64,7 +64,10 @@
         workspace_rate,
         FleetState, //
     },
-    state_fetch::FetchedState,
+    state_fetch::{
+        is_confirmed,
+        FetchedState, //
+    },
     stream_versions::pin_version,
     wire::CallerOperation, //
 };
@@ -230,17 +233,24 @@
 }
 
 /// Refuses a request for something that the configuration in force doesn't have. While a newer configuration is known
-/// of, which may have it, the request isn't refused for good.
+/// of, which may have it, or the one in force isn't confirmed as the newest, the request isn't refused for good.
 fn refuse_unknown(state: &FleetState, reason: RefusalReason, detail: &str) -> RefusalResponse {
-    let Some(since) = state.fetches.behind_since(FetchedState::Catalog) else {
-        return RefusalResponse::not_run(reason, detail);
+    let fetches = &state.fetches;
+    let doubt = match fetches.behind_since(FetchedState::Catalog) {
+        Some(since) => format_compact!(
+            "version {} is known of since {} ms",
+            fetches.newest(FetchedState::Catalog),
+            millis(since.elapsed())
+        ),
+        None if is_confirmed(state, FetchedState::Catalog) => {
+            return RefusalResponse::not_run(reason, detail);
+        }
+        None => CompactString::const_new("which isn't confirmed as the newest"),
     };
     let cause = format_compact!(
-        "{} in version {}, version {} is known of since {} ms: {detail}",
+        "{} in version {}, {doubt}: {detail}",
         reason.name(),
-        state.catalog.version(),
-        state.fetches.newest(FetchedState::Catalog),
-        millis(since.elapsed())
+        state.catalog.version()
     );
     RefusalResponse::not_run(RefusalReason::ConfigStale, cause).retry_after(CONFIG_RETRY)
 }
--- a/fleet/src/state_fetch.rs
+++ b/fleet/src/state_fetch.rs
@@ -59,6 +59,9 @@
 /// Timeout of a request for changes of backend servers and cancellations.
 pub(crate) const CHANGES_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for which a state counts as the newest after a confirmation; heartbeats that confirm it arrive three times as often.
+const CONFIRMATION_LIFETIME: Duration = Duration::from_millis(450);
+
 /// Time without a confirmation after which a state is reported as unconfirmed.
 const UNCONFIRMED_REPORT_TIME: Duration = Duration::from_secs(1);
 
@@ -171,6 +174,14 @@
     sources.changed.notify_one();
 }
 
+/// Returns whether the own state is known to be the newest one: this VM watches the store, or a heartbeat of one that does
+/// has confirmed it lately.
+pub(crate) fn is_confirmed(state: &FleetState, kind: FetchedState) -> bool {
+    let confirmed = state.fetches.unconfirmed_for(kind);
+    confirmed.is_some_and(|time| time <= CONFIRMATION_LIFETIME)
+        || lock(&state.members).own().follows
+}
+
 /// Logs states that have just become unconfirmed or confirmed, and sets their metrics.
 pub(crate) fn report_confirmations(state: &FleetState) {
     for kind in FETCHED_STATES {
