Reuse connections to other VMs only with recent evidence that they work

What callers saw: requests on a new route were refused for over 4 s after the VM had learned that a newer configuration exists, where 2 s are allowed.

Cause: a connection to another VM was reused for as long as it wasn't closed, however long ago its last response was. One that falls silent without a reset isn't closed; a request for a configuration then waits 2 s, and the next VM is asked on a connection that is silent as well. The options that let the kernel notice a lost peer were set on accepted connections only. A request that failed dropped whichever connection was registered at the address, also one that was opened since.

Now a connection is reused for 1 s after it was opened or a response arrived on it. A request for newer state that is sent beside one whose response is late opens a new one, so that connections that fell silent within that second cost 250 ms.

Ruled out: a new connection for each request; VMs that are asked by hundreds and answer that they are busy would accept one for each such answer.

--- a/boragerill/src/frame.rs
+++ b/boragerill/src/frame.rs
@@ -74,6 +74,13 @@
 /// Receiver of the messages on one connection that aren't responses to its requests.
 pub type FrameInbox = mpsc::Receiver<Envelope>;
 
+impl PartialEq for FrameLink {
+    /// Returns whether both handles belong to the same connection.
+    fn eq(&self, other: &FrameLink) -> bool {
+        self.outgoing.same_channel(&other.outgoing)
+    }
+}
+
 impl FrameLink {
     /// Connects to another process.
     ///
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod keys;
 pub mod kinds;
 mod lease;
+pub mod link_reuse;
 pub mod links;
 pub mod logger;
 pub mod member;
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -44,6 +44,7 @@
         is_refusal,
         merge_failures, //
     },
+    link_reuse::LinkChoice,
     rank::score,
     sync::lock, //
 };
@@ -97,6 +98,17 @@
     vm: u64,
     body: Body,
     limit: Duration,
+) -> Result<Body, ServeError> {
+    request_on(state, vm, body, limit, LinkChoice::Recent).await
+}
+
+/// Sends a request as [`request`] does, on the given choice of connection.
+async fn request_on(
+    state: &FleetState,
+    vm: u64,
+    body: Body,
+    limit: Duration,
+    choice: LinkChoice,
 ) -> Result<Body, ServeError> {
     let address = lock(&state.members)
         .member(vm)
@@ -105,7 +117,7 @@
     let unreachable =
         || ServeError::Unreachable(Step::Connect, "vm".into(), "no recent heartbeat".into());
     let address = address.ok_or_else(unreachable)?;
-    state.links.request(&address, body, limit).await
+    state.links.request(&address, body, limit, choice).await
 }
 
 /// Serves the requests of other VMs until the process ends.
@@ -325,7 +337,10 @@
         body: request.body.clone().unwrap_or_default().to_vec(),
         timeout_ms: u32::try_from(limit.as_millis()).unwrap_or(u32::MAX),
     });
-    let response = state.links.request(address, call, limit).await?;
+    let response = state
+        .links
+        .request(address, call, limit, LinkChoice::Recent)
+        .await?;
     let Body::StoreAnswer(relayed) = response else {
         let cause = "unexpected message type".into();
         return Err(ServeError::Malformed(Step::Receive, address.into(), cause));
@@ -382,12 +397,13 @@
     state: &FleetState,
     vm: u64,
     limit: Duration,
+    choice: LinkChoice,
 ) -> Result<FetchOutcome, ServeError> {
     let body = Body::CatalogAsk(CatalogRequest {
         after: state.catalog.version(),
         vm: Some(state.vm_hash),
     });
-    let Body::CatalogAnswer(response) = request(state, vm, body, limit).await? else {
+    let Body::CatalogAnswer(response) = request_on(state, vm, body, limit, choice).await? else {
         return Err(unexpected_message(state, vm));
     };
     if response.busy {
@@ -413,6 +429,7 @@
     state: &FleetState,
     vm: u64,
     limit: Duration,
+    choice: LinkChoice,
 ) -> Result<FetchOutcome, ServeError> {
     let (through, digest) = state
         .backends
@@ -422,7 +439,7 @@
         ends_after: lock(&state.cancellations).through(),
         backends_digest: Some(digest),
     });
-    let Body::BackendAnswer(response) = request(state, vm, body, limit).await? else {
+    let Body::BackendAnswer(response) = request_on(state, vm, body, limit, choice).await? else {
         return Err(unexpected_message(state, vm));
     };
     let source = vm_name(state, vm);
--- a/fleet/src/state_fetch.rs
+++ b/fleet/src/state_fetch.rs
@@ -13,6 +13,7 @@
 
 use boragerill::{
     error::ServeError,
+    link_reuse::LinkChoice,
     rank::hash_name,
     state_fetch::{
         FetchStep,
@@ -149,10 +150,15 @@
         ) {
             next_request = now + HEDGE_DELAY;
             lock(&sources.table).postpone(vm, now + FAILED_TIME);
+            // The response that is awaited may be late since its connection has fallen silent; others may have as well.
+            let choice = match requests.is_empty() {
+                true => LinkChoice::Recent,
+                false => LinkChoice::New,
+            };
             let state = state.clone();
             requests.push(async move {
                 let before = own_number(&state, kind);
-                let result = fetch(&state, kind, vm).await;
+                let result = fetch(&state, kind, vm, choice).await;
                 (vm, before, result)
             });
             continue;
@@ -201,11 +207,12 @@
     state: &FleetState,
     kind: FetchedState,
     vm: u64,
+    choice: LinkChoice,
 ) -> Result<FetchOutcome, ServeError> {
     match kind {
-        FetchedState::Catalog => peers::fetch_catalog(state, vm, CATALOG_TIMEOUT).await,
+        FetchedState::Catalog => peers::fetch_catalog(state, vm, CATALOG_TIMEOUT, choice).await,
         FetchedState::Backends | FetchedState::Cancellations => {
-            peers::fetch_changes(state, vm, CHANGES_TIMEOUT).await
+            peers::fetch_changes(state, vm, CHANGES_TIMEOUT, choice).await
         }
     }
 }
