Limit the idle time of connections to servers to 2.5 s, whatever the server states

What callers saw: requests that got 504 when their time was over, 3 s after the open connections of a VM to a server had fallen silent, although new connections worked and the VM counted as in touch again.

Cause: a safe request took an idle connection within the limit that the server states with Keep-Alive, less a second, however long ago its last response was. The other end acknowledges what is sent, so that keepalive shows nothing.

Now a connection that was idle for 2.5 s is closed, which is less than the 3 s after which a VM whose connections were lost counts as in touch.

--- a/fleet/src/pool.rs
+++ b/fleet/src/pool.rs
@@ -47,8 +47,9 @@
 /// Unacknowledged keepalive probes after which a connection is closed.
 const MAX_PROBES: u32 = 2;
 
-/// Idle time after which a connection is closed if the server states no limit.
-const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// Longest idle time after which a connection is used again, whatever limit the server states: it may have fallen silent
+/// for good since its last response. Less than the time after which VMs whose connections were lost have to serve again.
+const MAX_IDLE_LIMIT: Duration = Duration::from_millis(2500);
 
 /// Time before the server's own limit at which an idle connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
@@ -92,7 +93,7 @@
         Ok(BackendConnection {
             sender,
             task: task.abort_handle(),
-            idle_limit: DEFAULT_IDLE_LIMIT,
+            idle_limit: MAX_IDLE_LIMIT,
         })
     }
 
@@ -103,7 +104,8 @@
 
     /// Sets the idle limit from the server's keep-alive timeout, in seconds.
     pub(crate) fn set_keep_alive(&mut self, seconds: u64) {
-        self.idle_limit = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
+        let stated = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
+        self.idle_limit = stated.min(MAX_IDLE_LIMIT);
     }
 }
 
