--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -268,6 +268,46 @@
     assert_eq!(ids(&table), ["b", "c", "d"]);
 }
 
+// Guards against DRAIN: each removal of half of the servers was taken for an outage of the store, and began the time for
+// which the servers removed before it are kept anew. They got requests for up to 3.4 s.
+#[test]
+fn later_removals_do_not_keep_the_servers_removed_before_them() {
+    // arrange
+    let now = Instant::now();
+    let later = now + REGISTRATION_GRACE.mul_f64(0.9);
+    let four = ["a", "b", "c", "d"].map(|id| registered(id, 1)).to_vec();
+    let mut table = table_of(four, 1, now);
+
+    // act
+    table.apply(vec![removed("a", 2), removed("b", 2)], 2, now);
+    table.apply(vec![removed("c", 3), removed("d", 3)], 3, later);
+    table.expire(now + REGISTRATION_GRACE);
+    let kept = ids(&table);
+    table.expire(later + REGISTRATION_GRACE);
+
+    // assert
+    assert_eq!(kept, ["c", "d"]);
+    assert!(ids(&table).is_empty());
+}
+
+// Guards against DRAIN: a listing began the time anew for which a removed server is kept.
+#[test]
+fn listing_does_not_keep_the_servers_removed_before_it() {
+    // arrange
+    let now = Instant::now();
+    let later = now + REGISTRATION_GRACE.mul_f64(0.9);
+    let four = ["a", "b", "c", "d"].map(|id| registered(id, 1)).to_vec();
+    let mut table = table_of(four, 1, now);
+
+    // act
+    table.apply(vec![removed("a", 2), removed("b", 2)], 2, now);
+    table.replace(vec![registered("c", 1), registered("d", 1)], 3, later);
+    table.expire(now + REGISTRATION_GRACE);
+
+    // assert
+    assert_eq!(ids(&table), ["c", "d"]);
+}
+
 // Guards against DRAIN: a VM that had missed more removals than a table keeps went on using the removed servers.
 #[test]
 fn vm_that_missed_many_removals_uses_no_removed_server() {
