Look up a request's route and key again once its body is complete

Callers saw requests run at the old service of a route, or with a removed route or key, over 2 s after the store had acknowledged the new configuration: those whose bodies arrive slowly (up to 30 s are allowed).

Cause: route and key were looked up when the head was read, and the configuration of that moment was kept until the request was sent on. The server is chosen after the body (old_decisions::request_with_a_slow_body_goes_to_no_server_that_left_ meanwhile), so only routes, keys and limits were old.

Now both are looked up again after the body, in the configuration that is in force by then. What is withdrawn meanwhile is refused with 503 and a time to return, not with 404 or 401: the caller began to send while it was permitted. Without a change the second look-up gives the same.

Evidence: old_decisions::request_with_a_slow_body_goes_to_the_new_service_of_its_route and ..._does_not_run_without_its_route_ or_key failed before and pass.

--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -12,6 +12,7 @@
     catalog::{
         Catalog,
         CatalogRoute,
+        CatalogVersion,
         CatalogWorkspace,
         RouteKind, //
     },
@@ -182,14 +183,16 @@
             field,
         ));
     }
-    let found = catalog.find_route(&caller.host, caller.path());
-    let route =
-        found.ok_or_else(|| refuse_unknown(state, RefusalReason::RouteUnknown, caller.path()))?;
-    let workspace = match route.open || !catalog.needs_keys() {
-        true => None,
-        false => Some(authenticate(state, &catalog, &caller)?),
-    };
+    authorize(state, &catalog, &caller)?;
     let body = read_body(&catalog, parts, body).await?;
+    // The body may be complete long after the head.
+    let known = catalog.version();
+    let catalog = state.catalog.load().unwrap_or(catalog);
+    let authorized = authorize(state, &catalog, &caller);
+    let (route, workspace) = authorized.map_err(|refused| match catalog.version() == known {
+        true => refused,
+        false => refuse_withdrawn(&refused, catalog.version()),
+    })?;
     if let RouteKind::Batch(terms) = &route.kind {
         let name = workspace.map_or("", |workspace| workspace.name.as_str());
         return jobs::submit(state, &caller, (route.as_ref(), terms), name, body).await;
@@ -209,6 +212,38 @@
     result
 }
 
+/// Returns the route of a request, and the workspace that the caller's API key belongs to; no workspace on routes that
+/// are open to all.
+///
+/// # Errors
+///
+/// Returns a refusal when there is no route for the request, or no workspace with its key.
+fn authorize<'a>(
+    state: &FleetState,
+    catalog: &'a Catalog,
+    caller: &CallerRequest,
+) -> Result<(&'a Arc<CatalogRoute>, Option<&'a CatalogWorkspace>), RefusalResponse> {
+    let found = catalog.find_route(&caller.host, caller.path());
+    let route =
+        found.ok_or_else(|| refuse_unknown(state, RefusalReason::RouteUnknown, caller.path()))?;
+    let workspace = match route.open || !catalog.needs_keys() {
+        true => None,
+        false => Some(authenticate(state, catalog, caller)?),
+    };
+    Ok((route, workspace))
+}
+
+/// Refuses a request whose route or key was withdrawn while its body was received. The caller began to send it while it
+/// was permitted, so it isn't refused for good.
+fn refuse_withdrawn(refused: &RefusalResponse, version: CatalogVersion) -> RefusalResponse {
+    let cause = format_compact!(
+        "{} since version {version}, received with the body: {}",
+        refused.reason.name(),
+        refused.detail
+    );
+    RefusalResponse::not_run(RefusalReason::ConfigStale, cause).retry_after(CONFIG_RETRY)
+}
+
 /// Returns the workspace that the caller's API key belongs to.
 ///
 /// # Errors
