Check that a run that goes on begins with the next event

Callers and readers of results saw an event twice, or missed one, where a stream that a caller takes up with Last-Event-Id, or an item that goes on at another server, got a run that began elsewhere than after that event. Nothing compared the two: the splitter checks numbers within one run, and each of these runs had a new splitter. Streams that a VM moves within one response keep theirs, and were checked.

Now the splitter of a run begins after the event that the request names. A run that begins elsewhere has failed: a stream is tried at another server as after any failure, an item begins anew, since its server may begin each run at the start.

--- a/boragerill/src/stream.rs
+++ b/boragerill/src/stream.rs
@@ -44,6 +44,14 @@
 }
 
 impl EventSplitter {
+    /// Creates a splitter for a stream that goes on after event `last`; with `None`, it begins with any event.
+    pub fn after(last: Option<EventId>) -> EventSplitter {
+        EventSplitter {
+            last,
+            ..EventSplitter::default()
+        }
+    }
+
     /// Appends received bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
--- a/boragerill/tests/stream.rs
+++ b/boragerill/tests/stream.rs
@@ -98,6 +98,21 @@
     assert_eq!(chunk.bytes, event(5, "b").as_bytes());
 }
 
+// Guards against ORDER: the first event of a run that goes on wasn't checked against the event that it goes on after.
+#[test]
+fn run_that_goes_on_begins_with_the_next_event() {
+    for (first, is_next) in [(4, false), (5, true), (6, false)] {
+        // arrange
+        let mut splitter = EventSplitter::after(Some(4));
+
+        // act
+        splitter.push(event(first, "a").as_bytes());
+
+        // assert
+        assert_eq!(splitter.take().is_ok(), is_next, "event {first}");
+    }
+}
+
 #[test]
 fn carriage_returns_and_unknown_fields_are_parsed() {
     // arrange
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -11,6 +11,7 @@
 use boragerill::{
     drain::DrainAnnouncement,
     prompt::PromptParts,
+    stream::EventId,
     timer::millis, //
 };
 use bytes::Bytes;
@@ -44,6 +45,7 @@
         InFlightGuard,
         RequestClass, //
     },
+    caller::header_text,
     crash_watch::{
         record_lost_request,
         LostRequest, //
@@ -111,6 +113,14 @@
     pub(crate) prompt: PromptParts,
 }
 
+impl OutgoingRequest {
+    /// Returns the event after which the request goes on, if it may.
+    pub(crate) fn last_event(&self, names: &HeaderNames) -> Option<EventId> {
+        let last = header_text(&self.headers, &names.last_event);
+        last.filter(|_| self.repeatable)?.trim().parse().ok()
+    }
+}
+
 /// A server's response whose head has been received.
 pub(crate) struct ServerResponse {
     /// Head of the response.
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -18,7 +18,10 @@
     job::JobItem,
     prompt::PromptParts,
     slot::free_slots,
-    stream::EventSplitter,
+    stream::{
+        EventSplitter,
+        StreamFault, //
+    },
     sync::lock, //
 };
 use compact_str::{
@@ -241,7 +244,8 @@
         proof: &mut RunProof,
     ) -> Result<(), RunBreak> {
         let quarantine = &self.state.quarantine;
-        let mut splitter = EventSplitter::default();
+        let last = outgoing.last_event(&self.state.format.names);
+        let mut splitter = EventSplitter::after(last);
         loop {
             let frame = self.wait_for_server(response.body.frame()).await;
             let Some(frame) = frame.ok_or(RunBreak::ServerSilent)? else {
@@ -255,9 +259,14 @@
             if let Some(bytes) = frame.data_ref() {
                 splitter.push(bytes);
             }
-            let chunk = splitter
-                .take()
-                .map_err(|fault| format_compact!("{fault:?}"))?;
+            let chunk = splitter.take().map_err(|fault| {
+                if fault == StreamFault::OutOfSequence && splitter.event_count() == 0 {
+                    // The server doesn't go on after the last event, so the item begins anew.
+                    let until = Instant::now() + FAILURE_BACKOFF;
+                    lock(&self.entry.progress).discard(self.index, until);
+                }
+                format_compact!("{fault:?}")
+            })?;
             if let Some(chunk) = chunk {
                 self.state.backends.record_activity(self.server);
                 self.extend(&chunk.bytes)?;
--- a/fleet/src/stream_start.rs
+++ b/fleet/src/stream_start.rs
@@ -215,7 +215,7 @@
     if !response.head.status.is_success() {
         return Ok(StreamStart::Error(response));
     }
-    let mut splitter = EventSplitter::default();
+    let mut splitter = EventSplitter::after(request.outgoing.last_event(&state.format.names));
     match read_events(&mut response, &mut splitter).await {
         Ok(Some(first)) => Ok(StreamStart::Opened(OpenedStream {
             response,
