Let items begin anew when their route goes to another service

Cause: an item with output waits for a server of the version that generated it, if one is left anywhere; but it is looked for among the servers of the route's service, and a version belongs to one service. So the item waited for a server that could not come.

Now the version counts as left only if a server of the route's present service has it. Otherwise the output is discarded, as for a version that has left.

--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -239,6 +239,15 @@
         servers.any(|state| state.version == version && !state.is_draining())
     }
 
+    /// Returns whether a server of a version and service takes new requests.
+    pub(crate) fn has_service_version(&self, service: &str, version: VersionKey) -> bool {
+        let servers = self.servers.load();
+        let mut servers = servers.iter();
+        servers.any(|state| {
+            state.version == version && state.server.service == service && !state.is_draining()
+        })
+    }
+
     /// Reads the table of entries.
     pub(crate) fn read<T>(&self, read: impl FnOnce(&BackendTable) -> T) -> T {
         read(&lock(&self.table))
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -225,7 +225,7 @@
                         .backends
                         .allowed_starts(state.vm_hash, demand, free, now)
                 });
-                let version = resumed_version(state, sole, entry, index);
+                let version = resumed_version(state, (service, sole), entry, index);
                 if version.is_some_and(|version| full_versions.contains(&version)) {
                     continue;
                 }
@@ -325,11 +325,11 @@
 }
 
 /// Returns the version at which an item has to be resumed; `None` if it may begin at any, since it has no output or no
-/// server of the version that generated its output is left. `sole` is the only version that can have generated it, if
-/// there is only one.
+/// server of the version that generated its output is left at `service`, to which its route goes now. `sole` is the only
+/// version that can have generated it, if there is only one.
 fn resumed_version(
     state: &FleetState,
-    sole: Option<VersionKey>,
+    (service, sole): (&str, Option<VersionKey>),
     entry: &JobEntry,
     index: usize,
 ) -> Option<VersionKey> {
@@ -340,7 +340,8 @@
         }
         progress.output_version(index)?
     };
-    state.backends.has_server(version).then_some(version)
+    let is_left = state.backends.has_service_version(service, version);
+    is_left.then_some(version)
 }
 
 /// Returns when an item under which servers crashed is tried again. [`TrialWait`] gives the VMs their turns.
