Keep a removed server no longer because of later removals

Servers that were removed without having reported that they drain got requests later than 2 s after their removal was acknowledged (DRAIN): up to 3.4 s, and longer with each further removal.

Cause: the removal of at least half of the servers is taken for an outage of the store, and moved the end of the last outage to now. That time is the start of the grace period of every entry that is missing, so servers removed before were kept 1.7 s anew. A listing had the same effect: it removes missing entries once more, which set the time of their removal anew. Servers that were kept also counted as servers in use that were removed.

Now a removal that is taken for an outage has a time of its own, which decides only whether entries removed from then on are kept; each of these is kept for 1.7 s after its own removal, the first one. A real outage prolongs all, as before, since the store's answers tell nothing meanwhile.

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -96,6 +96,7 @@
     entries: Vec<BackendEntry>,       // Sorted by id.
     removals_since: Revision,         // All removals after this revision are held as tombstones.
     available_since: Option<Instant>, // End of the store's last outage.
+    mass_expiry: Option<Instant>,     // Last removal that was taken for an outage.
     unavailable: bool,
 }
 
@@ -126,19 +127,20 @@
     pub fn apply(&mut self, changes: Vec<BackendChange>, through: Revision, now: Instant) {
         let changes = last_changes(changes);
         if self.is_mass_expiry(&changes) {
-            self.available_since = Some(now);
+            self.mass_expiry = Some(now);
         }
         let keeps_missing = self.keeps_missing(now);
         self.apply_all(changes, through, keeps_missing, now);
     }
 
-    /// Returns whether the changes remove at least half of the servers in use. Such a removal is taken for an
-    /// outage of the store, since a watch that receives nothing during an outage doesn't fail.
+    /// Returns whether the changes remove at least half of the servers in use that the store lists. Such a removal is
+    /// taken for an outage of the store, since a watch that receives nothing during an outage doesn't fail.
     fn is_mass_expiry(&self, changes: &[BackendChange]) -> bool {
-        let in_use = self
-            .servers()
+        let listed = self.entries.iter().filter(|entry| entry.missing.is_none());
+        let in_use: Vec<&BackendServer> = listed
+            .filter_map(|entry| entry.server.as_ref())
             .filter(|server| !server.leaving)
-            .collect::<Vec<_>>();
+            .collect();
         let expired = changes.iter().filter(|change| {
             change.server.is_none() && in_use.iter().any(|server| server.id == change.id)
         });
@@ -322,7 +324,8 @@
             None if keeps_missing
                 && entry.server.as_ref().is_some_and(|server| !server.leaving) =>
             {
-                entry.missing = Some(now);
+                // A listing removes it once more.
+                entry.missing = entry.missing.or(Some(now));
             }
             None => {
                 entry.server = None;
@@ -333,10 +336,9 @@
 
     /// Returns whether entries removed now are kept, because their servers may register again.
     fn keeps_missing(&self, now: Instant) -> bool {
-        self.unavailable
-            || self
-                .available_since
-                .is_some_and(|since| now < since + REGISTRATION_GRACE)
+        let outages = [self.available_since, self.mass_expiry];
+        let mut outages = outages.into_iter().flatten();
+        self.unavailable || outages.any(|since| now < since + REGISTRATION_GRACE)
     }
 
     fn prune_tombstones(&mut self) {
