Give up no items for a missing route while a newer configuration is known of

Readers of results saw items as errored although their route existed: a VM whose configuration was old, such as one that took a job over, found no route for it and gave all its items up 3 s after the submission, for good.

Cause: that decision can't be taken back, and was made on a configuration that the VM knew to be old. Refusals of requests already look at that (stale_configuration::vm_that_is_behind_refuses_nothing_for_good).

Now items are kept while a newer configuration is known of; they are given up as before once the configuration in force is the newest one that is known.

Evidence: old_decisions::vm_that_is_behind_gives_up_no_items_of_a_missing_route failed before ("errored") and passes.

--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -54,6 +54,7 @@
     jobs::JobEntry,
     server_selection::PermittedServer,
     state::FleetState,
+    state_fetch::FetchedState,
     stream_versions::sole_version,
     trial_wait::{
         trial_turn,
@@ -174,6 +175,8 @@
         let Some(catalog) = state.catalog.load() else {
             return;
         };
+        // A newer configuration may have the routes that this one lacks.
+        let is_behind = state.fetches.behind_since(FetchedState::Catalog).is_some();
         let mut jobs: Vec<(JobPriority, Arc<JobEntry>)> = Vec::new();
         for entry in state.jobs.all() {
             if lock(&entry.progress).is_closed() || entry.released.load(Ordering::Relaxed) {
@@ -185,7 +188,7 @@
                     abandon_expired(&entry, terms, now);
                     jobs.push((priority(&entry, terms, now), entry));
                 }
-                _ if now > entry.submitted + ROUTE_GRACE => abandon_all(&entry),
+                _ if now > entry.submitted + ROUTE_GRACE && !is_behind => abandon_all(&entry),
                 _ => {}
             }
         }
