Count the grace period of a missing server from its removal at all VMs

Servers that were removed without having reported that they drain could get requests later than 2 s after their removal was acknowledged (DRAIN), from VMs that don't watch the store and hear of it late.

Cause: a VM that keeps a missing entry reports it as missing, without saying since when, and the VM that it is reported to kept it for the whole grace period of 1.7 s again: heard of 1.5 s late, the server was in use for 3.2 s.

Now the report says for how long the entry has been kept; while the store is unavailable nothing, since the period hasn't begun. Builds without it send zero, and behave as before.

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -254,6 +254,31 @@
             .collect()
     }
 
+    /// Returns for how long a missing entry has been kept; nothing while the store is unavailable, since its server has
+    /// had no time to register again.
+    pub fn missing_age(&self, id: &str, now: Instant) -> Option<Duration> {
+        let found = self
+            .entries
+            .binary_search_by(|entry| entry.id.as_str().cmp(id));
+        let since = self.missing_since(&self.entries[found.ok()?])?;
+        (!self.unavailable).then(|| now.saturating_duration_since(since))
+    }
+
+    /// Records for how long the VM that reported a missing entry has kept it. Otherwise each VM that it is reported to
+    /// would keep it for as long again.
+    pub fn record_missing_age(&mut self, id: &str, age: Duration, now: Instant) {
+        let found = self
+            .entries
+            .binary_search_by(|entry| entry.id.as_str().cmp(id));
+        let Some(missing) = found
+            .ok()
+            .and_then(|index| self.entries[index].missing.as_mut())
+        else {
+            return;
+        };
+        *missing = (*missing).min(now.checked_sub(age).unwrap_or(now));
+    }
+
     /// Returns whether [`BackendTable::expire`] would remove an entry.
     pub fn has_expired(&self, now: Instant) -> bool {
         !self.unavailable && self.entries.iter().any(|entry| self.is_expired(entry, now))
@@ -261,13 +286,15 @@
 
     /// Returns whether the grace period of a missing entry is over.
     fn is_expired(&self, entry: &BackendEntry, now: Instant) -> bool {
-        let Some(missing) = entry.missing else {
-            return false;
-        };
-        let since = self
-            .available_since
-            .map_or(missing, |available| available.max(missing));
-        entry.server.is_some() && now >= since + REGISTRATION_GRACE
+        let since = self.missing_since(entry);
+        entry.server.is_some() && since.is_some_and(|since| now >= since + REGISTRATION_GRACE)
+    }
+
+    /// Returns when the grace period of an entry began, if it is missing.
+    fn missing_since(&self, entry: &BackendEntry) -> Option<Instant> {
+        let missing = entry.missing?;
+        let available = self.available_since;
+        Some(available.map_or(missing, |available| available.max(missing)))
     }
 
     /// Removes missing entries whose grace period is over, and returns whether any was removed.
--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -308,6 +308,58 @@
     assert_eq!(ids(&table), ["c", "d"]);
 }
 
+// Guards against DRAIN: each VM that a missing entry was reported to kept it for the whole grace period again.
+#[test]
+fn missing_entry_is_kept_no_longer_by_a_vm_that_hears_of_it_late() {
+    // arrange
+    let now = Instant::now();
+    let later = now + REGISTRATION_GRACE.mul_f64(0.9);
+    let four = ["a", "b", "c", "d"].map(|id| registered(id, 1)).to_vec();
+    let mut table = table_of(four.clone(), 1, now);
+    let mut behind = table_of(four, 1, now);
+    table.apply(vec![removed("a", 2), removed("b", 2)], 2, now);
+
+    // act
+    let changes = table.changes_since(1);
+    let ages = changes.clone();
+    let ages = ages
+        .iter()
+        .map(|change| table.missing_age(&change.id, later));
+    behind.apply_reported(changes.clone(), 2, later);
+    for (change, age) in changes.iter().zip(ages) {
+        behind.record_missing_age(&change.id, age.unwrap_or_default(), later);
+    }
+    let kept = ids(&behind);
+    behind.expire(now + REGISTRATION_GRACE);
+
+    // assert
+    assert_eq!(kept, ["a", "b", "c", "d"]);
+    assert_eq!(ids(&behind), ["c", "d"]);
+}
+
+// Guards against servers that are dropped before they could register again: the age of an entry counts from the end of the
+// store's outage.
+#[test]
+fn missing_entry_has_no_age_during_an_outage() {
+    // arrange
+    let now = Instant::now();
+    let lost = now + Duration::from_secs(5);
+    let available = now + Duration::from_secs(20);
+    let mut table = table_of(vec![registered("a", 1), registered("b", 2)], 2, now);
+    table.record_store_unavailable();
+    table.apply(vec![removed("a", 3)], 3, lost);
+
+    // act
+    let during = table.missing_age("a", available);
+    table.record_store_available(available);
+    let after = table.missing_age("a", available + Duration::from_secs(1));
+
+    // assert
+    assert_eq!(during, None);
+    assert_eq!(after, Some(Duration::from_secs(1)));
+    assert_eq!(table.missing_age("b", available), None);
+}
+
 // Guards against DRAIN: a VM that had missed more removals than a table keeps went on using the removed servers.
 #[test]
 fn vm_that_missed_many_removals_uses_no_removed_server() {
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -188,17 +188,23 @@
     state: &FleetState,
     request: &BackendChangesRequest,
 ) -> BackendChangesResponse {
-    let (through, changes, is_full) = state.backends.read(|table| {
+    let now = Instant::now();
+    let (through, backends, is_full) = state.backends.read(|table| {
         let is_same = request.backends_digest == Some(table.digest());
         let is_full = !table.holds_changes_since(request.backends_after) && !is_same;
         let after = if is_full { 0 } else { request.backends_after };
-        (table.through(), table.changes_since(after), is_full)
+        let changes = table.changes_since(after);
+        let records = changes.iter().map(|change| {
+            let age = table.missing_age(&change.id, now).unwrap_or_default();
+            backend_record(change, age)
+        });
+        (table.through(), records.collect(), is_full)
     });
     let cancellations = lock(&state.cancellations);
     let ends = cancellations.since(request.ends_after);
     BackendChangesResponse {
         backends_through: through,
-        backends: changes.iter().map(backend_record).collect(),
+        backends,
         backends_full: is_full,
         ends_through: cancellations.through(),
         ends: ends
@@ -426,6 +432,13 @@
         return Err(unexpected_message(state, vm));
     };
     let source = vm_name(state, vm);
+    let missing = response.backends.iter().filter(|record| record.missing);
+    let missing_ages: Vec<(String, Duration)> = missing
+        .map(|record| {
+            let age = Duration::from_millis(record.missing_ms.into());
+            (record.id.clone(), age)
+        })
+        .collect();
     let changes: Vec<BackendChange> = response.backends.into_iter().map(backend_change).collect();
     let news: Vec<&BackendChange> = state.backends.read(|table| {
         let news = changes.iter().filter(|change| table.is_news(change));
@@ -434,9 +447,14 @@
     log_changes(news.into_iter(), &source);
     let now = Instant::now();
     let through = response.backends_through;
-    state.backends.update(|table| match response.backends_full {
-        true => table.replace_reported(changes, through, now),
-        false => table.apply_reported(changes, through, now),
+    state.backends.update(|table| {
+        match response.backends_full {
+            true => table.replace_reported(changes, through, now),
+            false => table.apply_reported(changes, through, now),
+        }
+        for (id, age) in missing_ages {
+            table.record_missing_age(&id, age, now);
+        }
     });
     let cancelled = response.ends.into_iter().map(|job| JobCancellation {
         revision: job.revision,
@@ -462,11 +480,12 @@
     )
 }
 
-fn backend_record(change: &BackendChange) -> BackendRecord {
+fn backend_record(change: &BackendChange, missing_age: Duration) -> BackendRecord {
     let record = BackendRecord {
         id: change.id.to_string(),
         revision: change.revision,
         missing: change.missing,
+        missing_ms: u32::try_from(missing_age.as_millis()).unwrap_or(u32::MAX),
         ..Default::default()
     };
     let Some(server) = &change.server else {
