--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -96,6 +96,7 @@
     entries: Vec<BackendEntry>,       // Sorted by id.
     removals_since: Revision,         // All removals after this revision are held as tombstones.
     available_since: Option<Instant>, // End of the store's last outage.
+    mass_expiry: Option<Instant>,     // Last removal that was taken for an outage.
     unavailable: bool,
 }
 
@@ -126,19 +127,20 @@
     pub fn apply(&mut self, changes: Vec<BackendChange>, through: Revision, now: Instant) {
         let changes = last_changes(changes);
         if self.is_mass_expiry(&changes) {
-            self.available_since = Some(now);
+            self.mass_expiry = Some(now);
         }
         let keeps_missing = self.keeps_missing(now);
         self.apply_all(changes, through, keeps_missing, now);
     }
 
-    /// Returns whether the changes remove at least half of the servers in use. Such a removal is taken for an
-    /// outage of the store, since a watch that receives nothing during an outage doesn't fail.
+    /// Returns whether the changes remove at least half of the servers in use that the store lists. Such a removal is
+    /// taken for an outage of the store, since a watch that receives nothing during an outage doesn't fail.
     fn is_mass_expiry(&self, changes: &[BackendChange]) -> bool {
-        let in_use = self
-            .servers()
+        let listed = self.entries.iter().filter(|entry| entry.missing.is_none());
+        let in_use: Vec<&BackendServer> = listed
+            .filter_map(|entry| entry.server.as_ref())
             .filter(|server| !server.leaving)
-            .collect::<Vec<_>>();
+            .collect();
         let expired = changes.iter().filter(|change| {
             change.server.is_none() && in_use.iter().any(|server| server.id == change.id)
         });
@@ -252,6 +254,31 @@
             .collect()
     }
 
+    /// Returns for how long a missing entry has been kept; nothing while the store is unavailable, since its server has
+    /// had no time to register again.
+    pub fn missing_age(&self, id: &str, now: Instant) -> Option<Duration> {
+        let found = self
+            .entries
+            .binary_search_by(|entry| entry.id.as_str().cmp(id));
+        let since = self.missing_since(&self.entries[found.ok()?])?;
+        (!self.unavailable).then(|| now.saturating_duration_since(since))
+    }
+
+    /// Records for how long the VM that reported a missing entry has kept it. Otherwise each VM that it is reported to
+    /// would keep it for as long again.
+    pub fn record_missing_age(&mut self, id: &str, age: Duration, now: Instant) {
+        let found = self
+            .entries
+            .binary_search_by(|entry| entry.id.as_str().cmp(id));
+        let Some(missing) = found
+            .ok()
+            .and_then(|index| self.entries[index].missing.as_mut())
+        else {
+            return;
+        };
+        *missing = (*missing).min(now.checked_sub(age).unwrap_or(now));
+    }
+
     /// Returns whether [`BackendTable::expire`] would remove an entry.
     pub fn has_expired(&self, now: Instant) -> bool {
         !self.unavailable && self.entries.iter().any(|entry| self.is_expired(entry, now))
@@ -259,13 +286,15 @@
 
     /// Returns whether the grace period of a missing entry is over.
     fn is_expired(&self, entry: &BackendEntry, now: Instant) -> bool {
-        let Some(missing) = entry.missing else {
-            return false;
-        };
-        let since = self
-            .available_since
-            .map_or(missing, |available| available.max(missing));
-        entry.server.is_some() && now >= since + REGISTRATION_GRACE
+        let since = self.missing_since(entry);
+        entry.server.is_some() && since.is_some_and(|since| now >= since + REGISTRATION_GRACE)
+    }
+
+    /// Returns when the grace period of an entry began, if it is missing.
+    fn missing_since(&self, entry: &BackendEntry) -> Option<Instant> {
+        let missing = entry.missing?;
+        let available = self.available_since;
+        Some(available.map_or(missing, |available| available.max(missing)))
     }
 
     /// Removes missing entries whose grace period is over, and returns whether any was removed.
@@ -322,7 +351,8 @@
             None if keeps_missing
                 && entry.server.as_ref().is_some_and(|server| !server.leaving) =>
             {
-                entry.missing = Some(now);
+                // A listing removes it once more.
+                entry.missing = entry.missing.or(Some(now));
             }
             None => {
                 entry.server = None;
@@ -333,10 +363,9 @@
 
     /// Returns whether entries removed now are kept, because their servers may register again.
     fn keeps_missing(&self, now: Instant) -> bool {
-        self.unavailable
-            || self
-                .available_since
-                .is_some_and(|since| now < since + REGISTRATION_GRACE)
+        let outages = [self.available_since, self.mass_expiry];
+        let mut outages = outages.into_iter().flatten();
+        self.unavailable || outages.any(|since| now < since + REGISTRATION_GRACE)
     }
 
     fn prune_tombstones(&mut self) {
