End requests for newer state once the VM that was asked is unreachable

What callers saw: requests on a new route were refused for 2.09 s after the change, where 2 s are allowed, beside seven VMs that had the newer configuration.

Cause: a VM asks three others at once, those of its own failure domain first, and gives each 2 s. Three that stood still right after they had stated the newer version held all places for that time, although their heartbeats had stopped 0.6 s after it. The table of sources drops unreachable VMs; the requests that wait at them went on.

Now such a request fails as soon as the VM is unreachable, checked each 100 ms, and the next VM is asked.

--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -57,7 +57,10 @@
     warn, //
 };
 use metrics::counter;
-use tokio::net::TcpListener;
+use tokio::{
+    net::TcpListener,
+    time::sleep, //
+};
 
 use crate::{
     catalog_store::{
@@ -82,6 +85,9 @@
 /// Timeout of a request that announces a cancellation to another VM.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Interval of the checks whether a VM that was asked for newer state is reachable.
+const REACHABLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Number of VMs that a platform request is forwarded to, one after the other.
 const RELAYS: usize = 3;
 
@@ -120,6 +126,31 @@
     state.links.request(&address, body, limit, choice).await
 }
 
+/// Sends a request for newer state, which other VMs may have as well. It fails as soon as the VM is unreachable: a VM that
+/// stands still or is cut off doesn't respond within the limit either.
+async fn request_newer(
+    state: &FleetState,
+    vm: u64,
+    body: Body,
+    limit: Duration,
+    choice: LinkChoice,
+) -> Result<Body, ServeError> {
+    let is_reachable = || {
+        let members = lock(&state.members);
+        let member = members.member(vm);
+        member.is_some_and(|member| member.is_reachable(Instant::now()))
+    };
+    let unreachable = async {
+        while is_reachable() {
+            sleep(REACHABLE_CHECK_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        response = request_on(state, vm, body, limit, choice) => response,
+        () = unreachable => Err(ServeError::Timeout(Step::Receive, vm_name(state, vm))),
+    }
+}
+
 /// Serves the requests of other VMs until the process ends.
 pub(crate) async fn serve_peers(state: Arc<FleetState>, listener: TcpListener) {
     loop {
@@ -127,7 +158,7 @@
             Ok(accepted) => accepted,
             Err(error) => {
                 warn!(error = error.to_string().as_str(); "accepting a connection of a VM failed");
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                sleep(Duration::from_millis(50)).await;
                 continue;
             }
         };
@@ -403,7 +434,7 @@
         after: state.catalog.version(),
         vm: Some(state.vm_hash),
     });
-    let Body::CatalogAnswer(response) = request_on(state, vm, body, limit, choice).await? else {
+    let Body::CatalogAnswer(response) = request_newer(state, vm, body, limit, choice).await? else {
         return Err(unexpected_message(state, vm));
     };
     if response.busy {
@@ -439,7 +470,7 @@
         ends_after: lock(&state.cancellations).through(),
         backends_digest: Some(digest),
     });
-    let Body::BackendAnswer(response) = request_on(state, vm, body, limit, choice).await? else {
+    let Body::BackendAnswer(response) = request_newer(state, vm, body, limit, choice).await? else {
         return Err(unexpected_message(state, vm));
     };
     let source = vm_name(state, vm);
