Ask again for a stream's version until a VM that has just started knows the others

Callers that took a stream up at a VM right after its start were refused with version_unknown, and had to begin anew, though another VM knew the version: in the first 26 ms after the VM was ready.

Cause: the VMs to ask are those that are reachable, and a VM is ready before the first heartbeats of the others have come and the stored versions are loaded. The refusal was decided on that. Traced by the text of refusals in a copy of the test.

Now such a VM asks again every 40 ms until 600 ms after its start, the time within which it hears of the others elsewhere (takeover.rs). A stream that nobody knows is still refused by then (software_versions::stream_of_an_unknown_version_is_ refused_at_once).

Evidence: software_versions::restarted_vms_learn_from_others_which_version_began_a_stream, three runs at a time on a busy machine: failed 5 of 42 before (1 of 6 on beside other tests), 0 of 42 after; streams_of_the_only_version_go_on_after_a_restart_of_all_vms failed once in some 30 runs before, 0 of 18 after.

--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -113,8 +113,10 @@
     pub(crate) streams: StreamRegistry,
     /// Cache of jobs that other VMs run and this VM read from the store.
     pub(crate) read_cache: ReadCache,
-    /// Start of this process.
+    /// Identifier of this process, made from the time of its start.
     pub(crate) incarnation: Incarnation,
+    /// Start of this process.
+    pub(crate) started: Instant,
     /// Hash of this VM's name.
     pub(crate) vm_hash: u64,
     /// VM and incarnation of this process; identifies the runner in stored results.
@@ -172,6 +174,7 @@
             streams: StreamRegistry::default(),
             read_cache: ReadCache::default(),
             incarnation,
+            started: now,
             seeds: Mutex::new(settings.seeds.clone()),
             shutdown: watch::channel(false).0,
             intake_end: OnceLock::new(),
--- a/fleet/src/stream_versions.rs
+++ b/fleet/src/stream_versions.rs
@@ -37,6 +37,7 @@
 };
 use log::info;
 use metrics::counter;
+use tokio::time::sleep;
 
 use crate::{
     admission::AdmittedRequest,
@@ -52,6 +53,12 @@
 /// Time within which these VMs have to respond.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time after the start of a VM within which it hears of the others and loads the stored versions.
+const JOIN_TIME: Duration = Duration::from_millis(600);
+
+/// Interval at which a VM that has just started asks again.
+const JOIN_RETRY_PERIOD: Duration = Duration::from_millis(40);
+
 /// Most streams in one heartbeat; the next one carries further ones.
 const NOTICE_STREAMS: usize = 1000;
 
@@ -122,10 +129,9 @@
     }
     let resumed = header_text(headers, &names.resumed_request).map(hash_name);
     let service = hash_name(&request.service);
-    let known = resumed.and_then(|stream| state.streams.find(stream));
-    let (version, source) = match known.or_else(|| sole_version(state, service)) {
+    let (version, source) = match known_version(state, resumed, service) {
         Some(version) => (Some(version), "own"),
-        None => (ask_vms(state, resumed, service).await, "other VMs"),
+        None => (ask_until_joined(state, resumed, service).await, "other VMs"),
     };
     counter!("streams_taken_up_total", "known" => if version.is_some() { "yes" } else { "no" })
         .increment(1);
@@ -151,6 +157,36 @@
     state.is_current(Instant::now()).then_some(sole)
 }
 
+/// Returns the version that began a stream, if this VM knows it.
+fn known_version(
+    state: &FleetState,
+    stream: Option<StreamKey>,
+    service: ServiceKey,
+) -> Option<VersionKey> {
+    let known = stream.and_then(|stream| state.streams.find(stream));
+    known.or_else(|| sole_version(state, service))
+}
+
+/// Asks other VMs for the version of a stream. A VM that has just started doesn't know them yet, and asks until
+/// [`JOIN_TIME`] after its start.
+async fn ask_until_joined(
+    state: &FleetState,
+    stream: Option<StreamKey>,
+    service: ServiceKey,
+) -> Option<VersionKey> {
+    loop {
+        let asked = Instant::now();
+        let version = ask_vms(state, stream, service).await;
+        if version.is_some() || asked >= state.started + JOIN_TIME {
+            return version;
+        }
+        sleep(JOIN_RETRY_PERIOD).await;
+        if let Some(version) = known_version(state, stream, service) {
+            return Some(version);
+        }
+    }
+}
+
 /// Asks the VMs that have run the longest for the version of a stream; returns the first version that one of them
 /// knows.
 async fn ask_vms(
