Guard the time of removals against later ones with eight servers

With four servers the mutant removals-keep-earlier-ones survived: the servers left after the first removal are too few for the second one to count as an outage. With eight it is killed, and the code before the fix fails as well.

--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -275,18 +275,19 @@
     // arrange
     let now = Instant::now();
     let later = now + REGISTRATION_GRACE.mul_f64(0.9);
-    let four = ["a", "b", "c", "d"].map(|id| registered(id, 1)).to_vec();
-    let mut table = table_of(four, 1, now);
+    let eight = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let mut table = table_of(eight.map(|id| registered(id, 1)).to_vec(), 1, now);
+    let removed_at = |revision| move |id: &&str| removed(id, revision);
 
     // act
-    table.apply(vec![removed("a", 2), removed("b", 2)], 2, now);
-    table.apply(vec![removed("c", 3), removed("d", 3)], 3, later);
+    table.apply(eight[..4].iter().map(removed_at(2)).collect(), 2, now);
+    table.apply(eight[4..].iter().map(removed_at(3)).collect(), 3, later);
     table.expire(now + REGISTRATION_GRACE);
     let kept = ids(&table);
     table.expire(later + REGISTRATION_GRACE);
 
     // assert
-    assert_eq!(kept, ["c", "d"]);
+    assert_eq!(kept, eight[4..]);
     assert!(ids(&table).is_empty());
 }
 
