--- a/boragerill/tests/jobs.rs
+++ b/boragerill/tests/jobs.rs
@@ -59,6 +59,29 @@
     events.join("\n")
 }
 
+// Guards against ORDER: a comment counted as an event. Before the first event it made an item go on after event 0, which
+// was never received; later it added an empty line to the text.
+#[test]
+fn comments_in_a_stream_are_no_output_of_an_item() {
+    // arrange
+    let mut progress = new_progress();
+    progress.start_item(0, VERSION);
+
+    // act
+    progress.extend(0, b": one moment\n\n");
+    let output = progress.output_version(0);
+    let after_comment = progress.start_item(0, VERSION);
+    for number in 0..EVENTS {
+        progress.extend(0, format!("{}: more\n\n", event(0, number)).as_bytes());
+    }
+    progress.complete(0);
+    let (_, chunk) = progress.next_chunk("runner").expect("chunk");
+
+    // assert
+    assert_eq!((output, after_comment), (None, None));
+    assert_eq!(chunk.results[0].text, full_text(0));
+}
+
 /// Event in the simulated life of a job.
 #[derive(Clone, Debug)]
 enum JobEvent {
