Don't count comments in a stream as output of an item

Where a server sends a comment before the first event, an item whose run then broke off went on after event 0, which it had never received: its text lacked the event (ORDER). A comment between events added an empty line to the text.

Cause: the splitter lets comments through, and a job's progress took each for an event without an id, which counts as event 0 if it is the first.

Now comments are skipped. Evidence: comments_in_a_stream_are_no_output_of_an_item failed before and passes.

--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -23,6 +23,7 @@
     stream::{
         event_data,
         event_id,
+        is_comment,
         split_events,
         EventId, //
     },
@@ -392,7 +393,8 @@
         if item.phase != ItemPhase::Running {
             return;
         }
-        for event in split_events(chunk) {
+        let events = split_events(chunk).into_iter();
+        for event in events.filter(|event| !is_comment(event)) {
             if item.last.is_some() {
                 item.text.push(b'\n');
             }
--- a/boragerill/src/stream.rs
+++ b/boragerill/src/stream.rs
@@ -160,7 +160,8 @@
     }
 }
 
-fn is_comment(event: &[u8]) -> bool {
+/// Returns whether an event, as split off, consists of comments only.
+pub fn is_comment(event: &[u8]) -> bool {
     let mut lines = event.split(|&byte| byte == b'\n');
     event.first() == Some(&b':')
         && lines.all(|line| {
