Advertise a VM's address to others apart from the one that it binds

Behind address translation a VM is reached at another address than the one that it binds, and it stated only the latter. `advertised_address`, empty by default, is what it states to other VMs and registers in the store. The port is the same on all VMs, as before.

--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -125,6 +125,15 @@
     ready: AtomicBool,
 }
 
+/// Returns the address and port that other VMs reach a VM with these settings at.
+pub(crate) fn advertised_address(settings: &VmSettings) -> CompactString {
+    let address = match settings.advertised_address.as_str() {
+        "" => &settings.address,
+        advertised => advertised,
+    };
+    format_compact!("{address}:{}", settings.peer_port)
+}
+
 impl FleetState {
     /// Creates the state of a process that starts now.
     pub(crate) fn new(
@@ -136,7 +145,7 @@
         let incarnation = wall_ms();
         let info = MemberInfo {
             vm: settings.vm.as_str().into(),
-            address: format!("{}:{}", settings.address, settings.peer_port).into(),
+            address: advertised_address(&settings),
             domain: settings.domain.as_str().into(),
             incarnation,
             leaving: false,
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -66,7 +66,10 @@
     peers,
     quarantine_store,
     retirement,
-    state::FleetState,
+    state::{
+        advertised_address,
+        FleetState, //
+    },
     state_fetch,
     store_watch,
     takeover,
@@ -238,7 +241,7 @@
 /// Registers this VM in the platform's store and adds the other registered VMs, with retries.
 async fn register(state: Arc<FleetState>) {
     let record = MemberRecord {
-        address: format!("{}:{}", state.settings.address, state.settings.peer_port),
+        address: advertised_address(&state.settings).into(),
         domain: state.settings.domain.clone(),
     };
     let value = serde_json::to_value(&record).unwrap_or_default();
