Soak: relays between VMs and the store, and between VMs, play seeded troubles

Nothing stood between the processes, so that VMs were only ever disturbed as a whole, and the store for all of them at once. A relay of its own now stands between each VM and the store, and one for connections and one for datagrams between it and the others. Troubles come in series and overlapping: the store turns one VM, a third or a failure domain away (silently, one way, or by closing connections), open connections go silent for good, datagrams are lost while connections pass and the reverse, a failure domain is cut off both ways or one way. Configurations change and servers leave while a trouble lasts and just after its end.

VMs whose links are disturbed aren't in touch until the time of contact after the end, all others are judged as before; connections that go silent disturb all VMs at that moment. What a process has shown of a version is held against it whatever its links do. Plans of the other actions stay the same for a seed. The source of a connection between VMs isn't known to its relay: connections that a cut-off domain opens to others pass.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! that such a process injects. `standard_server` and `standard_store` run within the process of a test,
 //! which sets their behaviour by method calls.
 
+pub mod datagrams;
 pub mod engine;
 pub mod fleet;
 pub mod launch;
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -5,12 +5,15 @@
 mod config;
 mod fleet;
 mod jobs;
+mod links;
 mod oracle;
 mod plan;
 mod run;
 mod servers;
+mod trouble;
 
 pub use run::{
     run_soak,
     SoakOptions, //
 };
+pub use trouble::RelayScope;
--- a/standins/src/soak/oracle.rs
+++ b/standins/src/soak/oracle.rs
@@ -205,7 +205,7 @@
                         let Some((path, seen)) = newest else {
                             continue;
                         };
-                        let is_same = vm.is_in_touch(seen, request.ended, Duration::ZERO);
+                        let is_same = vm.has_run(seen, request.ended);
                         let is_late = request.sent > seen + ROLLBACK_SLACK;
                         if request.path.as_str() <= path && is_late && is_same {
                             report.add("CONFIG regressed", self.describe(request));
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -8,6 +8,12 @@
     SeedableRng, //
 };
 
+use super::trouble::{
+    make_troubles,
+    LinkTrouble,
+    RelayScope, //
+};
+
 /// Largest number of routes that a small change of the configuration adds.
 const SMALL_CHANGE: usize = 3;
 
@@ -71,6 +77,8 @@
         /// Downtime.
         lasts: Duration,
     },
+    /// Links of VMs are disturbed.
+    Trouble(LinkTrouble),
     /// A VM stands still for `lasts`.
     Freeze {
         /// Index of the VM.
@@ -91,6 +99,8 @@
     pub(crate) length: Duration,
     /// Number of routes that the large change adds.
     pub(crate) routes: usize,
+    /// Links that are disturbed.
+    pub(crate) relays: RelayScope,
     /// Seed.
     pub(crate) seed: u64,
 }
@@ -171,6 +181,7 @@
         let seconds = random.random_range(2.0..length - 6.0);
         at(&mut plan, seconds, SoakAction::StoreOutage { lasts });
     }
+    plan.extend(make_troubles(terms, terms.relays));
     plan.sort_by_key(|entry| entry.0);
     plan
 }
--- a/standins/src/soak_main.rs
+++ b/standins/src/soak_main.rs
@@ -8,6 +8,7 @@
 
 use standins::soak::{
     run_soak,
+    RelayScope,
     SoakOptions, //
 };
 
@@ -15,7 +16,7 @@
 Runs VM processes under load and disturbs them by a seeded plan; exits with 1 if a rule was broken.
 
     soak --program FILE [--vms N] [--servers N] [--seconds N] [--seed N] [--rate N] [--busy N] [--routes N] [--share X]
-         [--keep DIR]
+         [--relays none|store|all] [--keep DIR]
 
   --program FILE   the program of a VM
   --vms N          number of VMs (6)
@@ -26,6 +27,8 @@
   --busy N         busy threads beside the fleet (0)
   --routes N       routes that the large configuration adds (1972)
   --share X        share of the time in which each VM's process runs (1.0)
+  --relays LINKS   links that relays stand on and that are disturbed: none, those between VMs and the store, or also
+                   those between VMs (all), which needs a program with the setting `advertised_address`
   --keep DIR       folder that keeps settings and logs
 ";
 
@@ -92,6 +95,18 @@
         share: arguments
             .opt_value_from_str("--share")?
             .unwrap_or(default.share),
+        relays: arguments
+            .opt_value_from_fn("--relays", read_scope)?
+            .unwrap_or(default.relays),
         keep: arguments.opt_value_from_str("--keep")?,
     }))
 }
+
+fn read_scope(text: &str) -> Result<RelayScope, String> {
+    match text {
+        "none" => Ok(RelayScope::None),
+        "store" => Ok(RelayScope::Store),
+        "all" => Ok(RelayScope::All),
+        _ => Err(format!("no scope of relays: {text}")),
+    }
+}
