--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -105,6 +105,12 @@
 /// Period of a quota of processor time.
 const QUOTA_PERIOD: Duration = Duration::from_millis(100);
 
+/// Interval of the checks whether this process itself ran, which contains the store and the clients.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Length from which on a time in which this process didn't run counts as an outage of the store.
+const MIN_STALL: Duration = Duration::from_millis(300);
+
 /// Time from the end of the load to the end of the run.
 const DRAIN_TIME: Duration = Duration::from_secs(3);
 
@@ -162,6 +168,7 @@
     configs: Mutex<Vec<ConfigChange>>,
     leaves: Mutex<Vec<(usize, Instant)>>, // Servers that leave, and when that was acknowledged.
     outages: Mutex<Vec<VmFault>>,         // Outages of the store, and connections that went silent.
+    stalls: Mutex<Vec<VmFault>>,          // Times in which this process didn't run.
     links: SoakLinks,
     troubles: Mutex<Vec<(Instant, LinkTrouble)>>, // Those that have begun.
     jobs: JobClients,
@@ -184,6 +191,7 @@
     let end = begin + Duration::from_secs(options.seconds);
     let mut tasks = JoinSet::new();
     tasks.spawn(submit_jobs(run.clone(), end));
+    tasks.spawn(record_stalls(run.clone(), end));
     for vm in 0..options.vms {
         tasks.spawn(throttle(run.clone(), vm, options.share, end));
         tasks.spawn(send_load(run.clone(), vm, options.rate, end));
@@ -252,6 +260,7 @@
         }]),
         leaves: Mutex::default(),
         outages: Mutex::default(),
+        stalls: Mutex::default(),
         links,
         troubles: Mutex::default(),
         jobs: JobClients::new(callers),
@@ -293,6 +302,18 @@
     run.with_vm(vm, |vm| vm.signal(Signal::SIGCONT));
 }
 
+/// Records until `end` when this process didn't run: the store stood still meanwhile, and so did VMs under a quota.
+async fn record_stalls(run: Arc<SoakRun>, end: Instant) {
+    while Instant::now() < end {
+        let from = Instant::now();
+        sleep(STALL_CHECK_INTERVAL).await;
+        if from.elapsed() >= MIN_STALL {
+            let to = Some(Instant::now());
+            lock(&run.stalls).push(VmFault { from, to });
+        }
+    }
+}
+
 /// Sends streams to a VM at a rate until `end`, each by a task of its own.
 async fn send_load(run: Arc<SoakRun>, vm: usize, rate: f64, end: Instant) {
     let mut sending = JoinSet::new();
@@ -423,7 +444,7 @@
         }
     }
 
-    /// Prints the troubles on links, with their times since the start.
+    /// Prints the troubles on links and the stalls of this process, with their times since the start.
     fn print_troubles(&self, start: Instant, vm_count: usize) {
         for (at, trouble) in lock(&self.troubles).iter() {
             let LinkTrouble { kind, group, lasts } = trouble;
@@ -431,6 +452,14 @@
             let (at, lasts) = ((*at - start).as_secs_f64(), lasts.as_secs_f64());
             println!("{at:.3} for {lasts:.3} s: {kind:?}, {group:?} {members:?}");
         }
+        for stall in lock(&self.stalls).iter() {
+            let lasts = stall.to.unwrap_or(stall.from) - stall.from;
+            let at = (stall.from - start).as_secs_f64();
+            println!(
+                "{at:.3} for {:.3} s: the rig didn't run",
+                lasts.as_secs_f64()
+            );
+        }
     }
 
     fn server(&self, index: usize) -> Arc<SoakServer> {
@@ -516,6 +545,10 @@
                 arrivals: lock(&self.server(server).arrivals).clone(),
             })
             .collect();
+        let outages: Vec<VmFault> = [&self.outages, &self.stalls]
+            .iter()
+            .flat_map(|faults| lock(faults).clone())
+            .collect();
         let record = RunRecord {
             start,
             bounds: bounds(vm_count),
@@ -523,7 +556,7 @@
             requests: &requests,
             configs: &configs,
             leaves: &leaves,
-            outages: &lock(&self.outages),
+            outages: &outages,
             jobs: &self.jobs.records(),
             arrivals: &self.item_arrivals(),
         };
