Reproduce DRAIN: reports of a missing server begin its grace period anew

Connections to the store go silent at 8.9 s. A server is removed at 12.07 s; front-02, whose watch has just timed out and begun anew, keeps the entry as missing, and front-06 takes that over at 12.17 s. front-00, whose watch times out at 12.33 s, lists the entries and reports the server as missing at a newer revision; front-06 takes 12.49 s as the begin of the grace period of 1.7 s. It sends a request there 2.006 s after the removal.

--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -174,6 +174,24 @@
     assert!(ids(&table).is_empty());
 }
 
+// Guards against DRAIN: after connections to the store had gone silent, one VM after the other reported a removed server as
+// missing, and each report began the grace period anew.
+#[test]
+fn missing_entry_reported_again_expires_after_the_first_grace_period() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table_of(vec![registered("a", 1)], 1, now);
+    table.apply_reported(vec![missing("a", 4)], 4, now);
+
+    // act
+    let later = now + REGISTRATION_GRACE / 2;
+    table.apply_reported(vec![missing("a", 6)], 6, later);
+    table.expire(now + REGISTRATION_GRACE);
+
+    // assert
+    assert!(ids(&table).is_empty());
+}
+
 #[test]
 fn older_listing_and_older_changes_are_ignored() {
     // arrange
