Begin the grace period of a missing server once, whoever reports it (DRAIN)

Requests reached a server 2.006 s after its removal was acknowledged, where 2 s are allowed.

Cause: after connections to the store had gone silent, one VM after the other listed the servers anew and reported a removed one as missing, at a newer revision each time; a VM that kept it already took each report as the begin of the 1.7 s.

Now an entry that is missing stays missing since the first report.

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -345,7 +345,9 @@
             Some(_) if change.missing && known && entry.server.is_none() => {}
             Some(server) => {
                 entry.server = Some(server);
-                entry.missing = change.missing.then_some(now);
+                // An entry that is reported again has been missing since the first report.
+                let since = entry.missing.unwrap_or(now);
+                entry.missing = change.missing.then_some(since);
             }
             // A draining server has stopped; the entry of another one may only have expired in the outage.
             None if keeps_missing
