Keep no server whose leave and removal come in one answer (DRAIN)

Cause: of several changes of one server in an answer only the last is applied, so that the removal followed the ready entry and was taken for a registration that had expired in the outage. Now announced leaves of an answer are applied first.

Evidence: backend::server_that_left_and_was_removed_in_one_answer_is_not_kept failed before.

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -125,6 +125,14 @@
 
     /// Applies the store's changes up to `through`, in the store's order.
     pub fn apply(&mut self, changes: Vec<BackendChange>, through: Revision, now: Instant) {
+        // A server that announced its leave isn't kept when its removal comes in the same answer.
+        let is_leaving = |change: &&BackendChange| {
+            let server = change.server.as_ref();
+            server.is_some_and(|server| server.leaving)
+        };
+        for change in changes.iter().filter(is_leaving) {
+            self.apply_one(change.clone(), false, now);
+        }
         let changes = last_changes(changes);
         if self.is_mass_expiry(&changes) {
             self.mass_expiry = Some(now);
--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -174,6 +174,27 @@
     assert!(ids(&table).is_empty());
 }
 
+// Guards against DRAIN: after an outage of the store, a server whose leave and removal came in one answer was taken for one
+// whose registration had expired, and stayed in use.
+#[test]
+fn server_that_left_and_was_removed_in_one_answer_is_not_kept() {
+    // arrange
+    let now = Instant::now();
+    let four = ["a", "b", "c", "d"].map(|id| registered(id, 1)).to_vec();
+    let mut table = table_of(four, 1, now);
+    table.record_store_unavailable();
+    let mut leaving = registered("a", 2);
+    if let Some(server) = &mut leaving.server {
+        server.leaving = true;
+    }
+
+    // act
+    table.apply(vec![leaving, removed("a", 3), removed("b", 3)], 3, now);
+
+    // assert
+    assert_eq!(ids(&table), ["b", "c", "d"]);
+}
+
 // Guards against DRAIN: after connections to the store had gone silent, one VM after the other reported a removed server as
 // missing, and each report began the grace period anew.
 #[test]
