Keep watchers where they are while the store is slow; ask anew at once when it is silent

The lease of the first watcher lapsed with each call, others took its place and listed everything, jobs too, and gave way again.

Now a response may take twice as long as the last one, up to 0.9 s, before it is overdue; a VM that watches again goes on from the revision that it knows, for jobs as well, and lists only if the store keeps no history since. A call whose response is overdue after its wait is abandoned for one that is answered at once, on another connection: only its own may be silent.

--- a/boragerill/src/watch_lease.rs
+++ b/boragerill/src/watch_lease.rs
@@ -9,9 +9,16 @@
     Instant, //
 };
 
-/// Time within which the store responds to a call that doesn't wait, or after the wait of one that does.
+/// Time within which the store responds to a call that doesn't wait, or after the wait of one that does, unless it is known
+/// to be slow.
 pub const RESPONSE_TIME: Duration = Duration::from_millis(350);
 
+/// Longest time within which a response of a slow store is awaited before it is overdue.
+const MAX_RESPONSE_TIME: Duration = Duration::from_millis(900);
+
+/// How many times its last response time a slow store may take.
+const RESPONSE_TOLERANCE: u32 = 2;
+
 /// Interval between the ends of the first watcher's calls of one kind. A call may miss changes without an error while the
 /// store compacts its history; the next call detects this.
 const FIRST_WATCHER_INTERVAL: Duration = Duration::from_millis(1000);
@@ -23,13 +30,15 @@
 #[derive(Clone, Debug)]
 pub struct WatchLease {
     kinds: Vec<KindLease>, // By kind.
+    response_time: Duration,
 }
 
 /// What the calls of one kind have shown.
 #[derive(Clone, Copy, Debug, Default)]
 struct KindLease {
-    is_answered: bool,    // Whether the last call that ended was answered.
-    due: Option<Instant>, // When the response to the pending call is overdue.
+    is_answered: bool,         // Whether the last call that ended was answered.
+    wait_end: Option<Instant>, // When the pending call stops waiting for changes.
+    due: Option<Instant>,      // When the response to the pending call is overdue.
 }
 
 impl WatchLease {
@@ -37,21 +46,29 @@
     pub fn new(kinds: usize) -> WatchLease {
         WatchLease {
             kinds: vec![KindLease::default(); kinds],
+            response_time: RESPONSE_TIME,
         }
     }
 
     /// Records that a call that waits for `wait` begins, and returns when its response is overdue.
     pub fn begin_call(&mut self, kind: usize, wait: Duration, now: Instant) -> Instant {
-        let due = now + wait + RESPONSE_TIME;
+        let due = now + wait + self.response_time;
+        self.kinds[kind].wait_end = Some(now + wait);
         self.kinds[kind].due = Some(due);
         due
     }
 
-    /// Records whether a call was answered; the next one is due soon.
+    /// Records whether a call was answered; the next one is due soon. Later calls may take twice as long as this one.
     pub fn end_call(&mut self, kind: usize, is_answered: bool, now: Instant) {
+        let wait_end = self.kinds[kind].wait_end.filter(|&end| end <= now);
+        if let (true, Some(end)) = (is_answered, wait_end) {
+            let taken = now.saturating_duration_since(end) * RESPONSE_TOLERANCE;
+            self.response_time = taken.clamp(RESPONSE_TIME, MAX_RESPONSE_TIME);
+        }
         self.kinds[kind] = KindLease {
             is_answered,
-            due: Some(now + RESPONSE_TIME),
+            wait_end: None,
+            due: Some(now + self.response_time),
         };
     }
 
--- a/boragerill/tests/watch_lease.rs
+++ b/boragerill/tests/watch_lease.rs
@@ -153,3 +153,45 @@
     assert!(valid_after_answer);
     assert!(!valid_after_failure);
 }
+
+// Guards against calls to the store and listings in quick succession: VMs took turns in watching a store that responded
+// slower than usual, though it did respond.
+#[test]
+fn lease_holds_while_the_store_responds_slowly() {
+    // arrange: the first response shows that the store is slow
+    let slow = milliseconds(430);
+    let mut now = Instant::now();
+    let mut lease = WatchLease::new(1);
+    lease.end_call(0, true, now);
+    lease.begin_call(0, Duration::ZERO, now);
+    now += slow;
+    lease.end_call(0, true, now);
+
+    for _ in 0..20 {
+        // act
+        let wait = milliseconds(700);
+        lease.begin_call(0, wait, now);
+        now += wait + slow;
+        let is_valid = lease.is_valid(now);
+        lease.end_call(0, true, now);
+
+        // assert
+        assert!(is_valid);
+    }
+}
+
+#[test]
+fn lease_of_a_slow_store_lapses_within_a_second_of_the_end_of_its_wait() {
+    // arrange
+    let now = Instant::now();
+    let mut lease = WatchLease::new(1);
+    lease.begin_call(0, Duration::ZERO, now);
+    lease.end_call(0, true, now + Duration::from_secs(5));
+
+    // act
+    let begin = now + Duration::from_secs(5);
+    let due = lease.begin_call(0, milliseconds(300), begin);
+
+    // assert
+    assert!(due <= begin + milliseconds(300) + LAPSE_TIME);
+}
--- a/fleet/src/job_watch.rs
+++ b/fleet/src/job_watch.rs
@@ -63,7 +63,6 @@
     let mut through = None; // Revision up to which the manifests are known, and when they were last listed.
     loop {
         if !is_first_watcher(&state) {
-            through = None;
             sleep(DUTY_CHECK_INTERVAL).await;
             continue;
         }
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -116,24 +116,27 @@
 
 impl WatchState {
     /// Carries a call out that waits for `wait` at the store. While its response is overdue, this VM doesn't state that it
-    /// watches.
+    /// watches. `None` if a call that waited was abandoned then: its connection may have fallen silent.
     async fn call(
         &self,
         state: &FleetState,
         kind: WatchedKind,
         wait: Duration,
         call: impl Future<Output = Result<Revision, ServeError>>,
-    ) -> Result<Revision, ServeError> {
+    ) -> Option<Result<Revision, ServeError>> {
         let begin = Instant::now();
         let due = lock(&self.lease).begin_call(kind as usize, wait, begin);
         let mut call = pin!(call);
         if let Ok(result) = timeout_at(due.into(), &mut call).await {
-            return result;
+            return Some(result);
         }
         counter!("platform_responses_overdue_total").increment(1);
         info!(kind = kind_name(state, kind), waited_ms = millis(begin.elapsed()); "response of the store overdue");
         self.update_follows(state);
-        call.await
+        match wait.is_zero() {
+            true => Some(call.await),
+            false => None,
+        }
     }
 
     /// Records the outcome of a call.
@@ -150,8 +153,10 @@
 
     /// States to the other VMs whether this one watches the store.
     fn update_follows(&self, state: &FleetState) {
-        let follows = lock(&self.lease).is_valid(Instant::now());
+        let lease = lock(&self.lease);
+        let follows = lease.is_valid(Instant::now());
         let before = std::mem::replace(&mut lock(&state.members).own_mut().follows, follows);
+        drop(lease);
         if before != follows {
             info!(follows; "watching the store changed");
             state.backends.changed.notify_one();
@@ -173,28 +178,30 @@
 async fn watch_kind(state: Arc<FleetState>, watch_state: Arc<WatchState>, kind: WatchedKind) {
     let mut backoff = BACKOFF_MIN;
     let mut through = None;
+    let mut is_watching = false;
     let mut health = WatchHealth::default();
     loop {
         if is_covered(&state, kind) {
             watch_state.release(&state, kind);
-            through = None;
+            is_watching = false;
             // Responses of the store to other watchers show that it is available.
             record_store_response(&state, true);
             sleep(WATCHER_CHECK_INTERVAL).await;
             continue;
         }
-        if through.is_none() && !wait_for_turn(&state, kind).await {
-            continue;
+        if !is_watching {
+            if !wait_for_turn(&state, kind).await {
+                continue;
+            }
+            is_watching = true;
+            health.require_answer();
         }
         let started = Instant::now();
         let call = match through {
             None => {
                 let listing = list(&state, kind);
-                Some(
-                    watch_state
-                        .call(&state, kind, Duration::ZERO, listing)
-                        .await,
-                )
+                let listing = watch_state.call(&state, kind, Duration::ZERO, listing);
+                listing.await
             }
             Some(after) => watch(&state, &watch_state, kind, (after, health.needs_answer())).await,
         };
@@ -370,7 +377,7 @@
         Ok(batch.version.max(after))
     };
     tokio::select! {
-        result = watch_state.call(state, kind, wait, events) => Some(result),
+        result = watch_state.call(state, kind, wait, events) => result,
         () = wait_for_doubt(state, kind), if !is_short => None,
     }
 }
