Relay calls through any reachable VM when none vouches for the store

Found by a review of the lease, by reading: calls were relayed only through VMs that state that they watch the store. With a lease, none may do so while the store is slow, though it answers. Those that do come first.

--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -320,17 +320,17 @@
     }
 }
 
-/// Forwards a platform request through other VMs that watch the store, one after the other until one succeeds.
+/// Forwards a platform request through other VMs, one after the other until one succeeds.
 pub(crate) async fn relay_store(
     state: &FleetState,
     request: ApiRequest,
     limit: Duration,
 ) -> Result<ApiResponse, ServeError> {
     counter!("platform_calls_relayed_total").increment(1);
-    let addresses = store_watchers(state);
+    let addresses = store_relays(state);
     // Reads, and creations of an object with the same content, are safe to repeat.
     let is_safe = matches!(request.method.as_str(), "GET" | "POST");
-    let cause = "no VM watches the store".into();
+    let cause = "no VM is reachable".into();
     let mut failure = Err(ServeError::Unreachable(Step::Connect, "vm".into(), cause));
     for (index, address) in addresses.iter().enumerate() {
         let is_last = index + 1 == addresses.len();
@@ -348,18 +348,21 @@
     failure
 }
 
-/// Returns the addresses of up to `RELAYS` reachable VMs that watch the store, in random order.
-fn store_watchers(state: &FleetState) -> Vec<CompactString> {
+/// Returns the addresses of up to `RELAYS` reachable VMs, those first that watch the store, else in random order.
+fn store_relays(state: &FleetState) -> Vec<CompactString> {
     let now = Instant::now();
     let draw: u64 = rand::random();
     let members = lock(&state.members);
-    let watchers = members.reachable(now).filter(|member| member.info.follows);
-    let mut watchers: Vec<_> = watchers
-        .map(|member| (score(draw, member.hash), member.info.address.clone()))
+    let mut relays: Vec<_> = members
+        .reachable(now)
+        .map(|member| {
+            let order = (!member.info.follows, score(draw, member.hash));
+            (order, member.info.address.clone())
+        })
         .collect();
-    watchers.sort();
-    watchers.truncate(RELAYS);
-    watchers.into_iter().map(|entry| entry.1).collect()
+    relays.sort();
+    relays.truncate(RELAYS);
+    relays.into_iter().map(|entry| entry.1).collect()
 }
 
 async fn relay_to(
