Use no connection to the store that was idle for over a second (CONFIG)

Connections to other VMs are already used within a second of their last response only; the same bound holds here.

--- a/boragerill/src/platform.rs
+++ b/boragerill/src/platform.rs
@@ -89,6 +89,9 @@
 /// Unanswered probes after which a TCP connection is considered lost.
 const MAX_KEEPALIVE_PROBES: u32 = 2;
 
+/// Longest idle time after which a connection is used again: it may have fallen silent since its last response.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
+
 /// VM in the platform's list.
 #[derive(Clone, Debug, Default)]
 #[derive(Deserialize)]
@@ -155,6 +158,7 @@
     pub fn with_options(base: &str, options: ClientOptions) -> PlatformClient {
         let builder = Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
+            .pool_idle_timeout(MAX_IDLE_TIME)
             .tcp_nodelay(true)
             .tcp_keepalive(KEEPALIVE_PERIOD)
             .tcp_keepalive_interval(KEEPALIVE_PERIOD)
