--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -46,6 +46,7 @@
 mod trial_wait;
 mod version_store;
 mod vm;
+mod watch_state;
 pub mod wire;
 
 pub use vm::run_vm;
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -1,12 +1,7 @@
 //! Watches the platform's store for configuration, backend servers and cancelled jobs.
 
 use std::{
-    future::Future,
-    pin::pin,
-    sync::{
-        Arc,
-        Mutex, //
-    },
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -32,30 +27,31 @@
         WatchHealth,
         WatchOutcome, //
     },
-    watch_lease::WatchLease,
 };
 use log::{
     info,
     warn, //
 };
 use metrics::counter;
-use tokio::time::{
-    sleep,
-    timeout_at, //
-};
+use tokio::time::sleep;
 
 use crate::{
     catalog_store::apply_catalog,
     jobs::{
         apply_cancellations,
-        stop_cancelled_jobs,
-        CANCELLATION_KIND, //
+        stop_cancelled_jobs, //
     },
     state::FleetState,
     state_fetch::{
         report_confirmations,
         FetchedState, //
     },
+    watch_state::{
+        kind_name,
+        WatchState,
+        WatchedKind,
+        WATCHED_KINDS, //
+    },
 };
 
 /// Shortest time from a watch call that is cut off to the next call.
@@ -82,94 +78,9 @@
 /// Number of VMs that watch the store; the others receive changes from them.
 const WATCHERS: usize = 3;
 
-/// Kinds of objects that are watched.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum WatchedKind {
-    Catalog,
-    Backends,
-    Cancellations,
-}
-
-impl WatchedKind {
-    /// Returns the state that the objects of this kind make up.
-    fn fetched(self) -> FetchedState {
-        match self {
-            WatchedKind::Catalog => FetchedState::Catalog,
-            WatchedKind::Backends => FetchedState::Backends,
-            WatchedKind::Cancellations => FetchedState::Cancellations,
-        }
-    }
-}
-
-const WATCHED_KINDS: [WatchedKind; 3] = [
-    WatchedKind::Catalog,
-    WatchedKind::Backends,
-    WatchedKind::Cancellations,
-];
-
-/// What the tasks of the watched kinds share.
-#[derive(Debug)]
-struct WatchState {
-    lease: Mutex<WatchLease>,
-    started: Instant,
-}
-
-impl WatchState {
-    /// Carries a call out that waits for `wait` at the store. While its response is overdue, this VM doesn't state that it
-    /// watches. `None` if a call that waited was abandoned then: its connection may have fallen silent.
-    async fn call(
-        &self,
-        state: &FleetState,
-        kind: WatchedKind,
-        wait: Duration,
-        call: impl Future<Output = Result<Revision, ServeError>>,
-    ) -> Option<Result<Revision, ServeError>> {
-        let begin = Instant::now();
-        let due = lock(&self.lease).begin_call(kind as usize, wait, begin);
-        let mut call = pin!(call);
-        if let Ok(result) = timeout_at(due.into(), &mut call).await {
-            return Some(result);
-        }
-        counter!("platform_responses_overdue_total").increment(1);
-        info!(kind = kind_name(state, kind), waited_ms = millis(begin.elapsed()); "response of the store overdue");
-        self.update_follows(state);
-        match wait.is_zero() {
-            true => Some(call.await),
-            false => None,
-        }
-    }
-
-    /// Records the outcome of a call.
-    fn end_call(&self, state: &FleetState, kind: WatchedKind, is_answered: bool) {
-        lock(&self.lease).end_call(kind as usize, is_answered, Instant::now());
-        self.update_follows(state);
-    }
-
-    /// Records that a kind isn't watched any more.
-    fn release(&self, state: &FleetState, kind: WatchedKind) {
-        lock(&self.lease).release(kind as usize);
-        self.update_follows(state);
-    }
-
-    /// States to the other VMs whether this one watches the store.
-    fn update_follows(&self, state: &FleetState) {
-        let lease = lock(&self.lease);
-        let follows = lease.is_valid(Instant::now());
-        let before = std::mem::replace(&mut lock(&state.members).own_mut().follows, follows);
-        drop(lease);
-        if before != follows {
-            info!(follows; "watching the store changed");
-            state.backends.changed.notify_one();
-        }
-    }
-}
-
 /// Watches all kinds until the process ends.
 pub(crate) fn start(state: &Arc<FleetState>) {
-    let watch_state = Arc::new(WatchState {
-        lease: Mutex::new(WatchLease::new(WATCHED_KINDS.len())),
-        started: Instant::now(),
-    });
+    let watch_state = Arc::new(WatchState::default());
     for kind in WATCHED_KINDS {
         tokio::spawn(watch_kind(state.clone(), watch_state.clone(), kind));
     }
@@ -337,14 +248,6 @@
     }
 }
 
-fn kind_name(state: &FleetState, kind: WatchedKind) -> &'static str {
-    match kind {
-        WatchedKind::Catalog => state.format.kinds.catalog,
-        WatchedKind::Backends => state.format.kinds.backends,
-        WatchedKind::Cancellations => CANCELLATION_KIND,
-    }
-}
-
 async fn list(state: &FleetState, kind: WatchedKind) -> Result<Revision, ServeError> {
     let name = kind_name(state, kind);
     let (objects, through) = state.platform.list(name, |object| object).await?;
@@ -363,10 +266,7 @@
     let is_short = needs_answer || needs_short_calls(state, kind);
     let wait = match needs_answer {
         true => Duration::ZERO,
-        false => {
-            let elapsed = watch_state.started.elapsed();
-            lock(&watch_state.lease).wait(kind as usize, is_short, elapsed)
-        }
+        false => watch_state.wait(kind, is_short),
     };
     let events = async {
         let name = kind_name(state, kind);
--- /dev/null
+++ b/fleet/src/watch_state.rs
@@ -0,0 +1,137 @@
+//! Calls of this VM to the store for each watched kind, and the lease that they make up.
+
+use std::{
+    future::Future,
+    pin::pin,
+    sync::Mutex,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    backend::Revision,
+    error::ServeError,
+    sync::lock,
+    timer::millis,
+    watch_lease::WatchLease, //
+};
+use log::info;
+use metrics::counter;
+use tokio::time::timeout_at;
+
+use crate::{
+    jobs::CANCELLATION_KIND,
+    state::FleetState,
+    state_fetch::FetchedState, //
+};
+
+/// Kinds of objects that are watched.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum WatchedKind {
+    /// Configuration.
+    Catalog,
+    /// Backend servers.
+    Backends,
+    /// Cancelled jobs.
+    Cancellations,
+}
+
+impl WatchedKind {
+    /// Returns the state that the objects of this kind make up.
+    pub(crate) fn fetched(self) -> FetchedState {
+        match self {
+            WatchedKind::Catalog => FetchedState::Catalog,
+            WatchedKind::Backends => FetchedState::Backends,
+            WatchedKind::Cancellations => FetchedState::Cancellations,
+        }
+    }
+}
+
+/// All kinds.
+pub(crate) const WATCHED_KINDS: [WatchedKind; 3] = [
+    WatchedKind::Catalog,
+    WatchedKind::Backends,
+    WatchedKind::Cancellations,
+];
+
+/// What the tasks of the watched kinds share.
+#[derive(Debug)]
+pub(crate) struct WatchState {
+    lease: Mutex<WatchLease>,
+    started: Instant,
+}
+
+impl Default for WatchState {
+    fn default() -> WatchState {
+        WatchState {
+            lease: Mutex::new(WatchLease::new(WATCHED_KINDS.len())),
+            started: Instant::now(),
+        }
+    }
+}
+
+impl WatchState {
+    /// Returns for how long the next call of a kind waits for changes.
+    pub(crate) fn wait(&self, kind: WatchedKind, is_short: bool) -> Duration {
+        lock(&self.lease).wait(kind as usize, is_short, self.started.elapsed())
+    }
+
+    /// Carries a call out that waits for `wait` at the store. While its response is overdue, this VM doesn't state that it
+    /// watches. `None` if a call that waited was abandoned then: its connection may have fallen silent.
+    pub(crate) async fn call(
+        &self,
+        state: &FleetState,
+        kind: WatchedKind,
+        wait: Duration,
+        call: impl Future<Output = Result<Revision, ServeError>>,
+    ) -> Option<Result<Revision, ServeError>> {
+        let begin = Instant::now();
+        let due = lock(&self.lease).begin_call(kind as usize, wait, begin);
+        let mut call = pin!(call);
+        if let Ok(result) = timeout_at(due.into(), &mut call).await {
+            return Some(result);
+        }
+        counter!("platform_responses_overdue_total").increment(1);
+        info!(kind = kind_name(state, kind), waited_ms = millis(begin.elapsed()); "response of the store overdue");
+        self.update_follows(state);
+        match wait.is_zero() {
+            true => Some(call.await),
+            false => None,
+        }
+    }
+
+    /// Records the outcome of a call.
+    pub(crate) fn end_call(&self, state: &FleetState, kind: WatchedKind, is_answered: bool) {
+        lock(&self.lease).end_call(kind as usize, is_answered, Instant::now());
+        self.update_follows(state);
+    }
+
+    /// Records that a kind isn't watched any more.
+    pub(crate) fn release(&self, state: &FleetState, kind: WatchedKind) {
+        lock(&self.lease).release(kind as usize);
+        self.update_follows(state);
+    }
+
+    /// States to the other VMs whether this one watches the store.
+    fn update_follows(&self, state: &FleetState) {
+        let lease = lock(&self.lease);
+        let follows = lease.is_valid(Instant::now());
+        let before = std::mem::replace(&mut lock(&state.members).own_mut().follows, follows);
+        drop(lease);
+        if before != follows {
+            info!(follows; "watching the store changed");
+            state.backends.changed.notify_one();
+        }
+    }
+}
+
+/// Returns the store's name of a kind.
+pub(crate) fn kind_name(state: &FleetState, kind: WatchedKind) -> &'static str {
+    match kind {
+        WatchedKind::Catalog => state.format.kinds.catalog,
+        WatchedKind::Backends => state.format.kinds.backends,
+        WatchedKind::Cancellations => CANCELLATION_KIND,
+    }
+}
