One enum for the kinds of state, one search in the table of servers, one test of reachability

The change wrote twice what stood already: WatchedKind beside FetchedState with a mapping between them, the search of an entry by id in two more places, and whether another VM is reachable in two. A VM that doesn't watch no longer releases its lease with each check.

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -219,9 +219,7 @@
 
     /// Returns whether a change would change the table.
     pub fn is_news(&self, change: &BackendChange) -> bool {
-        let found = self
-            .entries
-            .binary_search_by(|entry| entry.id.cmp(&change.id));
+        let found = self.search(&change.id);
         found.map_or(change.server.is_some(), |index| {
             self.entries[index].revision < change.revision
         })
@@ -265,9 +263,7 @@
     /// Returns for how long a missing entry has been kept; nothing while the store is unavailable, since its server has
     /// had no time to register again.
     pub fn missing_age(&self, id: &str, now: Instant) -> Option<Duration> {
-        let found = self
-            .entries
-            .binary_search_by(|entry| entry.id.as_str().cmp(id));
+        let found = self.search(id);
         let since = self.missing_since(&self.entries[found.ok()?])?;
         (!self.unavailable).then(|| now.saturating_duration_since(since))
     }
@@ -275,9 +271,7 @@
     /// Records for how long the VM that reported a missing entry has kept it. Otherwise each VM that it is reported to
     /// would keep it for as long again.
     pub fn record_missing_age(&mut self, id: &str, age: Duration, now: Instant) {
-        let found = self
-            .entries
-            .binary_search_by(|entry| entry.id.as_str().cmp(id));
+        let found = self.search(id);
         let Some(missing) = found
             .ok()
             .and_then(|index| self.entries[index].missing.as_mut())
@@ -328,9 +322,7 @@
     }
 
     fn apply_one(&mut self, change: BackendChange, keeps_missing: bool, now: Instant) {
-        let found = self
-            .entries
-            .binary_search_by(|entry| entry.id.cmp(&change.id));
+        let found = self.search(&change.id);
         let index = match found {
             Ok(index) if self.entries[index].revision >= change.revision => return,
             Ok(index) => index,
@@ -378,6 +370,12 @@
         self.unavailable || outages.any(|since| now < since + REGISTRATION_GRACE)
     }
 
+    /// Returns the index of an entry, or where it would be inserted.
+    fn search(&self, id: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| entry.id.as_str().cmp(id))
+    }
+
     fn prune_tombstones(&mut self) {
         let removed = self.entries.iter().filter(|entry| entry.server.is_none());
         let mut revisions: Vec<Revision> = removed.map(|entry| entry.revision).collect();
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -178,6 +178,12 @@
         Some(&self.members[self.search(hash).ok()?])
     }
 
+    /// Returns whether another VM is known and reachable.
+    pub fn reaches(&self, hash: u64, now: Instant) -> bool {
+        self.member(hash)
+            .is_some_and(|member| member.is_reachable(now))
+    }
+
     /// Returns all other VMs.
     pub fn members(&self) -> &[FleetMember] {
         &self.members
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -135,13 +135,8 @@
     limit: Duration,
     choice: LinkChoice,
 ) -> Result<Body, ServeError> {
-    let is_reachable = || {
-        let members = lock(&state.members);
-        let member = members.member(vm);
-        member.is_some_and(|member| member.is_reachable(Instant::now()))
-    };
     let unreachable = async {
-        while is_reachable() {
+        while lock(&state.members).reaches(vm, Instant::now()) {
             sleep(REACHABLE_CHECK_INTERVAL).await;
         }
     };
--- a/fleet/src/state_fetch.rs
+++ b/fleet/src/state_fetch.rs
@@ -88,7 +88,8 @@
     }
 }
 
-const FETCHED_STATES: [FetchedState; 3] = [
+/// All kinds of state that VMs fetch from each other, which are those that are watched at the store.
+pub(crate) const FETCHED_STATES: [FetchedState; 3] = [
     FetchedState::Catalog,
     FetchedState::Backends,
     FetchedState::Cancellations,
@@ -258,11 +259,7 @@
     let number = own_number(state, kind);
     let members = lock(&state.members);
     let mut table = lock(&state.fetches.of(kind).table);
-    table.retain(|vm| {
-        members
-            .member(vm)
-            .is_some_and(|member| member.is_reachable(now))
-    });
+    table.retain(|vm| members.reaches(vm, now));
     // The changes of servers are small, so that every VM may fetch them from any other one.
     let rank = match kind {
         FetchedState::Catalog => members.own_domain_rank(hash_name("fetch"), now),
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -44,13 +44,12 @@
     state::FleetState,
     state_fetch::{
         report_confirmations,
-        FetchedState, //
+        FetchedState,
+        FETCHED_STATES, //
     },
     watch_state::{
         kind_name,
-        WatchState,
-        WatchedKind,
-        WATCHED_KINDS, //
+        WatchState, //
     },
 };
 
@@ -81,20 +80,21 @@
 /// Watches all kinds until the process ends.
 pub(crate) fn start(state: &Arc<FleetState>) {
     let watch_state = Arc::new(WatchState::default());
-    for kind in WATCHED_KINDS {
+    for kind in FETCHED_STATES {
         tokio::spawn(watch_kind(state.clone(), watch_state.clone(), kind));
     }
 }
 
-async fn watch_kind(state: Arc<FleetState>, watch_state: Arc<WatchState>, kind: WatchedKind) {
+async fn watch_kind(state: Arc<FleetState>, watch_state: Arc<WatchState>, kind: FetchedState) {
     let mut backoff = BACKOFF_MIN;
     let mut through = None;
     let mut is_watching = false;
     let mut health = WatchHealth::default();
     loop {
         if is_covered(&state, kind) {
-            watch_state.release(&state, kind);
-            is_watching = false;
+            if std::mem::take(&mut is_watching) {
+                watch_state.release(&state, kind);
+            }
             // Responses of the store to other watchers show that it is available.
             record_store_response(&state, true);
             sleep(WATCHER_CHECK_INTERVAL).await;
@@ -131,7 +131,7 @@
         watch_state.end_call(&state, kind, store == StoreHealth::Available);
         match result {
             Ok(revision) => {
-                state.fetches.confirm(kind.fetched());
+                state.fetches.confirm(kind);
                 through = Some(revision);
                 backoff = BACKOFF_MIN;
                 record_store_response(&state, true);
@@ -162,7 +162,7 @@
 
 /// Returns whether this VM has its first state, gets newer ones from other VMs, and enough VMs of higher rank watch the
 /// store.
-fn is_covered(state: &FleetState, kind: WatchedKind) -> bool {
+fn is_covered(state: &FleetState, kind: FetchedState) -> bool {
     if state.catalog.version() == 0 || state.backends.read(|table| table.through()) == 0 {
         return false;
     }
@@ -170,14 +170,14 @@
 }
 
 /// Returns whether other VMs haven't sent a newer state that they have stated for long.
-fn is_behind(state: &FleetState, kind: WatchedKind) -> bool {
-    let since = state.fetches.behind_since(kind.fetched());
+fn is_behind(state: &FleetState, kind: FetchedState) -> bool {
+    let since = state.fetches.behind_since(kind);
     since.is_some_and(|since| since.elapsed() > FETCH_TIME)
 }
 
 /// Waits for this VM's turn, by its rank, to replace watchers that became unreachable, and returns whether it
 /// is still needed. A VM without a configuration doesn't wait.
-async fn wait_for_turn(state: &FleetState, kind: WatchedKind) -> bool {
+async fn wait_for_turn(state: &FleetState, kind: FetchedState) -> bool {
     if state.catalog.version() == 0 {
         return true;
     }
@@ -189,7 +189,7 @@
 
 /// Returns whether calls of a kind have to end soon, since no VM of higher rank watches, or other VMs don't send what
 /// they state.
-fn needs_short_calls(state: &FleetState, kind: WatchedKind) -> bool {
+fn needs_short_calls(state: &FleetState, kind: FetchedState) -> bool {
     watchers_before(state) == 0 || is_behind(state, kind)
 }
 
@@ -248,7 +248,7 @@
     }
 }
 
-async fn list(state: &FleetState, kind: WatchedKind) -> Result<Revision, ServeError> {
+async fn list(state: &FleetState, kind: FetchedState) -> Result<Revision, ServeError> {
     let name = kind_name(state, kind);
     let (objects, through) = state.platform.list(name, |object| object).await?;
     apply_objects(state, kind, objects, through, true);
@@ -260,7 +260,7 @@
 async fn watch(
     state: &FleetState,
     watch_state: &WatchState,
-    kind: WatchedKind,
+    kind: FetchedState,
     (after, needs_answer): (Revision, bool),
 ) -> Option<Result<Revision, ServeError>> {
     let is_short = needs_answer || needs_short_calls(state, kind);
@@ -284,7 +284,7 @@
 
 /// Waits until a call that waits for long has to be replaced by one that is answered at once: a VM of higher rank watches
 /// no more, maybe since the store has fallen silent, or other VMs don't send what they state.
-async fn wait_for_doubt(state: &FleetState, kind: WatchedKind) {
+async fn wait_for_doubt(state: &FleetState, kind: FetchedState) {
     let mut before = watchers_before(state);
     loop {
         sleep(WATCHER_CHECK_INTERVAL).await;
@@ -298,15 +298,15 @@
 
 fn apply_objects(
     state: &FleetState,
-    kind: WatchedKind,
+    kind: FetchedState,
     objects: Vec<PlatformObject>,
     through: Revision,
     is_listing: bool,
 ) {
     match kind {
-        WatchedKind::Catalog => apply_catalog_objects(state, objects),
-        WatchedKind::Backends => apply_backends(state, objects, through, is_listing),
-        WatchedKind::Cancellations => {
+        FetchedState::Catalog => apply_catalog_objects(state, objects),
+        FetchedState::Backends => apply_backends(state, objects, through, is_listing),
+        FetchedState::Cancellations => {
             let present = objects.into_iter().filter(|object| !object.deleted);
             let cancelled = present.map(|object| JobCancellation {
                 revision: object.version,
--- a/fleet/src/watch_state.rs
+++ b/fleet/src/watch_state.rs
@@ -24,38 +24,12 @@
 use crate::{
     jobs::CANCELLATION_KIND,
     state::FleetState,
-    state_fetch::FetchedState, //
+    state_fetch::{
+        FetchedState,
+        FETCHED_STATES, //
+    },
 };
 
-/// Kinds of objects that are watched.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum WatchedKind {
-    /// Configuration.
-    Catalog,
-    /// Backend servers.
-    Backends,
-    /// Cancelled jobs.
-    Cancellations,
-}
-
-impl WatchedKind {
-    /// Returns the state that the objects of this kind make up.
-    pub(crate) fn fetched(self) -> FetchedState {
-        match self {
-            WatchedKind::Catalog => FetchedState::Catalog,
-            WatchedKind::Backends => FetchedState::Backends,
-            WatchedKind::Cancellations => FetchedState::Cancellations,
-        }
-    }
-}
-
-/// All kinds.
-pub(crate) const WATCHED_KINDS: [WatchedKind; 3] = [
-    WatchedKind::Catalog,
-    WatchedKind::Backends,
-    WatchedKind::Cancellations,
-];
-
 /// What the tasks of the watched kinds share.
 #[derive(Debug)]
 pub(crate) struct WatchState {
@@ -66,7 +40,7 @@
 impl Default for WatchState {
     fn default() -> WatchState {
         WatchState {
-            lease: Mutex::new(WatchLease::new(WATCHED_KINDS.len())),
+            lease: Mutex::new(WatchLease::new(FETCHED_STATES.len())),
             started: Instant::now(),
         }
     }
@@ -74,7 +48,7 @@
 
 impl WatchState {
     /// Returns for how long the next call of a kind waits for changes.
-    pub(crate) fn wait(&self, kind: WatchedKind, is_short: bool) -> Duration {
+    pub(crate) fn wait(&self, kind: FetchedState, is_short: bool) -> Duration {
         lock(&self.lease).wait(kind as usize, is_short, self.started.elapsed())
     }
 
@@ -83,7 +57,7 @@
     pub(crate) async fn call(
         &self,
         state: &FleetState,
-        kind: WatchedKind,
+        kind: FetchedState,
         wait: Duration,
         call: impl Future<Output = Result<Revision, ServeError>>,
     ) -> Option<Result<Revision, ServeError>> {
@@ -103,13 +77,13 @@
     }
 
     /// Records the outcome of a call.
-    pub(crate) fn end_call(&self, state: &FleetState, kind: WatchedKind, is_answered: bool) {
+    pub(crate) fn end_call(&self, state: &FleetState, kind: FetchedState, is_answered: bool) {
         lock(&self.lease).end_call(kind as usize, is_answered, Instant::now());
         self.update_follows(state);
     }
 
     /// Records that a kind isn't watched any more.
-    pub(crate) fn release(&self, state: &FleetState, kind: WatchedKind) {
+    pub(crate) fn release(&self, state: &FleetState, kind: FetchedState) {
         lock(&self.lease).release(kind as usize);
         self.update_follows(state);
     }
@@ -128,10 +102,10 @@
 }
 
 /// Returns the store's name of a kind.
-pub(crate) fn kind_name(state: &FleetState, kind: WatchedKind) -> &'static str {
+pub(crate) fn kind_name(state: &FleetState, kind: FetchedState) -> &'static str {
     match kind {
-        WatchedKind::Catalog => state.format.kinds.catalog,
-        WatchedKind::Backends => state.format.kinds.backends,
-        WatchedKind::Cancellations => CANCELLATION_KIND,
+        FetchedState::Catalog => state.format.kinds.catalog,
+        FetchedState::Backends => state.format.kinds.backends,
+        FetchedState::Cancellations => CANCELLATION_KIND,
     }
 }
