Log how runs of streams and items end, which events they began after, and who vouched for a version

The lines of a request didn't tell whether a response ended by its framing or by the end of its connection, which events each run brought, whether the version of a stream that is taken up was recorded or only the sole one known, or whether two runs of an item overlap. No decision changes.

--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -27,7 +27,9 @@
         HeaderMap,
         HeaderValue,
         CONNECTION,
-        CONTENT_ENCODING, //
+        CONTENT_ENCODING,
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING, //
     },
     http::response::Parts,
     Method,
@@ -166,7 +168,37 @@
     }
 }
 
+/// What marks the end of a response's body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum BodyFraming {
+    /// Chunks or a length.
+    Marked,
+    /// The end of the connection, by which a server that has crashed ends a response as well.
+    Connection,
+}
+
+impl BodyFraming {
+    /// Returns the name used in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            BodyFraming::Marked => "marked",
+            BodyFraming::Connection => "connection",
+        }
+    }
+}
+
 impl ServerResponse {
+    /// Returns what marks the end of the body.
+    pub(crate) fn framing(&self) -> BodyFraming {
+        let headers = &self.head.headers;
+        let is_marked =
+            headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
+        match is_marked {
+            true => BodyFraming::Marked,
+            false => BodyFraming::Connection,
+        }
+    }
+
     /// Returns the connection to the pool after the response has been read completely.
     pub(crate) fn finish(self) {
         let now = Instant::now();
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -22,7 +22,8 @@
         EventSplitter,
         StreamFault, //
     },
-    sync::lock, //
+    sync::lock,
+    timer::millis, //
 };
 use compact_str::{
     format_compact,
@@ -211,6 +212,16 @@
             Ok(()) => {
                 lock(&self.entry.progress).complete(self.index);
                 counter!("items_completed_total").increment(1);
+                info!(
+                    job = self.entry.id.as_str(),
+                    item = self.entry.items[self.index].id.as_str(),
+                    server = self.server.server.id.as_str(),
+                    version = self.server.server.version.as_str(),
+                    end = response.framing().name(),
+                    begun_after = outgoing.last_event(&self.state.format.names),
+                    run_ms = millis(response.in_flight.age());
+                    "item complete"
+                );
                 response.finish();
                 return;
             }
@@ -316,6 +327,8 @@
             workspace = self.entry.manifest.workspace.as_str(),
             prompt = outgoing.prompt.text(),
             server = self.server.server.id.as_str(),
+            version = self.server.server.version.as_str(),
+            begun_after = outgoing.last_event(&self.state.format.names),
             cause = cause.as_str();
             "item interrupted"
         );
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -38,6 +38,7 @@
     stream_version::VersionKey,
     sync::lock, //
 };
+use log::info;
 use metrics::counter;
 use tokio::{
     sync::oneshot,
@@ -318,6 +319,7 @@
                 () = run.run(&outgoing, permit) => {}
                 Ok(()) = preempted => {
                     lock(&entry.progress).pause(index, None);
+                    info!(job = entry.id.as_str(), item = entry.items[index].id.as_str(), server = server.server.id.as_str(); "item preempted");
                 }
             }
             lock(&runner.running).retain(|item| item.number != number);
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -28,7 +28,10 @@
         StallTerms,
         FIRST_EVENT_MOVE, //
     },
-    stream::EventSplitter,
+    stream::{
+        EventId,
+        EventSplitter, //
+    },
     stream_version::VersionKey,
     timer::millis, //
 };
@@ -53,6 +56,7 @@
     attempt::{
         attempt,
         AttemptFailure,
+        BodyFraming,
         OutgoingRequest,
         ServerResponse, //
     },
@@ -136,6 +140,7 @@
     stall: StallTerms,
     first: Option<Bytes>,
     response: Option<ServerResponse>, // `None` once the stream has ended or its run was interrupted.
+    begun_after: Option<EventId>,     // Event after which the current run began.
     tried: Vec<u32>,                  // Keys of the servers that ran the stream.
     refused: Vec<(u32, Instant)>,     // Keys of the servers that refused it lately.
     is_suspect: bool,                 // Whether other requests avoid the server for its silence.
@@ -175,6 +180,7 @@
             max_runs: request.route.attempts,
             stall,
             first: Some(opened.first),
+            begun_after: request.outgoing.last_event(&state.format.names),
             tried: vec![opened.response.server.key],
             refused: Vec::new(),
             response: Some(opened.response),
@@ -304,6 +310,7 @@
     fn record_end(&mut self) {
         self.record_progress(RunProgress::Complete);
         if let Some(response) = self.response.take() {
+            self.log_end(&response);
             let service = hash_name(&self.service);
             self.state
                 .wait_estimator
@@ -312,6 +319,26 @@
         }
     }
 
+    /// Logs the end of a stream that has come from several runs, or whose end isn't marked.
+    fn log_end(&self, response: &ServerResponse) {
+        let framing = response.framing();
+        if self.begun_after.is_none() && framing == BodyFraming::Marked {
+            return;
+        }
+        info!(
+            request = self.outgoing.id.as_str(),
+            route = self.route.as_str(),
+            server = response.server.server.id.as_str(),
+            version = response.server.server.version.as_str(),
+            end = framing.name(),
+            begun_after = self.begun_after,
+            last_event = self.splitter.last(),
+            runs = self.runs,
+            age_ms = millis(self.arrived.elapsed());
+            "stream complete"
+        );
+    }
+
     fn record_progress(&mut self, progress: RunProgress) {
         let prompt = &self.outgoing.prompt;
         self.proof.record(&self.state.quarantine, prompt, progress);
@@ -339,6 +366,7 @@
             version = server.server.version.as_str(),
             cause,
             silent_ms = millis(self.last_event.elapsed()),
+            begun_after = self.begun_after,
             last_event = self.splitter.last(),
             runs = self.runs,
             age_ms = millis(self.arrived.elapsed());
@@ -423,11 +451,13 @@
                 self.end_silent_run();
                 counter!("streams_resumed_total").increment(1);
                 self.response = Some(response);
+                self.begun_after = self.splitter.last();
                 self.last_sign = Instant::now();
                 info!(
                     request = self.outgoing.id.as_str(),
                     server = server.server.id.as_str(),
                     version = server.server.version.as_str(),
+                    begun_after = self.begun_after,
                     runs = self.runs,
                     silent_ms = millis(self.last_event.elapsed());
                     "stream resumed"
--- a/fleet/src/stream_versions.rs
+++ b/fleet/src/stream_versions.rs
@@ -9,6 +9,7 @@
 };
 
 use boragerill::{
+    backend::BackendTable,
     catalog::RouteKind,
     generated::messages::{
         envelope::Body,
@@ -29,7 +30,12 @@
         StreamTable,
         VersionKey, //
     },
-    sync::lock, //
+    sync::lock,
+    timer::millis, //
+};
+use compact_str::{
+    format_compact,
+    CompactString, //
 };
 use futures_util::{
     stream::FuturesUnordered,
@@ -44,7 +50,8 @@
     backends::BackendState,
     caller::header_text,
     peers,
-    state::FleetState, //
+    state::FleetState,
+    state_fetch::FetchedState, //
 };
 
 /// Number of VMs that are asked for the version of a stream: those that have run the longest.
@@ -129,17 +136,21 @@
     }
     let resumed = header_text(headers, &names.resumed_request).map(hash_name);
     let service = hash_name(&request.service);
-    let (version, source) = match known_version(state, resumed, service) {
-        Some(version) => (Some(version), "own"),
-        None => (ask_until_joined(state, resumed, service).await, "other VMs"),
+    let found = match known_version(state, resumed, service) {
+        Some(found) => Some(found),
+        None => ask_until_joined(state, resumed, service).await,
     };
+    let version = found.map(|found| found.version);
     counter!("streams_taken_up_total", "known" => if version.is_some() { "yes" } else { "no" })
         .increment(1);
     info!(
         request = request.outgoing.id.as_str(),
         resumed_request = header_text(headers, &names.resumed_request),
         version = version.map(|version| state.backends.version_name(version)).as_deref(),
-        source;
+        source = found.map(|found| found.source.name()),
+        source_vm = found.and_then(|found| found.vm).map(|vm| vm_name(state, vm)).as_deref(),
+        servers = state.backends.read(BackendTable::through),
+        unconfirmed_ms = state.fetches.unconfirmed_for(FetchedState::Backends).map(millis);
         "stream taken up"
     );
     if version.is_none() {
@@ -157,14 +168,58 @@
     state.is_current(Instant::now()).then_some(sole)
 }
 
+/// How the version that began a stream is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum VersionSource {
+    /// By a record of the stream.
+    Record,
+    /// No other version has served in the lifetime of a stream.
+    SoleVersion,
+}
+
+impl VersionSource {
+    /// Returns the name used in logs.
+    fn name(self) -> &'static str {
+        match self {
+            VersionSource::Record => "record",
+            VersionSource::SoleVersion => "sole version",
+        }
+    }
+}
+
+/// Version that began a stream, and how it is known.
+#[derive(Clone, Copy, Debug)]
+struct KnownVersion {
+    version: VersionKey,
+    source: VersionSource,
+    vm: Option<u64>, // Hash of the name of the VM that knows it; `None` if this one does.
+}
+
 /// Returns the version that began a stream, if this VM knows it.
 fn known_version(
     state: &FleetState,
     stream: Option<StreamKey>,
     service: ServiceKey,
-) -> Option<VersionKey> {
+) -> Option<KnownVersion> {
+    let own = |version, source| KnownVersion {
+        version,
+        source,
+        vm: None,
+    };
     let known = stream.and_then(|stream| state.streams.find(stream));
-    known.or_else(|| sole_version(state, service))
+    let known = known.map(|version| own(version, VersionSource::Record));
+    let sole = || sole_version(state, service);
+    known.or_else(|| sole().map(|version| own(version, VersionSource::SoleVersion)))
+}
+
+/// Returns the name of a VM, for logs.
+fn vm_name(state: &FleetState, vm: u64) -> CompactString {
+    let members = lock(&state.members);
+    let found = members.members().iter().find(|member| member.hash == vm);
+    found.map_or_else(
+        || format_compact!("{vm:x}"),
+        |member| member.info.vm.clone(),
+    )
 }
 
 /// Asks other VMs for the version of a stream. A VM that has just started doesn't know them yet, and asks until
@@ -173,16 +228,16 @@
     state: &FleetState,
     stream: Option<StreamKey>,
     service: ServiceKey,
-) -> Option<VersionKey> {
+) -> Option<KnownVersion> {
     loop {
         let asked = Instant::now();
-        let version = ask_vms(state, stream, service).await;
-        if version.is_some() || asked >= state.started + JOIN_TIME {
-            return version;
+        let found = ask_vms(state, stream, service).await;
+        if found.is_some() || asked >= state.started + JOIN_TIME {
+            return found;
         }
         sleep(JOIN_RETRY_PERIOD).await;
-        if let Some(version) = known_version(state, stream, service) {
-            return Some(version);
+        if let Some(found) = known_version(state, stream, service) {
+            return Some(found);
         }
     }
 }
@@ -193,7 +248,7 @@
     state: &FleetState,
     stream: Option<StreamKey>,
     service: ServiceKey,
-) -> Option<VersionKey> {
+) -> Option<KnownVersion> {
     let now = Instant::now();
     let mut vms: Vec<(u64, u64)> = {
         let members = lock(&state.members);
@@ -205,17 +260,27 @@
     };
     vms.sort_unstable();
     let request = StreamOriginRequest { stream, service };
-    let ask = |vm| {
+    let ask = |vm| async move {
         let body = Body::StreamOriginAsk(request);
-        peers::request(state, vm, body, ASK_TIMEOUT)
+        (vm, peers::request(state, vm, body, ASK_TIMEOUT).await)
     };
     let asked = vms.iter().take(ASKED_VMS).map(|&(_, vm)| ask(vm));
     let mut answers: FuturesUnordered<_> = asked.collect();
     let mut sole = None;
-    while let Some(answer) = answers.next().await {
+    while let Some((vm, answer)) = answers.next().await {
+        let found = |version, source| KnownVersion {
+            version,
+            source,
+            vm: Some(vm),
+        };
         match answer {
-            Ok(Body::StreamOrigin(origin)) if origin.version.is_some() => return origin.version,
-            Ok(Body::StreamOrigin(origin)) => sole = sole.or(origin.sole_version),
+            Ok(Body::StreamOrigin(origin)) => {
+                if let Some(version) = origin.version {
+                    return Some(found(version, VersionSource::Record));
+                }
+                let stated = origin.sole_version;
+                sole = sole.or(stated.map(|version| found(version, VersionSource::SoleVersion)));
+            }
             Ok(_) => {}
             Err(error) => {
                 info!(error = error.to_string().as_str(); "asking for the version of a stream failed");
