Failing tests of two runs of one item that write into one text (ORDER)

Callers of batch jobs saw events twice in the text of an item. A server answers an item with an error: the item is paused for 250 ms and starts again elsewhere, while its first run still waits up to 1.5 s for the rest of the error and counts as running. When the first server announces that it is draining, or online requests need its slots, the first run is preempted, which pauses whichever run of the item is running: the second one goes on reading, a third one starts after the last event, and both append.

--- a/boragerill/tests/jobs.rs
+++ b/boragerill/tests/jobs.rs
@@ -82,6 +82,26 @@
     assert_eq!(chunk.results[0].text, full_text(0));
 }
 
+// Guards against ORDER: two runs of one item wrote into one text. A run that had ended with an error response was still
+// open, and preempting it paused the run after it, which went on reading beside a third one.
+#[test]
+fn run_that_was_replaced_changes_nothing_of_the_next_one() {
+    // arrange: the first run fails, and the second one receives an event
+    let now = Instant::now();
+    let mut progress = new_progress();
+    progress.start_item(0, VERSION);
+    progress.fail(0, ATTEMPTS, now);
+    progress.start_item(0, VERSION);
+    progress.extend(0, event(0, 0).as_bytes());
+
+    // act: the first run is preempted
+    progress.pause(0, None);
+
+    // assert
+    assert!(!progress.startable(now).contains(&0));
+    assert_eq!(progress.phase(0), ItemPhase::Running);
+}
+
 /// Event in the simulated life of a job.
 #[derive(Clone, Debug)]
 enum JobEvent {
