Only the current run of an item changes its progress, and events have to continue the text

After an error response a run is still open for up to 1.5 s while the item runs elsewhere; preempting it paused the second run, which went on reading beside a third one, and both appended.

Each run now has a number, which start_item hands out and every change names. A change by a run that has ended or was replaced has no effect; it is counted (item_runs_replaced_total) and logged, and the run ends. So a run can't write into the text of another one, whatever keeps it alive: a response that is read to its end, a preemption that comes late, a process that stood still between two steps. start_item starts waiting items only. Besides, the text itself takes an event only if its number is the next one; an event without a number, which counted as event 0 for the run after it, is none.

--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -33,6 +33,9 @@
 /// Identifies a job among all jobs of its workspace; chosen by the client.
 pub type JobId = CompactString;
 
+/// Number of a run of an item among all runs that one runner started for the job.
+pub type RunNumber = u64;
+
 /// Largest size of the text in one chunk of results, in bytes; a single larger result has its own chunk.
 pub const CHUNK_TEXT_BYTES: usize = 256 * 1024;
 
@@ -195,10 +198,29 @@
     Listed,
 }
 
-/// Progress of one item.
+/// A run of an item that has been started.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StartedRun {
+    /// Identifies the run in changes of the item's progress.
+    pub number: RunNumber,
+    /// Id of the last event received, after which the run goes on; `None` if it begins anew.
+    pub last: Option<EventId>,
+}
+
+/// Why events aren't added to the output of an item.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OutputFault {
+    /// The run has ended, or another one has been started since.
+    RunReplaced,
+    /// The events don't continue the output, or have no numbers.
+    OutOfSequence,
+}
+
+/// Progress of one item. Only the current run changes it: an earlier one may still be reading its response.
 #[derive(Clone, Debug)]
 struct ItemProgress {
     phase: ItemPhase,
+    run: RunNumber, // The last one that was started; the current one while the item runs.
     text: Vec<u8>,
     last: Option<EventId>,
     version: Option<VersionKey>, // Software version of the servers that generated the text.
@@ -216,6 +238,7 @@
     chunks: u32,                      // Number of stored chunks.
     pending: Option<ResultChunk>,     // May be stored already, so its content must not change.
     cancelled: bool,
+    runs: RunNumber, // Number of runs that were started.
 }
 
 impl JobProgress {
@@ -225,6 +248,7 @@
             ids.cloned().enumerate().map(|(i, id)| (id, i)).collect();
         let fresh = ItemProgress {
             phase: ItemPhase::Waiting,
+            run: 0,
             text: Vec::new(),
             last: None,
             version: None,
@@ -241,6 +265,7 @@
             chunks: 0,
             pending: None,
             cancelled: false,
+            runs: 0,
         }
     }
 
@@ -330,17 +355,31 @@
         }
     }
 
-    /// Marks an item as running at a server of the given software version, and returns the id of the last event
-    /// received, after which it resumes. The output of another version is discarded.
-    pub fn start_item(&mut self, index: usize, version: VersionKey) -> Option<EventId> {
+    /// Starts a run of an item at a server of the given software version. The output of another version is discarded.
+    /// Returns `None` if the item isn't waiting.
+    pub fn start_item(&mut self, index: usize, version: VersionKey) -> Option<StartedRun> {
         let item = &mut self.items[index];
+        if item.phase != ItemPhase::Waiting {
+            return None;
+        }
+        self.runs += 1;
         item.phase = ItemPhase::Running;
+        item.run = self.runs;
         if item.version != Some(version) {
             item.text.clear();
             item.last = None;
             item.version = Some(version);
         }
-        item.last
+        Some(StartedRun {
+            number: item.run,
+            last: item.last,
+        })
+    }
+
+    /// Returns the item whose current run has the given number.
+    fn current(&mut self, index: usize, run: RunNumber) -> Option<&mut ItemProgress> {
+        let item = &mut self.items[index];
+        (item.phase == ItemPhase::Running && item.run == run).then_some(item)
     }
 
     /// Returns the size of the output received of an item, in bytes.
@@ -387,34 +426,56 @@
         }
     }
 
-    /// Appends complete events to the output of a running item.
-    pub fn extend(&mut self, index: usize, chunk: &[u8]) {
-        let item = &mut self.items[index];
-        if item.phase != ItemPhase::Running {
-            return;
+    /// Appends complete events to the output of an item: all of them, or none.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the events can't be appended. The run must end, and the output is unchanged.
+    pub fn extend(
+        &mut self,
+        index: usize,
+        run: RunNumber,
+        chunk: &[u8],
+    ) -> Result<(), OutputFault> {
+        let item = self.current(index, run).ok_or(OutputFault::RunReplaced)?;
+        let mut events = split_events(chunk);
+        events.retain(|event| !is_comment(event));
+        let mut last = item.last;
+        for event in &events {
+            let id = event_id(event).ok_or(OutputFault::OutOfSequence)?;
+            if last.is_some_and(|last| id != last + 1) {
+                return Err(OutputFault::OutOfSequence);
+            }
+            last = Some(id);
         }
-        let events = split_events(chunk).into_iter();
-        for event in events.filter(|event| !is_comment(event)) {
+        for event in events {
             if item.last.is_some() {
                 item.text.push(b'\n');
             }
             item.text.extend_from_slice(&event_data(event));
-            item.last = event_id(event).or(item.last).or(Some(0));
+            item.last = event_id(event);
         }
+        Ok(())
     }
 
-    /// Pauses a running item until a time, if one is given; its output so far is kept.
-    pub fn pause(&mut self, index: usize, until: Option<Instant>) {
-        let item = &mut self.items[index];
-        if item.phase == ItemPhase::Running {
-            item.phase = ItemPhase::Waiting;
-            item.pause_until = until;
-        }
+    /// Pauses an item until a time, if one is given; its output so far is kept. Like all changes by a run, it has no effect
+    /// and returns `false` unless the run is the current one.
+    pub fn pause(&mut self, index: usize, run: RunNumber, until: Option<Instant>) -> bool {
+        let Some(item) = self.current(index, run) else {
+            return false;
+        };
+        item.phase = ItemPhase::Waiting;
+        item.pause_until = until;
+        true
     }
 
-    /// Records that a running item leaves a server that has sent nothing for long.
-    pub fn record_silence(&mut self, index: usize) {
-        self.items[index].silent_runs += 1;
+    /// Records that an item leaves a server that has sent nothing for long.
+    pub fn record_silence(&mut self, index: usize, run: RunNumber) -> bool {
+        let Some(item) = self.current(index, run) else {
+            return false;
+        };
+        item.silent_runs += 1;
+        true
     }
 
     /// Returns how long a server may send nothing before an item moves to another one with a free slot. The time
@@ -424,30 +485,39 @@
     }
 
     /// Records a failed run of an item; after `attempts` failures the item is abandoned.
-    pub fn fail(&mut self, index: usize, attempts: u32, until: Instant) {
-        let item = &mut self.items[index];
-        if item.phase != ItemPhase::Running {
-            return;
-        }
+    pub fn fail(&mut self, index: usize, run: RunNumber, attempts: u32, until: Instant) -> bool {
+        let Some(item) = self.current(index, run) else {
+            return false;
+        };
         item.failures += 1;
         if item.failures >= attempts {
             self.abandon_item(index);
-            return;
+            return true;
         }
         // The output of a failed run may be corrupt.
-        self.discard(index, until);
+        self.discard(index, run, until)
     }
 
-    /// Discards the output of a running item, such as after a response longer than an output can be, and
-    /// pauses the item until a time.
-    pub fn discard(&mut self, index: usize, until: Instant) {
-        let item = &mut self.items[index];
-        if item.phase == ItemPhase::Running {
-            item.phase = ItemPhase::Waiting;
-            item.pause_until = Some(until);
-            item.text.clear();
-            item.last = None;
+    /// Discards the output of an item, such as after a response longer than an output can be, and pauses the item until
+    /// a time.
+    pub fn discard(&mut self, index: usize, run: RunNumber, until: Instant) -> bool {
+        let Some(item) = self.current(index, run) else {
+            return false;
+        };
+        item.phase = ItemPhase::Waiting;
+        item.pause_until = Some(until);
+        item.text.clear();
+        item.last = None;
+        true
+    }
+
+    /// Abandons an item that its server rejects for good.
+    pub fn reject(&mut self, index: usize, run: RunNumber) -> bool {
+        if self.current(index, run).is_none() {
+            return false;
         }
+        self.abandon_item(index);
+        true
     }
 
     /// Abandons a waiting or running item, which then counts as failed.
@@ -474,12 +544,13 @@
         }
     }
 
-    /// Records that the output of a running item is complete.
-    pub fn complete(&mut self, index: usize) {
-        let item = &mut self.items[index];
-        if item.phase == ItemPhase::Running {
-            item.phase = ItemPhase::Finished(JobOutcome::Completed);
-        }
+    /// Records that the output of an item is complete.
+    pub fn complete(&mut self, index: usize, run: RunNumber) -> bool {
+        let Some(item) = self.current(index, run) else {
+            return false;
+        };
+        item.phase = ItemPhase::Finished(JobOutcome::Completed);
+        true
     }
 
     /// Returns the number of finished items whose results aren't stored.
--- /dev/null
+++ b/boragerill/tests/item_runs.rs
@@ -0,0 +1,280 @@
+//! The text of an item is made of its events in order, each once and all of one software version, however many runs of
+//! the item are open at a time, and from whichever checkpoints a runner continues.
+
+use std::time::Instant;
+
+use boragerill::{
+    job::{
+        JobCheckpoint,
+        JobOutcome,
+        JobProgress,
+        RunNumber, //
+    },
+    stream::EventId,
+};
+use compact_str::{
+    format_compact,
+    CompactString, //
+};
+use proptest::{
+    prelude::*,
+    sample::Index,
+    test_runner::RngSeed, //
+};
+use proptest_state_machine::{
+    prop_state_machine,
+    ReferenceStateMachine,
+    StateMachineTest, //
+};
+
+const ITEMS: usize = 2;
+const EVENTS: EventId = 6;
+const ATTEMPTS: u32 = 1000;
+
+fn item_id(index: usize) -> CompactString {
+    format_compact!("item-{index}")
+}
+
+fn new_progress() -> JobProgress {
+    let ids: Vec<CompactString> = (0..ITEMS).map(item_id).collect();
+    JobProgress::new(ids.iter())
+}
+
+fn event_text(item: usize, version: u64, event: EventId) -> String {
+    format!("{item}.{version}.{event}")
+}
+
+/// Returns the text of an item after its first `count` events.
+fn prefix(item: usize, version: u64, count: EventId) -> String {
+    let texts: Vec<String> = (0..count)
+        .map(|event| event_text(item, version, event))
+        .collect();
+    texts.join("\n")
+}
+
+/// Event in the life of items whose runs overlap.
+#[derive(Clone, Debug)]
+enum RunEvent {
+    /// An item starts at a server, if it waits.
+    Start { item: usize, version: u64 },
+    /// A run receives events, as long as there are any left.
+    Receive { run: Index, count: EventId },
+    /// A run receives its next event again, or misses one.
+    ReceiveWrong { run: Index, skipped: bool },
+    /// A run is preempted or interrupted.
+    Pause { run: Index },
+    /// The server of a run answers with an error.
+    Fail { run: Index },
+    /// A run finds its output unusable.
+    Discard { run: Index },
+    /// The response of a run ends after its last event.
+    Complete { run: Index },
+    /// The runner stores a checkpoint.
+    Checkpoint,
+    /// Another runner continues from two of the checkpoints.
+    Takeover { first: Index, second: Index },
+}
+
+/// Reference without state: the text of an item is fixed for each version.
+#[derive(Clone, Debug)]
+struct RunReference;
+
+impl ReferenceStateMachine for RunReference {
+    type State = ();
+    type Transition = RunEvent;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<RunEvent> {
+        let run = any::<Index>;
+        prop_oneof![
+            6 => (0..ITEMS, 1..=2_u64).prop_map(|(item, version)| RunEvent::Start { item, version }),
+            8 => (run(), 1..=3_u64).prop_map(|(run, count)| RunEvent::Receive { run, count }),
+            1 => (run(), any::<bool>())
+                .prop_map(|(run, skipped)| RunEvent::ReceiveWrong { run, skipped }),
+            4 => run().prop_map(|run| RunEvent::Pause { run }),
+            2 => run().prop_map(|run| RunEvent::Fail { run }),
+            1 => run().prop_map(|run| RunEvent::Discard { run }),
+            3 => run().prop_map(|run| RunEvent::Complete { run }),
+            2 => Just(RunEvent::Checkpoint),
+            1 => (run(), run()).prop_map(|(first, second)| RunEvent::Takeover { first, second }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &RunEvent) {}
+}
+
+/// A run whose response is still read, whether or not it is the current run of its item.
+#[derive(Clone, Debug)]
+struct OpenRun {
+    item: usize,
+    number: RunNumber,
+    version: u64,
+    next: EventId,
+}
+
+impl OpenRun {
+    fn events(&self, numbers: std::ops::Range<EventId>) -> Vec<u8> {
+        let events: String = numbers
+            .map(|event| {
+                let text = event_text(self.item, self.version, event);
+                format!("id: {event}\ndata: {text}\n\n")
+            })
+            .collect();
+        events.into_bytes()
+    }
+}
+
+/// A runner with its open runs, and the checkpoints that runners have stored.
+struct RunModel {
+    progress: JobProgress,
+    runs: Vec<OpenRun>,
+    checkpoints: Vec<JobCheckpoint>,
+}
+
+impl RunModel {
+    fn start(&mut self, item: usize, version: u64) {
+        if let Some(run) = self.progress.start_item(item, version) {
+            self.runs.push(OpenRun {
+                item,
+                number: run.number,
+                version,
+                next: run.last.map_or(0, |last| last + 1),
+            });
+        }
+    }
+
+    /// Returns an open run.
+    fn select(&mut self, run: &Index) -> Option<&mut OpenRun> {
+        (!self.runs.is_empty()).then(|| run.get_mut(&mut self.runs))
+    }
+
+    fn receive(&mut self, run: &Index, count: EventId) {
+        let Some(run) = self.select(run) else {
+            return;
+        };
+        let end = (run.next + count).min(EVENTS);
+        let events = run.events(run.next..end);
+        run.next = end;
+        let (item, number) = (run.item, run.number);
+        // A run that was replaced goes on reading until it is told.
+        let _ = self.progress.extend(item, number, &events);
+    }
+
+    fn receive_wrong(&mut self, run: &Index, skipped: bool) {
+        let Some(run) = self.select(run).map(|run| run.clone()) else {
+            return;
+        };
+        let wrong = match skipped {
+            true => run.next + 1,
+            false => run.next.saturating_sub(1),
+        };
+        // The first event of a text is any one that the server begins with.
+        if run.next > 0 {
+            let events = run.events(wrong..wrong + 1);
+            let extended = self.progress.extend(run.item, run.number, &events);
+            assert!(extended.is_err(), "event {wrong} added to {run:?}");
+        }
+    }
+
+    fn change(
+        &mut self,
+        run: &Index,
+        change: impl FnOnce(&mut JobProgress, usize, RunNumber) -> bool,
+    ) {
+        let Some(run) = self.select(run).map(|run| run.clone()) else {
+            return;
+        };
+        change(&mut self.progress, run.item, run.number);
+    }
+
+    fn complete(&mut self, run: &Index) {
+        let is_whole = self.select(run).is_some_and(|run| run.next == EVENTS);
+        if is_whole {
+            self.change(run, JobProgress::complete);
+        }
+    }
+
+    fn take_over(&mut self, first: &Index, second: &Index) {
+        self.progress = new_progress();
+        self.runs.clear();
+        if self.checkpoints.is_empty() {
+            return;
+        }
+        for chosen in [first, second] {
+            let checkpoint = chosen.get(&self.checkpoints).clone();
+            self.progress.adopt_checkpoint(checkpoint);
+        }
+    }
+}
+
+struct RunTest;
+
+impl StateMachineTest for RunTest {
+    type SystemUnderTest = RunModel;
+    type Reference = RunReference;
+
+    fn init_test((): &()) -> RunModel {
+        RunModel {
+            progress: new_progress(),
+            runs: Vec::new(),
+            checkpoints: Vec::new(),
+        }
+    }
+
+    fn apply(mut model: RunModel, (): &(), event: RunEvent) -> RunModel {
+        let now = Instant::now();
+        match event {
+            RunEvent::Start { item, version } => model.start(item, version),
+            RunEvent::Receive { run, count } => model.receive(&run, count),
+            RunEvent::ReceiveWrong { run, skipped } => model.receive_wrong(&run, skipped),
+            RunEvent::Pause { run } => {
+                model.change(&run, |progress, item, run| progress.pause(item, run, None));
+            }
+            RunEvent::Fail { run } => model.change(&run, |progress, item, run| {
+                progress.fail(item, run, ATTEMPTS, now)
+            }),
+            RunEvent::Discard { run } => {
+                model.change(&run, |progress, item, run| progress.discard(item, run, now));
+            }
+            RunEvent::Complete { run } => model.complete(&run),
+            RunEvent::Checkpoint => model.checkpoints.push(model.progress.checkpoint()),
+            RunEvent::Takeover { first, second } => model.take_over(&first, &second),
+        }
+        model
+    }
+
+    fn check_invariants(model: &RunModel, (): &()) {
+        for output in model.progress.checkpoint().outputs {
+            let version = output.version.expect("version");
+            assert_eq!(output.text, prefix(output.item, version, output.last + 1));
+            assert!(!output.whole || output.last + 1 == EVENTS);
+        }
+        let chunk = model.progress.clone().next_chunk("runner");
+        for result in chunk.into_iter().flat_map(|(_, chunk)| chunk.results) {
+            let item: usize = result.id["item-".len()..].parse().expect("index");
+            let texts = [1, 2].map(|version| prefix(item, version, EVENTS));
+            assert_eq!(result.outcome, JobOutcome::Completed);
+            assert!(texts.iter().any(|text| *text == result.text));
+        }
+    }
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(50),
+        ..ProptestConfig::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    // Guards against ORDER: two runs of one item wrote into one text.
+    #[test]
+    fn text_of_an_item_has_each_event_once_in_order(sequential 1..80 => RunTest);
+}
--- a/boragerill/tests/jobs.rs
+++ b/boragerill/tests/jobs.rs
@@ -13,8 +13,10 @@
     JobItem,
     JobOutcome,
     JobProgress,
+    OutputFault,
     PartialOutput,
-    ResultChunk, //
+    ResultChunk,
+    StartedRun, //
 };
 use compact_str::{
     format_compact,
@@ -46,6 +48,17 @@
     JobProgress::new(ids.iter())
 }
 
+/// Starts a run of a waiting item at a server of the usual version.
+fn start(progress: &mut JobProgress, item: usize) -> StartedRun {
+    progress.start_item(item, VERSION).expect("waiting item")
+}
+
+/// Returns events of an item as received.
+fn events(item: usize, numbers: std::ops::Range<u64>) -> Vec<u8> {
+    let events: String = numbers.map(|number| event(item, number)).collect();
+    events.into_bytes()
+}
+
 fn event_text(item: usize, event: u64) -> String {
     format!("{item}.{event}")
 }
@@ -65,20 +78,22 @@
 fn comments_in_a_stream_are_no_output_of_an_item() {
     // arrange
     let mut progress = new_progress();
-    progress.start_item(0, VERSION);
+    let first = start(&mut progress, 0);
 
     // act
-    progress.extend(0, b": one moment\n\n");
+    let mut extended = progress.extend(0, first.number, b": one moment\n\n");
     let output = progress.output_version(0);
-    let after_comment = progress.start_item(0, VERSION);
+    progress.pause(0, first.number, None);
+    let run = start(&mut progress, 0);
     for number in 0..EVENTS {
-        progress.extend(0, format!("{}: more\n\n", event(0, number)).as_bytes());
+        let received = format!("{}: more\n\n", event(0, number));
+        extended = extended.and(progress.extend(0, run.number, received.as_bytes()));
     }
-    progress.complete(0);
+    progress.complete(0, run.number);
     let (_, chunk) = progress.next_chunk("runner").expect("chunk");
 
     // assert
-    assert_eq!((output, after_comment), (None, None));
+    assert_eq!((output, run.last, extended), (None, None, Ok(())));
     assert_eq!(chunk.results[0].text, full_text(0));
 }
 
@@ -89,17 +104,69 @@
     // arrange: the first run fails, and the second one receives an event
     let now = Instant::now();
     let mut progress = new_progress();
-    progress.start_item(0, VERSION);
-    progress.fail(0, ATTEMPTS, now);
-    progress.start_item(0, VERSION);
-    progress.extend(0, event(0, 0).as_bytes());
-
-    // act: the first run is preempted
-    progress.pause(0, None);
+    let first = start(&mut progress, 0).number;
+    progress.fail(0, first, ATTEMPTS, now);
+    let second = start(&mut progress, 0).number;
+    let extended = progress.extend(0, second, &events(0, 0..1));
+
+    // act: everything that the first run can do
+    let changes = [
+        progress.pause(0, first, None),
+        progress.record_silence(0, first),
+        progress.fail(0, first, 1, now),
+        progress.discard(0, first, now),
+        progress.reject(0, first),
+        progress.complete(0, first),
+    ];
+    let late = progress.extend(0, first, &events(0, 1..2));
+    let third = progress.start_item(0, VERSION);
 
     // assert
+    assert_eq!(changes, [false; 6]);
+    assert_eq!((extended, late), (Ok(()), Err(OutputFault::RunReplaced)));
+    assert_eq!(third, None);
     assert!(!progress.startable(now).contains(&0));
     assert_eq!(progress.phase(0), ItemPhase::Running);
+    assert_eq!(progress.output_bytes(0), event_text(0, 0).len());
+    assert_eq!(progress.silence_limit(0), Duration::from_millis(1500));
+}
+
+// Guards against ORDER: events were appended to a text without a look at the event before them.
+#[test]
+fn events_that_do_not_continue_the_output_are_not_appended() {
+    for faulty in [0..1, 1..2, 3..4] {
+        // arrange
+        let mut progress = new_progress();
+        let run = start(&mut progress, 0).number;
+        progress
+            .extend(0, run, &events(0, 0..2))
+            .expect("first events");
+        let known = progress.checkpoint();
+
+        // act: a correct event before them doesn't help
+        let alone = progress.extend(0, run, &events(0, faulty.clone()));
+        let joined = [events(0, 2..3), events(0, faulty), b"data: x\n\n".to_vec()].concat();
+        let joined = progress.extend(0, run, &joined);
+
+        // assert
+        assert_eq!([alone, joined], [Err(OutputFault::OutOfSequence); 2]);
+        assert_eq!(progress.checkpoint(), known);
+    }
+}
+
+// Guards against ORDER: an event without a number counted as event 0 for the run that went on after it.
+#[test]
+fn events_without_numbers_are_no_output() {
+    // arrange
+    let mut progress = new_progress();
+    let run = start(&mut progress, 0).number;
+
+    // act
+    let extended = progress.extend(0, run, b"data: a\n\ndata: b\n\n");
+
+    // assert
+    assert_eq!(extended, Err(OutputFault::OutOfSequence));
+    assert_eq!(progress.output_bytes(0), 0);
 }
 
 /// Event in the simulated life of a job.
@@ -192,23 +259,23 @@
             .map(|model| &mut model.progress)
     }
 
-    fn run(&mut self, runner: usize, item: usize, events: u64) {
+    fn run(&mut self, runner: usize, item: usize, count: u64) {
         let Some(progress) = self.progress(runner) else {
             return;
         };
         if !progress.startable(Instant::now()).contains(&item) {
             return;
         }
-        let next = progress
-            .start_item(item, VERSION)
-            .map_or(0, |last| last + 1);
-        let end = (next + events).min(EVENTS);
-        let chunk: String = (next..end).map(|number| event(item, number)).collect();
-        progress.extend(item, chunk.as_bytes());
+        let run = start(progress, item);
+        let next = run.last.map_or(0, |last| last + 1);
+        let end = (next + count).min(EVENTS);
+        progress
+            .extend(item, run.number, &events(item, next..end))
+            .expect("events in sequence");
         if end == EVENTS {
-            progress.complete(item);
+            progress.complete(item, run.number);
         } else {
-            progress.pause(item, None);
+            progress.pause(item, run.number, None);
         }
     }
 
@@ -218,8 +285,8 @@
             return;
         };
         if progress.startable(now).contains(&item) {
-            progress.start_item(item, VERSION);
-            progress.fail(item, ATTEMPTS, now);
+            let run = start(progress, item).number;
+            progress.fail(item, run, ATTEMPTS, now);
         }
     }
 
@@ -429,25 +496,29 @@
         progress.phase(4),
         ItemPhase::Finished(JobOutcome::Completed)
     );
-    assert_eq!(progress.start_item(3, VERSION), Some(1));
+    assert_eq!(start(progress, 3).last, Some(1));
 }
 
 #[test]
 fn output_of_another_software_version_is_discarded() {
     // arrange
     let mut progress = JobProgress::new([item_id(0)].iter());
-    progress.start_item(0, VERSION);
-    progress.extend(0, event(0, 0).as_bytes());
-    progress.pause(0, None);
+    let run = start(&mut progress, 0).number;
+    let extended = progress.extend(0, run, &events(0, 0..1));
+    progress.pause(0, run, None);
     let known = progress.output_version(0);
 
     // act
-    let resumed = progress.start_item(0, VERSION);
-    progress.pause(0, None);
-    let begun = progress.start_item(0, VERSION + 1);
+    let resumed = start(&mut progress, 0);
+    progress.pause(0, resumed.number, None);
+    let begun = progress.start_item(0, VERSION + 1).expect("waiting item");
 
     // assert
-    assert_eq!((known, resumed, begun), (Some(VERSION), Some(0), None));
+    assert_eq!(extended, Ok(()));
+    assert_eq!(
+        (known, resumed.last, begun.last),
+        (Some(VERSION), Some(0), None)
+    );
     assert_eq!(
         (progress.output_bytes(0), progress.output_version(0)),
         (0, None)
@@ -475,8 +546,8 @@
 
     // assert
     assert_eq!(known, None);
-    assert_eq!(progress.start_item(0, VERSION), None);
-    assert_eq!(assumed.start_item(0, VERSION), Some(3));
+    assert_eq!(start(&mut progress, 0).last, None);
+    assert_eq!(start(&mut assumed, 0).last, Some(3));
 }
 
 #[test]
@@ -522,7 +593,9 @@
     let limits: Vec<Duration> = (0..6)
         .map(|_| {
             let limit = progress.silence_limit(0);
-            progress.record_silence(0);
+            let run = start(&mut progress, 0).number;
+            progress.record_silence(0, run);
+            progress.pause(0, run, None);
             limit
         })
         .collect();
@@ -539,8 +612,8 @@
 fn new_runner_adopts_the_items_that_were_abandoned() {
     // arrange
     let mut first = new_progress();
-    first.start_item(FAILING_ITEM, VERSION);
-    first.abandon_item(FAILING_ITEM);
+    let run = start(&mut first, FAILING_ITEM).number;
+    first.reject(FAILING_ITEM, run);
 
     // act
     let mut second = new_progress();
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -15,7 +15,11 @@
         CatalogRoute,
         RouteKind, //
     },
-    job::JobItem,
+    job::{
+        JobItem,
+        OutputFault,
+        RunNumber, //
+    },
     prompt::PromptParts,
     slot::free_slots,
     stream::{
@@ -119,6 +123,8 @@
     pub(crate) entry: &'a JobEntry,
     /// Position of the item in the job.
     pub(crate) index: usize,
+    /// Number of the run in the job's progress.
+    pub(crate) number: RunNumber,
     /// Server that runs it.
     pub(crate) server: &'a Arc<BackendState>,
     /// Number of failures at servers after which the item is abandoned.
@@ -131,8 +137,12 @@
 enum RunBreak {
     /// The server sent nothing for long, and another one has a free slot.
     ServerSilent,
-    /// The connection failed, or the response is malformed or too large.
+    /// The connection failed, or the response is malformed.
     Failed(CompactString),
+    /// The output can't be continued or stored, so the item begins anew.
+    Unusable(CompactString),
+    /// The item has ended, or another run of it has been started.
+    Replaced,
 }
 
 impl From<CompactString> for RunBreak {
@@ -158,8 +168,29 @@
             AttemptFailure::Unknown(_) => broken_run_backoff(),
         };
         self.record_interruption(outgoing, &failure);
-        let until = Instant::now() + backoff;
-        lock(&self.entry.progress).pause(self.index, Some(until));
+        self.pause(Some(Instant::now() + backoff));
+    }
+
+    /// Ends the run and pauses the item until a time, if one is given.
+    pub(crate) fn pause(&self, until: Option<Instant>) {
+        let is_current = lock(&self.entry.progress).pause(self.index, self.number, until);
+        self.record_change(is_current, "pause");
+    }
+
+    /// Logs a change of the item's progress that had no effect, since the run isn't the current one.
+    fn record_change(&self, is_current: bool, change: &str) {
+        if is_current {
+            return;
+        }
+        counter!("item_runs_replaced_total", "change" => change.to_owned()).increment(1);
+        info!(
+            job = self.entry.id.as_str(),
+            item = self.entry.items[self.index].id.as_str(),
+            run = self.number,
+            server = self.server.server.id.as_str(),
+            change;
+            "change by a replaced run ignored"
+        );
     }
 
     /// Waits for the server to send something, for as long as no other server has a free slot for the item; returns
@@ -177,7 +208,8 @@
             let backends = &self.state.backends;
             backends.record_silence(self.server, waiting_since, now);
             if waiting_since.elapsed() >= patience || self.may_move(now) {
-                lock(&self.entry.progress).record_silence(self.index);
+                let is_current = lock(&self.entry.progress).record_silence(self.index, self.number);
+                self.record_change(is_current, "silence");
                 return None;
             }
             wait = MOVE_RETRY_PERIOD;
@@ -208,25 +240,14 @@
         let reading = self.read_events(outgoing, &mut response, &mut proof);
         let read = timeout_at(deadline, reading).await;
         let late = || RunBreak::Failed("deadline passed before the end of the stream".into());
-        let cause = match read.unwrap_or_else(|_| Err(late())) {
-            Ok(()) => {
-                lock(&self.entry.progress).complete(self.index);
-                counter!("items_completed_total").increment(1);
-                info!(
-                    job = self.entry.id.as_str(),
-                    item = self.entry.items[self.index].id.as_str(),
-                    server = self.server.server.id.as_str(),
-                    version = self.server.server.version.as_str(),
-                    end = response.framing().name(),
-                    begun_after = outgoing.last_event(&self.state.format.names),
-                    run_ms = millis(response.in_flight.age());
-                    "item complete"
-                );
-                response.finish();
-                return;
-            }
-            Err(RunBreak::ServerSilent) => CompactString::const_new("no event in time"),
-            Err(RunBreak::Failed(cause)) => {
+        let ended = match read.unwrap_or_else(|_| Err(late())) {
+            Ok(()) => return self.complete(outgoing, response),
+            Err(ended) => ended,
+        };
+        let cause = match &ended {
+            RunBreak::ServerSilent => CompactString::const_new("no event in time"),
+            RunBreak::Replaced => CompactString::const_new("another run has been started"),
+            RunBreak::Failed(cause) | RunBreak::Unusable(cause) => {
                 self.state
                     .backends
                     .record_failure(self.server, Instant::now());
@@ -234,17 +255,42 @@
                     let lost = LostRequest::new(outgoing, response.in_flight.age());
                     record_lost_request(self.state, self.server, lost);
                 }
-                cause
+                cause.clone()
             }
         };
         response.abandon();
         self.record_interruption(outgoing, &AttemptFailure::Unknown(cause));
+        if matches!(ended, RunBreak::Unusable(_)) {
+            let until = Instant::now() + FAILURE_BACKOFF;
+            let is_current = lock(&self.entry.progress).discard(self.index, self.number, until);
+            return self.record_change(is_current, "discard");
+        }
         let backoff = match proof.is_proven() {
             true => REFUSAL_BACKOFF,
             false => broken_run_backoff(),
         };
-        let until = Instant::now() + backoff;
-        lock(&self.entry.progress).pause(self.index, Some(until));
+        self.pause(Some(Instant::now() + backoff));
+    }
+
+    /// Records that the output is complete.
+    fn complete(&self, outgoing: &OutgoingRequest, response: ServerResponse) {
+        let is_current = lock(&self.entry.progress).complete(self.index, self.number);
+        self.record_change(is_current, "complete");
+        if is_current {
+            counter!("items_completed_total").increment(1);
+            info!(
+                job = self.entry.id.as_str(),
+                item = self.entry.items[self.index].id.as_str(),
+                run = self.number,
+                server = self.server.server.id.as_str(),
+                version = self.server.server.version.as_str(),
+                end = response.framing().name(),
+                begun_after = outgoing.last_event(&self.state.format.names),
+                run_ms = millis(response.in_flight.age());
+                "item complete"
+            );
+        }
+        response.finish();
     }
 
     /// Appends events to the item's output until the stream ends.
@@ -271,12 +317,12 @@
                 splitter.push(bytes);
             }
             let chunk = splitter.take().map_err(|fault| {
-                if fault == StreamFault::OutOfSequence && splitter.event_count() == 0 {
-                    // The server doesn't go on after the last event, so the item begins anew.
-                    let until = Instant::now() + FAILURE_BACKOFF;
-                    lock(&self.entry.progress).discard(self.index, until);
+                let cause = format_compact!("{fault:?}");
+                match fault == StreamFault::OutOfSequence && splitter.event_count() == 0 {
+                    // The server doesn't go on after the last event.
+                    true => RunBreak::Unusable(cause),
+                    false => RunBreak::Failed(cause),
                 }
-                format_compact!("{fault:?}")
             })?;
             if let Some(chunk) = chunk {
                 self.state.backends.record_activity(self.server);
@@ -287,31 +333,40 @@
         }
     }
 
-    /// Appends events to the item's output; discards all output and fails when it exceeds what can be stored.
-    fn extend(&self, events: &[u8]) -> Result<(), CompactString> {
+    /// Appends events to the item's output; fails when it exceeds what can be stored.
+    fn extend(&self, events: &[u8]) -> Result<(), RunBreak> {
         let limit = usize::try_from(self.state.settings.value_bytes / OUTPUT_DIVISOR);
         let mut progress = lock(&self.entry.progress);
         if progress.output_bytes(self.index) + events.len() > limit.unwrap_or(usize::MAX) {
-            progress.discard(self.index, Instant::now() + FAILURE_BACKOFF);
-            return Err("output exceeds the size that can be stored".into());
+            let cause = "output exceeds the size that can be stored".into();
+            return Err(RunBreak::Unusable(cause));
         }
-        progress.extend(self.index, events);
-        Ok(())
+        let extended = progress.extend(self.index, self.number, events);
+        drop(progress);
+        extended.map_err(|fault| match fault {
+            OutputFault::RunReplaced => {
+                self.record_change(false, "extend");
+                RunBreak::Replaced
+            }
+            OutputFault::OutOfSequence => RunBreak::Unusable(format_compact!("{fault:?}")),
+        })
     }
 
     fn record_item_failure(&self, status: u16) {
         let mut progress = lock(&self.entry.progress);
-        if status == UNPROCESSABLE_STATUS {
-            progress.abandon_item(self.index);
+        let is_current = if status == UNPROCESSABLE_STATUS {
+            progress.reject(self.index, self.number)
         } else {
             let until = Instant::now() + FAILURE_BACKOFF;
-            progress.fail(self.index, self.attempts, until);
-        }
+            progress.fail(self.index, self.number, self.attempts, until)
+        };
         drop(progress);
+        self.record_change(is_current, "fail");
         counter!("item_failures_total", "status" => status.to_string()).increment(1);
         info!(
             job = self.entry.id.as_str(),
             item = self.entry.items[self.index].id.as_str(),
+            run = self.number,
             server = self.server.server.id.as_str(),
             status;
             "item failed"
@@ -324,6 +379,7 @@
         info!(
             job = self.entry.id.as_str(),
             item = self.entry.items[self.index].id.as_str(),
+            run = self.number,
             workspace = self.entry.manifest.workspace.as_str(),
             prompt = outgoing.prompt.text(),
             server = self.server.server.id.as_str(),
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -290,7 +290,11 @@
         let PermittedServer { server, permit } = permitted;
         let (preempt, preempted) = oneshot::channel();
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let last = lock(&entry.progress).start_item(index, server.version);
+        let started = lock(&entry.progress).start_item(index, server.version);
+        let Some(started) = started else {
+            // Its result has been found in the store since.
+            return;
+        };
         let output_bytes = lock(&entry.progress).output_bytes(index);
         lock(&self.running).push(RunningItem {
             number,
@@ -300,7 +304,7 @@
             output_bytes,
             preempt: Some(preempt),
         });
-        let outgoing = item_request(state, entry, route, index, last);
+        let outgoing = item_request(state, entry, route, index, started.last);
         // Counts the request at the server until the task counts it itself, so that the next choice includes it.
         let flight = state.backends.track_request(&server, RequestClass::Batch);
         let (runner, state, entry) = (self.clone(), state.clone(), entry.clone());
@@ -311,6 +315,7 @@
                 state: &state,
                 entry: &entry,
                 index,
+                number: started.number,
                 server: &server,
                 attempts,
                 deadline: outgoing.deadline,
@@ -318,8 +323,8 @@
             tokio::select! {
                 () = run.run(&outgoing, permit) => {}
                 Ok(()) = preempted => {
-                    lock(&entry.progress).pause(index, None);
-                    info!(job = entry.id.as_str(), item = entry.items[index].id.as_str(), server = server.server.id.as_str(); "item preempted");
+                    run.pause(None);
+                    info!(job = entry.id.as_str(), item = entry.items[index].id.as_str(), run = started.number, server = server.server.id.as_str(); "item preempted");
                 }
             }
             lock(&runner.running).retain(|item| item.number != number);
