Streams cut anywhere, with either line end and several lines of data, give the same text

Looked at for events out of order: servers cut events at any byte, send several events and the end in one segment, end lines by line feed or carriage return and line feed, mix comments and further fields in. No change of logic.

--- a/boragerill/tests/stream.rs
+++ b/boragerill/tests/stream.rs
@@ -1,12 +1,17 @@
 //! Tests of the splitting of event streams into complete events.
 
-use boragerill::stream::{
-    event_data,
-    event_id,
-    split_events,
-    EventSplitter,
-    StreamFault, //
+use boragerill::{
+    job::JobProgress,
+    stream::{
+        event_data,
+        event_id,
+        split_events,
+        EventId,
+        EventSplitter,
+        StreamFault, //
+    }, //
 };
+use compact_str::CompactString;
 use proptest::prelude::*;
 
 fn event(id: u64, data: &str) -> String {
@@ -50,6 +55,126 @@
     }
 }
 
+/// How an event of a stream is written.
+#[derive(Clone, Debug)]
+struct EventForm {
+    lines: Vec<String>, // Of its data.
+    line_end: &'static str,
+    blank_end: &'static str,
+    is_id_last: bool,
+    has_space: bool,
+    other_field: bool,
+    comment: bool, // A comment precedes the event.
+}
+
+impl EventForm {
+    fn text(&self, id: EventId) -> String {
+        let space = if self.has_space { " " } else { "" };
+        let end = self.line_end;
+        let mut lines: Vec<String> = self
+            .lines
+            .iter()
+            .map(|line| format!("data:{space}{line}{end}"))
+            .collect();
+        let id = format!("id:{space}{id}{end}");
+        match self.is_id_last {
+            true => lines.push(id),
+            false => lines.insert(0, id),
+        }
+        if self.other_field {
+            lines.insert(0, format!("weight-versions: 2{end}"));
+        }
+        let comment = match self.comment {
+            true => format!(": wait{end}{}", self.blank_end),
+            false => String::new(),
+        };
+        format!("{comment}{}{}", lines.concat(), self.blank_end)
+    }
+}
+
+fn event_forms() -> impl Strategy<Value = Vec<EventForm>> {
+    let line_end = prop_oneof![Just("\n"), Just("\r\n")];
+    let form = (
+        proptest::collection::vec("[a-z:é]([a-z :é]{0,6}[a-z:é])?", 1..4),
+        line_end.clone(),
+        line_end,
+        any::<[bool; 4]>(),
+    );
+    let form = form.prop_map(|(lines, line_end, blank_end, flags)| EventForm {
+        lines,
+        line_end,
+        blank_end,
+        is_id_last: flags[0],
+        has_space: flags[1],
+        other_field: flags[2],
+        comment: flags[3],
+    });
+    proptest::collection::vec(form, 1..8)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(51), failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Guards against ORDER: servers cut events anywhere, send several events and the end in one segment, end lines in
+    // either way, and write data in several lines.
+    #[test]
+    fn text_of_an_item_does_not_depend_on_pieces_or_line_ends(
+        forms in event_forms(),
+        lengths in proptest::collection::vec(1..30_usize, 0..60),
+    ) {
+        // arrange
+        let stream: String = (0..).zip(&forms).map(|(id, form)| form.text(id)).collect();
+        let ids = [CompactString::const_new("item")];
+        let mut progress = JobProgress::new(ids.iter());
+        let run = progress.start_item(0, 1).expect("waiting item").number;
+
+        // act
+        let mut splitter = EventSplitter::after(None);
+        let mut rest = stream.as_bytes();
+        for &length in lengths.iter().chain([&usize::MAX]) {
+            let (piece, later) = rest.split_at(length.min(rest.len()));
+            splitter.push(piece);
+            rest = later;
+            if let Some(chunk) = splitter.take().expect("valid stream") {
+                progress.extend(0, run, &chunk.bytes).expect("events in sequence");
+            }
+        }
+
+        // assert
+        let data: Vec<String> = forms.iter().map(|form| form.lines.join("\n")).collect();
+        let output = progress.checkpoint().outputs.remove(0);
+        prop_assert_eq!(output.text, data.join("\n"));
+        prop_assert_eq!(output.last, forms.len() as u64 - 1);
+        prop_assert!(splitter.finish().is_ok());
+    }
+
+    // Guards against ORDER: a stream that is cut within an event counts no more than the events before it.
+    #[test]
+    fn stream_that_is_cut_anywhere_has_its_complete_events(
+        forms in event_forms(),
+        cut in any::<proptest::sample::Index>(),
+    ) {
+        // arrange
+        let events: Vec<String> = (0..).zip(&forms).map(|(id, form)| form.text(id)).collect();
+        let stream = events.concat();
+        let cut = cut.index(stream.len());
+        let mut whole = 0;
+        let complete = events.iter().take_while(|event| {
+            whole += event.len();
+            whole <= cut
+        });
+        let complete = complete.count() as u64;
+
+        // act
+        let mut splitter = EventSplitter::default();
+        splitter.push(&stream.as_bytes()[..cut]);
+        splitter.take().expect("valid stream");
+
+        // assert
+        prop_assert_eq!(splitter.last(), complete.checked_sub(1));
+    }
+}
+
 #[test]
 fn incomplete_event_is_not_returned_and_truncates_the_stream() {
     // arrange
