A connection carries a request id once, so that no late response is read as the next one

A server that had answered one run with an error and kept the connection could send a late response with the item's id there; if the next run of the item was sent on that connection, the late response was read as the one to that run, and a run that begins anew takes any first event.

A connection now remembers the ids of its last 32 requests that may have run, and isn't taken for one of them again. Refusals don't count: a request that didn't run has no late events, and an item that full servers refuse comes again to the same server often.

Read for the same cause and left as they are: idle connections belong to an id, address and start of a server, so a server that starts again or another one at the address has no connection of the one before, and a server that isn't the expected one answers 421. Bytes that come on an idle connection close it; a late response to a request with another id is refused by its id.

--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -295,12 +295,12 @@
 fn take_idle(server: &BackendState, request: &OutgoingRequest) -> Option<BackendConnection> {
     let now = Instant::now();
     if request.repeatable {
-        return server.pool().take(Duration::MAX, now);
+        return server.pool().take(&request.id, Duration::MAX, now);
     }
     if server.has_recent_mismatch(now) {
         return None;
     }
-    server.pool().take(NON_REPEATABLE_IDLE, now)
+    server.pool().take(&request.id, NON_REPEATABLE_IDLE, now)
 }
 
 /// Sends a request on a connection; returns `None` if the connection failed before the request was sent.
@@ -314,6 +314,7 @@
     let outgoing = build_request(&state.format.names, server, request);
     let remaining = request.deadline.saturating_duration_since(Instant::now());
     permit.record_sent();
+    connection.record_request(&request.id);
     state.limits.record_send(server, request.kind, &request.id);
     let sending = connection.sender().try_send_request(outgoing);
     let Ok(result) = timeout(remaining, sending).await else {
@@ -451,10 +452,11 @@
     let ServerResponse {
         head,
         body,
-        connection,
+        mut connection,
         server,
         in_flight,
     } = response;
+    connection.withdraw_request();
     drop(in_flight);
     if closes_connection(&head.headers) {
         return;
--- a/fleet/src/pool.rs
+++ b/fleet/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers and pools of idle ones.
 
 use std::{
+    collections::VecDeque,
     io::ErrorKind,
     net::SocketAddr,
     sync::Mutex,
@@ -15,6 +16,7 @@
         ServeError,
         Step, //
     },
+    rank::hash_name,
     sync::lock, //
 };
 use bytes::Bytes;
@@ -57,12 +59,16 @@
 /// Most idle connections to one server.
 const MAX_IDLE_CONNECTIONS: usize = 24;
 
+/// Number of requests on a connection after which a late response to an earlier one is no longer expected.
+const MAX_LATE_REQUESTS: usize = 32;
+
 /// An open connection. Dropping it closes the connection at once, even while a request is running.
 #[derive(Debug)]
 pub(crate) struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     idle_limit: Duration,
+    requests: VecDeque<u64>, // Hashes of the ids of the last requests that may have run, in the order of sending.
 }
 
 impl BackendConnection {
@@ -94,6 +100,7 @@
             sender,
             task: task.abort_handle(),
             idle_limit: MAX_IDLE_LIMIT,
+            requests: VecDeque::new(),
         })
     }
 
@@ -102,6 +109,19 @@
         &mut self.sender
     }
 
+    /// Records that a request is sent.
+    pub(crate) fn record_request(&mut self, id: &str) {
+        if self.requests.len() >= MAX_LATE_REQUESTS {
+            self.requests.pop_front();
+        }
+        self.requests.push_back(hash_name(id));
+    }
+
+    /// Records that the last request didn't run, so that no late response to it has anything of a run.
+    pub(crate) fn withdraw_request(&mut self) {
+        self.requests.pop_back();
+    }
+
     /// Sets the idle limit from the server's keep-alive timeout, in seconds.
     pub(crate) fn set_keep_alive(&mut self, seconds: u64) {
         let stated = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
@@ -144,15 +164,25 @@
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used connection unless it has been idle for longer than `max_idle`.
-    pub(crate) fn take(&self, max_idle: Duration, now: Instant) -> Option<BackendConnection> {
+    /// Takes the most recently used connection for the request `id` unless it has been idle for longer than `max_idle`.
+    /// Responses are told apart by the ids of their requests, and the runs of an item share one: a connection that has
+    /// carried the id isn't taken, since a late response to the earlier run would count as the one to this request.
+    pub(crate) fn take(
+        &self,
+        id: &str,
+        max_idle: Duration,
+        now: Instant,
+    ) -> Option<BackendConnection> {
+        let request = hash_name(id);
         let mut idle = lock(&self.idle);
         idle.retain(|entry| is_usable(entry, now));
-        let newest = idle.last()?;
+        let mut newest_first = idle.iter().enumerate().rev();
+        let found = newest_first.find(|(_, entry)| !entry.connection.requests.contains(&request));
+        let (index, newest) = found?;
         if now.saturating_duration_since(newest.since) > max_idle {
             return None;
         }
-        idle.pop().map(|entry| entry.connection)
+        Some(idle.remove(index).connection)
     }
 
     /// Adds a connection whose last response was read completely; closes the oldest one if the pool is full.
--- a/standins/src/standard_server.rs
+++ b/standins/src/standard_server.rs
@@ -50,6 +50,8 @@
     pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Vec<u8>,
+    /// Number of the connection, counted from 0.
+    pub connection: u64,
 }
 
 impl ReceivedRequest {
@@ -96,6 +98,7 @@
     received: Arc<Mutex<Vec<ReceivedRequest>>>,
     aborted_responses: Arc<Mutex<u32>>, // Connections that the caller closed during a response.
     endless: Arc<AtomicU64>,            // Bytes written by endless steps.
+    connections: Arc<AtomicU64>,        // Number of connections that were accepted.
     script: Arc<Mutex<ResponseScript>>,
     crash: watch::Sender<Option<Duration>>, // Downtime of the last crash.
     down: watch::Sender<()>, // Signals that the listener is closed; connections close after it.
@@ -119,6 +122,7 @@
             received: Arc::default(),
             aborted_responses: Arc::default(),
             endless: Arc::default(),
+            connections: Arc::default(),
             script: Arc::new(Mutex::new(script)),
             crash: watch::Sender::new(None),
             down: watch::Sender::new(()),
@@ -190,7 +194,12 @@
     async fn serve(self, stream: TcpStream) {
         let (reader, mut writer) = stream.into_split();
         let mut reader = BufReader::new(reader);
+        let connection = self.connections.fetch_add(1, Ordering::Relaxed);
         while let Some(request) = read_request(&mut reader).await {
+            let request = ReceivedRequest {
+                connection,
+                ..request
+            };
             lock(&self.received).push(request.clone());
             let script = lock(&self.script).clone();
             let steps = script(&request);
