An end by the connection counts only if the server's process has outlived it

Callers saw a complete stream without its last events, a `completed` result with a part of its text, and 200 with half of a body: the server's process was killed, its kernel ended its connections with a FIN, and a response without length or chunks ends just so. The checks asked only whether the last event was whole.

What isn't shown counts as broken off, on the paths that there were: streams that may be resumed and items go on after their last event, safe requests are repeated, other streams are aborted, other plain responses become 502. Streams, items and plain responses of any status ask it. Responses with a length, chunks or no body at all (204, HEAD) cost nothing; those were logged as ends by the connection before.

Weighed and not taken: to run the request again after each end by a connection, where it may run again. It would find servers that live on and end a response early, but the platform standard allows a response to end with its connection, each would cost a second run, and an item that ends so is to run no second time (item_whose_stream_ends_within_an_event_is_resumed).

Counter connection_ends_total, one log line an end.

--- /dev/null
+++ b/boragerill/src/response_end.rs
@@ -0,0 +1,117 @@
+//! Decides whether the end of a response's body is the end of the response.
+//!
+//! A response without length or chunks ends with its connection. The kernel ends the connections of a process that is
+//! killed in the same way, so such an end counts only if the server's process has outlived it.
+
+/// What marks the end of a response's body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyFraming {
+    /// Chunks, a length, or a status or method without a body.
+    Marked,
+    /// The end of the connection, by which a server that has crashed ends a response as well.
+    Connection,
+}
+
+/// State of a server's process after it has ended a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProcessState {
+    /// It accepts a connection, and a connection from before the end is still open.
+    Running,
+    /// It accepts a connection, and none from before the end is open. It may be another process.
+    Listening,
+    /// It refuses connections.
+    Gone,
+    /// It accepts no connection in time, or closes accepted ones at once.
+    Unknown,
+}
+
+/// Why the end of a response isn't accepted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndFault {
+    /// The process that sent the response is gone.
+    ProcessGone,
+    /// Nothing shows whether it is gone.
+    ProcessUnknown,
+}
+
+/// Whether the end of a response's body is the end of the response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndVerdict {
+    /// The response is complete.
+    Complete,
+    /// The state of the server's process has to be found out.
+    Undecided,
+    /// The response counts as broken off.
+    BrokenOff(EndFault),
+}
+
+/// End of a response's body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ResponseEnd {
+    /// What marks it.
+    pub framing: BodyFraming,
+    /// State of the server's process after it, once known.
+    pub process: Option<ProcessState>,
+    /// Whether the request may run again, so that another run shows whether the response was complete.
+    pub may_run_again: bool,
+}
+
+impl ResponseEnd {
+    /// Decides whether the response is complete.
+    pub fn decide(&self) -> EndVerdict {
+        match (self.framing, self.process) {
+            (BodyFraming::Marked, _) | (_, Some(ProcessState::Running)) => EndVerdict::Complete,
+            (_, None) => EndVerdict::Undecided,
+            (_, Some(ProcessState::Listening)) if !self.may_run_again => EndVerdict::Complete,
+            (_, Some(ProcessState::Gone)) => EndVerdict::BrokenOff(EndFault::ProcessGone),
+            (_, Some(ProcessState::Listening | ProcessState::Unknown)) => {
+                EndVerdict::BrokenOff(EndFault::ProcessUnknown)
+            }
+        }
+    }
+}
+
+impl BodyFraming {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            BodyFraming::Marked => "marked",
+            BodyFraming::Connection => "connection",
+        }
+    }
+}
+
+impl ProcessState {
+    /// Returns the name used in logs and as a metric label.
+    pub fn name(self) -> &'static str {
+        match self {
+            ProcessState::Running => "running",
+            ProcessState::Listening => "listening",
+            ProcessState::Gone => "gone",
+            ProcessState::Unknown => "unknown",
+        }
+    }
+}
+
+impl EndFault {
+    /// Returns the cause as text for logs.
+    pub fn text(self) -> &'static str {
+        match self {
+            EndFault::ProcessGone => "response ended with its server's process",
+            EndFault::ProcessUnknown => {
+                "response ended with its connection, whose server may be gone"
+            }
+        }
+    }
+}
+
+impl EndVerdict {
+    /// Returns the name used in logs and as a metric label.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndVerdict::Complete => "complete",
+            EndVerdict::Undecided => "undecided",
+            EndVerdict::BrokenOff(_) => "broken_off",
+        }
+    }
+}
--- /dev/null
+++ b/boragerill/tests/response_end.rs
@@ -0,0 +1,114 @@
+//! Ends of responses, against an oracle that knows what became of the server's process.
+
+use boragerill::response_end::{
+    BodyFraming,
+    EndFault,
+    EndVerdict,
+    ProcessState,
+    ResponseEnd, //
+};
+use proptest::prelude::*;
+
+fn end_by_connection(process: ProcessState, may_run_again: bool) -> EndVerdict {
+    let end = ResponseEnd {
+        framing: BodyFraming::Connection,
+        process: Some(process),
+        may_run_again,
+    };
+    end.decide()
+}
+
+/// What became of a server's process at the end of a response, and what can be seen of it.
+#[derive(Clone, Copy, Debug)]
+struct ServerFate {
+    is_killed: bool,   // It was killed, and the response was cut short by it.
+    is_replaced: bool, // Another process listens at its address by the time of the check.
+    is_cut_off: bool,  // No answer arrives.
+    closes_idle: bool, // It closes connections that wait for a request.
+}
+
+impl ServerFate {
+    fn seen(self) -> ProcessState {
+        match self {
+            _ if self.is_cut_off => ProcessState::Unknown,
+            _ if self.is_killed && !self.is_replaced => ProcessState::Gone,
+            _ if self.is_killed || self.closes_idle => ProcessState::Listening,
+            _ => ProcessState::Running,
+        }
+    }
+}
+
+prop_compose! {
+    fn fates()(
+        is_killed: bool,
+        is_replaced: bool,
+        is_cut_off: bool,
+        closes_idle: bool,
+    ) -> ServerFate {
+        ServerFate { is_killed, is_replaced, is_cut_off, closes_idle }
+    }
+}
+
+proptest! {
+    /// Guards against responses of killed servers that look complete, and against complete ones that are broken off.
+    #[test]
+    fn responses_of_killed_servers_are_not_complete(fate in fates(), may_run_again: bool) {
+        // act
+        let verdict = end_by_connection(fate.seen(), may_run_again);
+
+        // assert
+        let is_complete = verdict == EndVerdict::Complete;
+        if fate.is_killed && (may_run_again || !fate.is_replaced || fate.is_cut_off) {
+            prop_assert!(!is_complete);
+        }
+        let is_in_doubt = fate.is_cut_off || (fate.closes_idle && may_run_again);
+        if !fate.is_killed && !is_in_doubt {
+            prop_assert!(is_complete);
+        }
+        prop_assert_ne!(verdict, EndVerdict::Undecided);
+    }
+
+    /// Guards against checks of servers, and their delay, after responses whose end is marked.
+    #[test]
+    fn marked_ends_need_no_check(may_run_again: bool) {
+        // arrange
+        let end = ResponseEnd { framing: BodyFraming::Marked, process: None, may_run_again };
+
+        // act
+        let verdict = end.decide();
+
+        // assert
+        prop_assert_eq!(verdict, EndVerdict::Complete);
+    }
+}
+
+/// Guards against an end by the connection that is taken for completion by itself.
+#[test]
+fn end_by_the_connection_is_undecided_until_the_process_is_known() {
+    for may_run_again in [false, true] {
+        // arrange
+        let end = ResponseEnd {
+            framing: BodyFraming::Connection,
+            process: None,
+            may_run_again,
+        };
+
+        // act
+        let verdict = end.decide();
+
+        // assert
+        assert_eq!(verdict, EndVerdict::Undecided);
+    }
+}
+
+/// Guards against a log that can't tell a crash from a server that is cut off.
+#[test]
+fn a_refused_connection_is_told_from_silence() {
+    // act
+    let gone = end_by_connection(ProcessState::Gone, false);
+    let unknown = end_by_connection(ProcessState::Unknown, false);
+
+    // assert
+    assert_eq!(gone, EndVerdict::BrokenOff(EndFault::ProcessGone));
+    assert_eq!(unknown, EndVerdict::BrokenOff(EndFault::ProcessUnknown));
+}
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -11,6 +11,7 @@
 use boragerill::{
     drain::DrainAnnouncement,
     prompt::PromptParts,
+    response_end::BodyFraming,
     stream::EventId,
     timer::millis, //
 };
@@ -27,9 +28,7 @@
         HeaderMap,
         HeaderValue,
         CONNECTION,
-        CONTENT_ENCODING,
-        CONTENT_LENGTH,
-        TRANSFER_ENCODING, //
+        CONTENT_ENCODING, //
     },
     http::response::Parts,
     Method,
@@ -53,6 +52,10 @@
         LostRequest, //
     },
     pool::BackendConnection,
+    response_end::{
+        body_framing,
+        EndWitness, //
+    },
     server_limits::SendPermit,
     state::FleetState,
     wire::HeaderNames, //
@@ -129,6 +132,10 @@
     pub(crate) head: Parts,
     /// Body of the response.
     pub(crate) body: Incoming,
+    /// What marks the end of the body.
+    pub(crate) framing: BodyFraming,
+    /// Second connection to the server, if the end of the body isn't marked.
+    pub(crate) witness: Option<EndWitness>,
     /// Connection on which the response is received.
     pub(crate) connection: BackendConnection,
     /// Server that sent the response.
@@ -168,37 +175,7 @@
     }
 }
 
-/// What marks the end of a response's body.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum BodyFraming {
-    /// Chunks or a length.
-    Marked,
-    /// The end of the connection, by which a server that has crashed ends a response as well.
-    Connection,
-}
-
-impl BodyFraming {
-    /// Returns the name used in logs.
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            BodyFraming::Marked => "marked",
-            BodyFraming::Connection => "connection",
-        }
-    }
-}
-
 impl ServerResponse {
-    /// Returns what marks the end of the body.
-    pub(crate) fn framing(&self) -> BodyFraming {
-        let headers = &self.head.headers;
-        let is_marked =
-            headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
-        match is_marked {
-            true => BodyFraming::Marked,
-            false => BodyFraming::Connection,
-        }
-    }
-
     /// Returns the connection to the pool after the response has been read completely.
     pub(crate) fn finish(self) {
         let now = Instant::now();
@@ -233,15 +210,22 @@
     let now = Instant::now();
     match result {
         Ok((response, connection)) => {
+            let framing = body_framing(&response);
             let (head, body) = response.into_parts();
             let response = ServerResponse {
                 head,
                 body,
+                framing,
+                witness: None,
                 connection,
                 server: server.clone(),
                 in_flight,
             };
-            check_head(state, request, response, sent)
+            let mut response = check_head(state, request, response, sent)?;
+            if framing == BodyFraming::Connection {
+                response.witness = Some(EndWitness::open(server));
+            }
+            Ok(response)
         }
         Err(failure) => {
             match &failure {
@@ -454,6 +438,7 @@
         connection,
         server,
         in_flight,
+        ..
     } = response;
     drop(in_flight);
     if closes_connection(&head.headers) {
--- a/fleet/src/crash_watch.rs
+++ b/fleet/src/crash_watch.rs
@@ -106,13 +106,18 @@
     }
 }
 
-/// Opens a connection to a server that has lost requests. A process that is ending may still accept one, and closes it
-/// at once; then a second one shows whether the process is gone.
-async fn open_settled(address: SocketAddr) -> Result<BackendConnection, ServeError> {
+/// Opens a connection to a server whose process may be gone. A process that is ending may still accept one, and closes
+/// it at once; then a second one shows whether the process is gone. The result may be closed as well by then.
+///
+/// # Errors
+///
+/// Returns `ServeError::Rejected` if no process listens at the address, other errors if that isn't known.
+pub(crate) async fn open_settled(address: SocketAddr) -> Result<BackendConnection, ServeError> {
     let mut connection = BackendConnection::open(address).await?;
     sleep(SETTLE_TIME).await;
-    if connection.sender().is_closed() {
-        return BackendConnection::open(address).await;
+    if !connection.is_open() {
+        connection = BackendConnection::open(address).await?;
+        sleep(SETTLE_TIME).await;
     }
     Ok(connection)
 }
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -60,6 +60,7 @@
         full_body,
         CallerResponse, //
     },
+    response_end::check_end,
     server_limits::SendPermit,
     server_selection::{
         find_slot,
@@ -313,7 +314,8 @@
             return Err(AttemptFailure::Unknown(cause));
         }
     }
-    forward_complete(state, request, response).await
+    let may_run_again = request.outgoing.repeatable && history.runs + 1 < request.route.attempts;
+    forward_complete(state, request, response, may_run_again).await
 }
 
 /// Buffers a response until it is complete and forwards it; [`dispatch_request`] limits the time.
@@ -321,21 +323,28 @@
     state: &FleetState,
     request: &AdmittedRequest,
     mut response: ServerResponse,
+    may_run_again: bool,
 ) -> Result<CallerResponse, AttemptFailure> {
     let limit = match response.head.status.is_success() {
         true => RESPONSE_LIMIT_BYTES,
         false => ERROR_RESPONSE_LIMIT_BYTES,
     };
     let reading = Limited::new(&mut response.body, limit).collect();
-    let body = reading.await.map_err(|error| {
+    let read = match reading.await {
+        Ok(body) => {
+            let ended = check_end(&request.outgoing, &mut response, may_run_again).await;
+            ended.map(|_| body.to_bytes())
+        }
+        Err(error) => Err(format_compact!("reading the response failed: {error}")),
+    };
+    let body = read.map_err(|cause| {
         state
             .backends
             .record_failure(&response.server, Instant::now());
         let lost = LostRequest::new(&request.outgoing, response.in_flight.age());
         record_lost_request(state, &response.server, lost);
-        AttemptFailure::Unknown(format_compact!("reading the response failed: {error}"))
+        AttemptFailure::Unknown(cause)
     })?;
-    let body = body.to_bytes();
     if response.head.status.is_success() {
         let prompt = &request.outgoing.prompt;
         RunProof::default().record(&state.quarantine, prompt, RunProgress::Complete);
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -17,6 +17,7 @@
     },
     job::JobItem,
     prompt::PromptParts,
+    response_end::ProcessState,
     slot::free_slots,
     stream::{
         EventSplitter,
@@ -75,6 +76,7 @@
         RunProgress,
         RunProof, //
     },
+    response_end::check_end,
     server_limits::SendPermit,
     state::FleetState,
     wire::HeaderNames, //
@@ -209,7 +211,7 @@
         let read = timeout_at(deadline, reading).await;
         let late = || RunBreak::Failed("deadline passed before the end of the stream".into());
         let cause = match read.unwrap_or_else(|_| Err(late())) {
-            Ok(()) => {
+            Ok(process) => {
                 lock(&self.entry.progress).complete(self.index);
                 counter!("items_completed_total").increment(1);
                 info!(
@@ -217,7 +219,8 @@
                     item = self.entry.items[self.index].id.as_str(),
                     server = self.server.server.id.as_str(),
                     version = self.server.server.version.as_str(),
-                    end = response.framing().name(),
+                    end = response.framing.name(),
+                    process = process.map(ProcessState::name),
                     begun_after = outgoing.last_event(&self.state.format.names),
                     run_ms = millis(response.in_flight.age());
                     "item complete"
@@ -253,7 +256,7 @@
         outgoing: &OutgoingRequest,
         response: &mut ServerResponse,
         proof: &mut RunProof,
-    ) -> Result<(), RunBreak> {
+    ) -> Result<Option<ProcessState>, RunBreak> {
         let quarantine = &self.state.quarantine;
         let last = outgoing.last_event(&self.state.format.names);
         let mut splitter = EventSplitter::after(last);
@@ -263,8 +266,9 @@
                 splitter
                     .finish()
                     .map_err(|fault| format_compact!("{fault:?}"))?;
+                let process = check_end(outgoing, response, true).await?;
                 proof.record(quarantine, &outgoing.prompt, RunProgress::Complete);
-                return Ok(());
+                return Ok(process);
             };
             let frame = frame.map_err(|error| format_compact!("stream aborted: {error}"))?;
             if let Some(bytes) = frame.data_ref() {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 mod read_cache;
 mod request_body;
 mod response;
+mod response_end;
 mod retirement;
 mod server_limits;
 mod server_selection;
--- a/fleet/src/pool.rs
+++ b/fleet/src/pool.rs
@@ -102,6 +102,11 @@
         &mut self.sender
     }
 
+    /// Returns whether the server has left the connection open.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Sets the idle limit from the server's keep-alive timeout, in seconds.
     pub(crate) fn set_keep_alive(&mut self, seconds: u64) {
         let stated = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
@@ -181,5 +186,5 @@
 /// Returns whether a connection is open and within its idle limit.
 fn is_usable(entry: &IdleConnection, now: Instant) -> bool {
     let idle = now.saturating_duration_since(entry.since);
-    idle < entry.connection.idle_limit && !entry.connection.sender.is_closed()
+    idle < entry.connection.idle_limit && entry.connection.is_open()
 }
--- /dev/null
+++ b/fleet/src/response_end.rs
@@ -0,0 +1,151 @@
+//! Finds out whether the end of a response's body is the end of the response.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    error::ServeError,
+    response_end::{
+        BodyFraming,
+        EndVerdict,
+        ProcessState,
+        ResponseEnd, //
+    },
+    timer::millis, //
+};
+use compact_str::CompactString;
+use hyper::{
+    body::{
+        Body,
+        Incoming, //
+    },
+    header::{
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING, //
+    },
+    Response, //
+};
+use log::info;
+use metrics::counter;
+use tokio::task::JoinHandle;
+
+use crate::{
+    attempt::{
+        OutgoingRequest,
+        ServerResponse, //
+    },
+    backends::BackendState,
+    crash_watch::open_settled,
+    pool::BackendConnection, //
+};
+
+/// A second connection to a server that sends a response, which stays open if the server's process outlives it.
+#[derive(Debug)]
+pub(crate) struct EndWitness {
+    opening: JoinHandle<Option<BackendConnection>>,
+}
+
+impl EndWitness {
+    /// Takes an idle connection to the server, or opens one in the background.
+    pub(crate) fn open(server: &Arc<BackendState>) -> EndWitness {
+        let server = server.clone();
+        let opening = tokio::spawn(async move {
+            match server.pool().take(Duration::MAX, Instant::now()) {
+                Some(connection) => Some(connection),
+                // Without a connection the state of the process is less certain; the check reports errors.
+                None => BackendConnection::open(server.server.address).await.ok(),
+            }
+        });
+        EndWitness { opening }
+    }
+
+    /// Returns whether the connection was opened and the server has left it open.
+    async fn stayed_open(self) -> bool {
+        // An error means that this process ends.
+        let opened = self.opening.await.ok().flatten();
+        opened.is_some_and(|connection| connection.is_open())
+    }
+}
+
+/// Returns what marks the end of a response's body, of which nothing has been read.
+pub(crate) fn body_framing(response: &Response<Incoming>) -> BodyFraming {
+    let headers = response.headers();
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = encodings.next_back().is_some_and(|value| {
+        let last = value.to_str().unwrap_or_default().rsplit(',').next();
+        last.is_some_and(|name| name.trim().eq_ignore_ascii_case("chunked"))
+    });
+    let is_without_body = response.body().is_end_stream();
+    match is_chunked || is_without_body || headers.contains_key(CONTENT_LENGTH) {
+        true => BodyFraming::Marked,
+        false => BodyFraming::Connection,
+    }
+}
+
+/// Checks whether a response whose body has ended is complete. `may_run_again` tells whether another run of the
+/// request would show it. Returns the state of the server's process if it was needed.
+///
+/// # Errors
+///
+/// Returns the cause if the response has to be treated as broken off.
+pub(crate) async fn check_end(
+    request: &OutgoingRequest,
+    response: &mut ServerResponse,
+    may_run_again: bool,
+) -> Result<Option<ProcessState>, CompactString> {
+    let mut end = ResponseEnd {
+        framing: response.framing,
+        process: None,
+        may_run_again,
+    };
+    let mut verdict = end.decide();
+    if verdict == EndVerdict::Undecided {
+        let asked = Instant::now();
+        let process = find_process_state(response).await;
+        end.process = Some(process);
+        verdict = end.decide();
+        counter!("connection_ends_total", "process" => process.name(), "verdict" => verdict.name())
+            .increment(1);
+        info!(
+            request = request.id.as_str(),
+            server = response.server.server.id.as_str(),
+            process = process.name(),
+            verdict = verdict.name(),
+            may_run_again,
+            check_ms = millis(asked.elapsed());
+            "response ended with its connection"
+        );
+    }
+    match verdict {
+        EndVerdict::BrokenOff(fault) => Err(CompactString::const_new(fault.text())),
+        _ => Ok(end.process),
+    }
+}
+
+/// Finds out whether the process that sent a response still runs. A connection that is opened now shows whether one
+/// listens, and the witness whether it is the same.
+async fn find_process_state(response: &mut ServerResponse) -> ProcessState {
+    let server = response.server.clone();
+    let opened = open_settled(server.server.address).await;
+    // The witness may have waited for long, so it isn't used again.
+    let is_same = match response.witness.take() {
+        Some(witness) => witness.stayed_open().await,
+        None => false,
+    };
+    match opened {
+        Ok(connection) if connection.is_open() => {
+            server.pool().put(connection, Instant::now());
+            match is_same {
+                true => ProcessState::Running,
+                false => ProcessState::Listening,
+            }
+        }
+        Err(ServeError::Rejected(..)) => ProcessState::Gone,
+        Ok(_) | Err(_) => ProcessState::Unknown,
+    }
+}
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -21,6 +21,10 @@
         TrialTerms, //
     },
     rank::hash_name,
+    response_end::{
+        BodyFraming,
+        ProcessState, //
+    },
     stall::{
         StallAction,
         StallEnd,
@@ -56,7 +60,6 @@
     attempt::{
         attempt,
         AttemptFailure,
-        BodyFraming,
         OutgoingRequest,
         ServerResponse, //
     },
@@ -75,6 +78,7 @@
         streamed_body,
         CallerResponse, //
     },
+    response_end::check_end,
     server_limits::SendPermit,
     server_selection::{
         choose_resume_server,
@@ -241,7 +245,11 @@
             };
             // A server that keeps sending never reaches a limit, so the deadline is checked here.
             let too_late = Instant::now() >= self.outgoing.deadline + LATE_EVENT_GRACE;
-            match timeout(limit, read_events(response, &mut self.splitter)).await {
+            let read = match timeout(limit, read_events(response, &mut self.splitter)).await {
+                Ok(Ok(None)) => Ok(self.check_end().await),
+                read => read,
+            };
+            match read {
                 Ok(Ok(Some(_))) if too_late => {
                     return Some(Err(self.abort(StallEnd::DeadlinePassed.text())))
                 }
@@ -249,10 +257,7 @@
                     self.record_events();
                     return Some(Ok(events));
                 }
-                Ok(Ok(None)) => {
-                    self.record_end();
-                    return None;
-                }
+                Ok(Ok(None)) => return None,
                 Ok(Err(failure)) => {
                     self.record_failure(&failure);
                     cause = failure;
@@ -307,10 +312,24 @@
         }
     }
 
-    fn record_end(&mut self) {
+    /// Ends the stream after its last run has ended, and returns `None`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if nothing shows that the run is complete.
+    async fn check_end(&mut self) -> Result<Option<Bytes>, CompactString> {
+        let may_run_again = self.stall_state().resumable;
+        if let Some(response) = &mut self.response {
+            let process = check_end(&self.outgoing, response, may_run_again).await?;
+            self.record_end(process);
+        }
+        Ok(None)
+    }
+
+    fn record_end(&mut self, process: Option<ProcessState>) {
         self.record_progress(RunProgress::Complete);
         if let Some(response) = self.response.take() {
-            self.log_end(&response);
+            self.log_end(&response, process);
             let service = hash_name(&self.service);
             self.state
                 .wait_estimator
@@ -320,9 +339,8 @@
     }
 
     /// Logs the end of a stream that has come from several runs, or whose end isn't marked.
-    fn log_end(&self, response: &ServerResponse) {
-        let framing = response.framing();
-        if self.begun_after.is_none() && framing == BodyFraming::Marked {
+    fn log_end(&self, response: &ServerResponse, process: Option<ProcessState>) {
+        if self.begun_after.is_none() && response.framing == BodyFraming::Marked {
             return;
         }
         info!(
@@ -330,7 +348,8 @@
             route = self.route.as_str(),
             server = response.server.server.id.as_str(),
             version = response.server.server.version.as_str(),
-            end = framing.name(),
+            end = response.framing.name(),
+            process = process.map(ProcessState::name),
             begun_after = self.begun_after,
             last_event = self.splitter.last(),
             runs = self.runs,
--- a/standins/src/standard_server.rs
+++ b/standins/src/standard_server.rs
@@ -76,6 +76,8 @@
     Reset,
     /// Closes all connections and the listener, and starts again after a time.
     Crash(Duration),
+    /// Closes all connections, as if another process had taken the address by the time anyone looks.
+    Replace,
 }
 
 /// What happens to the connection after a response.
@@ -248,6 +250,10 @@
                     // The connection closes with all others, after the listener.
                     std::future::pending::<()>().await;
                 }
+                ResponseStep::Replace => {
+                    self.down.send_replace(());
+                    std::future::pending::<()>().await;
+                }
             }
         }
         ResponseEnd::KeepAlive
