--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -21,6 +21,7 @@
         RunNumber, //
     },
     prompt::PromptParts,
+    response_end::ProcessState,
     slot::free_slots,
     stream::{
         EventSplitter,
@@ -79,6 +80,7 @@
         RunProgress,
         RunProof, //
     },
+    response_end::check_end,
     server_limits::SendPermit,
     state::FleetState,
     wire::HeaderNames, //
@@ -241,7 +243,7 @@
         let read = timeout_at(deadline, reading).await;
         let late = || RunBreak::Failed("deadline passed before the end of the stream".into());
         let ended = match read.unwrap_or_else(|_| Err(late())) {
-            Ok(()) => return self.complete(outgoing, response),
+            Ok(process) => return self.complete(outgoing, response, process),
             Err(ended) => ended,
         };
         let cause = match &ended {
@@ -273,7 +275,12 @@
     }
 
     /// Records that the output is complete.
-    fn complete(&self, outgoing: &OutgoingRequest, response: ServerResponse) {
+    fn complete(
+        &self,
+        outgoing: &OutgoingRequest,
+        response: ServerResponse,
+        process: Option<ProcessState>,
+    ) {
         let is_current = lock(&self.entry.progress).complete(self.index, self.number);
         self.record_change(is_current, "complete");
         if is_current {
@@ -284,7 +291,8 @@
                 run = self.number,
                 server = self.server.server.id.as_str(),
                 version = self.server.server.version.as_str(),
-                end = response.framing().name(),
+                end = response.framing.name(),
+                process = process.map(ProcessState::name),
                 begun_after = outgoing.last_event(&self.state.format.names),
                 run_ms = millis(response.in_flight.age());
                 "item complete"
@@ -299,7 +307,7 @@
         outgoing: &OutgoingRequest,
         response: &mut ServerResponse,
         proof: &mut RunProof,
-    ) -> Result<(), RunBreak> {
+    ) -> Result<Option<ProcessState>, RunBreak> {
         let quarantine = &self.state.quarantine;
         let last = outgoing.last_event(&self.state.format.names);
         let mut splitter = EventSplitter::after(last);
@@ -309,8 +317,9 @@
                 splitter
                     .finish()
                     .map_err(|fault| format_compact!("{fault:?}"))?;
+                let process = check_end(outgoing, response, true).await?;
                 proof.record(quarantine, &outgoing.prompt, RunProgress::Complete);
-                return Ok(());
+                return Ok(process);
             };
             let frame = frame.map_err(|error| format_compact!("stream aborted: {error}"))?;
             if let Some(bytes) = frame.data_ref() {
--- a/fleet/src/pool.rs
+++ b/fleet/src/pool.rs
@@ -122,6 +122,11 @@
         self.requests.pop_back();
     }
 
+    /// Returns whether the server has left the connection open.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Sets the idle limit from the server's keep-alive timeout, in seconds.
     pub(crate) fn set_keep_alive(&mut self, seconds: u64) {
         let stated = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
@@ -185,6 +190,13 @@
         Some(idle.remove(index).connection)
     }
 
+    /// Takes the most recently used connection. Nothing may be sent on it.
+    pub(crate) fn take_unused(&self, now: Instant) -> Option<BackendConnection> {
+        let mut idle = lock(&self.idle);
+        idle.retain(|entry| is_usable(entry, now));
+        idle.pop().map(|entry| entry.connection)
+    }
+
     /// Adds a connection whose last response was read completely; closes the oldest one if the pool is full.
     pub(crate) fn put(&self, connection: BackendConnection, now: Instant) {
         let mut idle = lock(&self.idle);
@@ -211,5 +223,5 @@
 /// Returns whether a connection is open and within its idle limit.
 fn is_usable(entry: &IdleConnection, now: Instant) -> bool {
     let idle = now.saturating_duration_since(entry.since);
-    idle < entry.connection.idle_limit && !entry.connection.sender.is_closed()
+    idle < entry.connection.idle_limit && entry.connection.is_open()
 }
