Vouch for a sole version by a confirmed list only; new versions begin resumable streams once settled

Cause: a version known by absence. A VM vouched for the only version in its own list of servers whatever the list's age: it took the store for available while a call was overdue, and half of the fleet within reach for being current. A new version began streams at once, while other VMs had a list without it, and before the store named it, so that VMs that start didn't know it. A VM that was behind and ranked first could also remove versions from the stored list, and one that found no stored list took its history for complete.

What changed: evidence is explicit and bounded. sole_version needs a list that was confirmed within 1 s, a process that didn't stand still in the last second, and a complete history of the service. A version that is new beside others, or returns, begins streams that can be taken up only after 5 s (leases and confirmations by an older list have lapsed then) and once the store names it. Everything else, and all while no settled version takes requests, uses it at once. While the list isn't confirmed, a VM reports its streams to the others, since nobody may be able to vouch.

--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -179,24 +179,33 @@
             .servers()
             .map(|server| reuse_state(&known, server))
             .collect();
+        let is_listed = table.through() > 0;
         let drains = lock(&self.drains);
         for state in &servers {
             state.apply_drain_table(&drains);
         }
         self.servers.store(Arc::new(servers));
         drop(drains);
-        self.observe_versions(Instant::now());
+        if is_listed {
+            self.observe_listed(None, Instant::now());
+        }
         self.slot_freed.notify_waiters();
         result
     }
 
-    /// Records the versions of the registered servers.
-    pub(crate) fn observe_versions(&self, now: Instant) {
+    /// Records the versions of the registered servers, if they are known yet. Their list was last confirmed at `confirmed`.
+    pub(crate) fn observe_versions(&self, confirmed: Option<Instant>, now: Instant) {
+        if self.read(BackendTable::through) > 0 {
+            self.observe_listed(confirmed, now);
+        }
+    }
+
+    fn observe_listed(&self, confirmed: Option<Instant>, now: Instant) {
         let servers = self.servers.load();
         let registered = servers
             .iter()
             .map(|state| (hash_name(&state.server.service), state.version));
-        if lock(&self.versions).observe(registered, now) {
+        if lock(&self.versions).observe(registered, confirmed, now) {
             self.versions_changed.notify_one();
             self.changed.notify_one();
         }
@@ -207,9 +216,14 @@
         lock(&self.versions).is_mixed(service)
     }
 
-    /// Returns the only version that can have begun a stream of a service, if there is only one.
-    pub(crate) fn sole_version(&self, service: ServiceKey) -> Option<VersionKey> {
-        lock(&self.versions).sole_version(service, Instant::now())
+    /// Returns the only version that can have begun a stream of a service, if there is only one and the list of servers
+    /// was confirmed lately, at `confirmed`.
+    pub(crate) fn sole_version(
+        &self,
+        service: ServiceKey,
+        confirmed: Option<Instant>,
+    ) -> Option<VersionKey> {
+        lock(&self.versions).sole_version(service, confirmed, Instant::now())
     }
 
     /// Reads the history of versions.
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -16,6 +16,7 @@
 };
 
 use boragerill::{
+    catalog::RouteKind,
     rank::hash_name,
     refusal::{
         RefusalReason,
@@ -102,7 +103,10 @@
     loop {
         let slot_freed = state.backends.slot_freed.notified();
         let now = Instant::now();
-        let (servers, views) = state.server_views(&request.service, request.version, now);
+        let (mut servers, mut views) = state.server_views(&request.service, request.version, now);
+        if begins_resumable(request) {
+            keep_settled(state, (&mut servers, &mut views), &history.tried);
+        }
         if request.version.is_some() && views.iter().all(|view| view.leaving) {
             return Err(version_unavailable(history));
         }
@@ -212,15 +216,69 @@
     Free,
 }
 
-/// Chooses a server for a stream that moves, of the version that began it if it has begun, not one of `tried`.
+/// Returns whether a request begins a stream that its caller may take up again at any VM.
+fn begins_resumable(request: &AdmittedRequest) -> bool {
+    let is_stream = matches!(request.route.kind, RouteKind::Stream(_));
+    is_stream && request.outgoing.repeatable && request.version.is_none()
+}
+
+/// Removes the servers of versions that some VM may not know yet, which would have the stream go on at another version,
+/// unless no other server than those and the ones of `tried` takes requests.
+fn keep_settled(
+    state: &FleetState,
+    (servers, views): (&mut Vec<Arc<BackendState>>, &mut Vec<SlotView>),
+    tried: &[u32],
+) {
+    let is_settled: Vec<bool> = state.backends.read_versions(|history| {
+        let settled = servers.iter().map(|server| {
+            let service = hash_name(&server.server.service);
+            history.is_settled(service, server.version)
+        });
+        settled.collect()
+    });
+    let mut settled = views.iter().zip(&is_settled);
+    let takes_requests = settled.any(|(view, &is_settled)| {
+        is_settled && !view.leaving && !view.ejected && !tried.contains(&view.key)
+    });
+    if takes_requests {
+        let mut kept = is_settled.iter();
+        servers.retain(|_| kept.next().is_some_and(|&kept| kept));
+        let mut kept = is_settled.iter();
+        views.retain(|_| kept.next().is_some_and(|&kept| kept));
+    }
+}
+
+/// Chooses a server for a stream that moves before its first event, not one of `tried`.
+pub(crate) fn choose_other_start(
+    state: &FleetState,
+    request: &AdmittedRequest,
+    tried: &[u32],
+) -> Option<PermittedServer> {
+    let now = Instant::now();
+    let (mut servers, mut views) = state.server_views(&request.service, request.version, now);
+    if begins_resumable(request) {
+        keep_settled(state, (&mut servers, &mut views), tried);
+    }
+    choose_for_stream(state, (&servers, &views), tried, ServerDemand::Free)
+}
+
+/// Chooses a server of the version that began a stream for a stream that moves, not one of `tried`.
 pub(crate) fn choose_resume_server(
     state: &FleetState,
-    (service, version): (&str, Option<VersionKey>),
+    (service, version): (&str, VersionKey),
+    tried: &[u32],
+    demand: ServerDemand,
+) -> Option<PermittedServer> {
+    let (servers, views) = state.server_views(service, Some(version), Instant::now());
+    choose_for_stream(state, (&servers, &views), tried, demand)
+}
+
+fn choose_for_stream(
+    state: &FleetState,
+    (servers, views): (&[Arc<BackendState>], &[SlotView]),
     tried: &[u32],
     demand: ServerDemand,
 ) -> Option<PermittedServer> {
-    let now = Instant::now();
-    let (servers, views) = state.server_views(service, version, now);
     let waiting = match demand {
         ServerDemand::Any => RESUME_QUEUE,
         ServerDemand::Free => 0,
@@ -230,7 +288,7 @@
         draw: rand::random(),
         waiting,
     };
-    let index = choose_online_server(&views, tried, query)?;
+    let index = choose_online_server(views, tried, query)?;
     let fits = demand == ServerDemand::Any || !views[index].ejected;
     let permitted = PermittedServer::take(state, &servers[index], RequestClass::Online);
     permitted.filter(|_| fits)
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -20,7 +20,6 @@
 };
 
 use boragerill::{
-    backend::BackendTable,
     cancellation::CancellationTable,
     catalog::CatalogWorkspace,
     member::{
@@ -210,12 +209,6 @@
         lock(&self.cancellations).contains(job)
     }
 
-    /// Returns whether this VM would know of a server that has registered: the store or most VMs respond.
-    pub(crate) fn is_current(&self, now: Instant) -> bool {
-        let is_available = !self.backends.read(BackendTable::is_store_unavailable);
-        is_available || lock(&self.members).reaches_half(now)
-    }
-
     /// Returns how many VMs of the fleet report their usage of rates, out of all.
     pub(crate) fn fleet_view(&self, now: Instant) -> FleetView {
         let members = lock(&self.members);
--- a/fleet/src/state_fetch.rs
+++ b/fleet/src/state_fetch.rs
@@ -52,6 +52,7 @@
         FetchOutcome, //
     },
     state::FleetState,
+    store_watch::is_first_watcher, //
 };
 
 /// Timeout of a request for a configuration, which may be large.
@@ -184,6 +185,18 @@
         || lock(&state.members).own().follows
 }
 
+/// Returns when the own list of servers was last known to be the newest one; `None` if it never was. The first watcher
+/// knows it by its lease, since its calls end soon; the lease of another one lasts for as long as a call that waits.
+pub(crate) fn servers_confirmed(state: &FleetState, now: Instant) -> Option<Instant> {
+    let kind = FetchedState::Backends;
+    let confirmed = match is_first_watcher(state) {
+        true => now,
+        false => (*lock(&state.fetches.of(kind).confirmed))?,
+    };
+    let behind_since = state.fetches.behind_since(kind);
+    Some(behind_since.map_or(confirmed, |since| confirmed.min(since)))
+}
+
 /// Logs states that have just become unconfirmed or confirmed, and sets their metrics.
 pub(crate) fn report_confirmations(state: &FleetState) {
     for kind in FETCHED_STATES {
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -44,6 +44,7 @@
     state::FleetState,
     state_fetch::{
         report_confirmations,
+        servers_confirmed,
         FetchedState,
         FETCHED_STATES, //
     },
@@ -238,7 +239,8 @@
             let mut servers = servers.iter();
             servers.any(|server| (server.key, server.server.start) == process)
         });
-        state.backends.observe_versions(now);
+        let confirmed = servers_confirmed(&state, now);
+        state.backends.observe_versions(confirmed, now);
         state.streams.prune(now);
         state.quarantine.review(now);
         let retention = Duration::from_secs_f64(state.settings.results_kept_s);
--- a/fleet/src/stream_start.rs
+++ b/fleet/src/stream_start.rs
@@ -45,9 +45,8 @@
     },
     server_limits::SendPermit,
     server_selection::{
-        choose_resume_server,
-        PermittedServer,
-        ServerDemand, //
+        choose_other_start,
+        PermittedServer, //
     },
     state::FleetState,
     stream_relay::{
@@ -196,12 +195,7 @@
     if check != PromptCheck::Allowed {
         return None;
     }
-    choose_resume_server(
-        state,
-        (&request.service, request.version),
-        excluded,
-        ServerDemand::Free,
-    )
+    choose_other_start(state, request, excluded)
 }
 
 /// Sends a request to a server and waits for the first complete event of its response.
--- a/fleet/src/stream_versions.rs
+++ b/fleet/src/stream_versions.rs
@@ -28,7 +28,8 @@
         StreamKey,
         StreamOrigin,
         StreamTable,
-        VersionKey, //
+        VersionKey,
+        LIST_LIFETIME, //
     },
     sync::lock,
     timer::millis, //
@@ -51,7 +52,10 @@
     caller::header_text,
     peers,
     state::FleetState,
-    state_fetch::FetchedState, //
+    state_fetch::{
+        servers_confirmed,
+        FetchedState, //
+    }, //
 };
 
 /// Number of VMs that are asked for the version of a stream: those that have run the longest.
@@ -90,10 +94,14 @@
     }
 
     /// Adds the streams that other VMs have to know and haven't been told to a heartbeat, and returns whether there
-    /// are any.
+    /// are any: those of services with several versions, and all while the list of servers isn't confirmed, since no VM may
+    /// be able to vouch for their version then.
     pub(crate) fn add_new(&self, heartbeat: &mut Heartbeat, state: &FleetState) -> bool {
-        let is_mixed = |service| state.backends.has_mixed_versions(service);
-        let origins = lock(&self.table).take_unreported(is_mixed, NOTICE_STREAMS);
+        let now = Instant::now();
+        let is_confirmed = servers_confirmed(state, now)
+            .is_some_and(|confirmed| now.saturating_duration_since(confirmed) <= LIST_LIFETIME);
+        let is_needed = |service| !is_confirmed || state.backends.has_mixed_versions(service);
+        let origins = lock(&self.table).take_unreported(is_needed, NOTICE_STREAMS);
         heartbeat.streams = stream_notices(origins);
         !heartbeat.streams.is_empty()
     }
@@ -164,8 +172,8 @@
 
 /// Returns the only version that can have begun a stream of a service, unless this VM may have missed others.
 pub(crate) fn sole_version(state: &FleetState, service: ServiceKey) -> Option<VersionKey> {
-    let sole = state.backends.sole_version(service)?;
-    state.is_current(Instant::now()).then_some(sole)
+    let confirmed = servers_confirmed(state, Instant::now());
+    state.backends.sole_version(service, confirmed)
 }
 
 /// How the version that began a stream is known.
--- a/fleet/src/version_store.rs
+++ b/fleet/src/version_store.rs
@@ -17,7 +17,10 @@
     },
     rank::hash_name,
     stream_version::{
+        self,
         SeenVersion,
+        VersionHistory,
+        LIST_LIFETIME,
         STREAM_LIFETIME, //
     },
     sync::lock,
@@ -42,9 +45,12 @@
     timeout, //
 };
 
-use crate::state::{
-    wall_ms,
-    FleetState, //
+use crate::{
+    state::{
+        wall_ms,
+        FleetState, //
+    },
+    state_fetch::servers_confirmed,
 };
 
 /// Kind of the object that holds the versions.
@@ -90,12 +96,16 @@
     version: CompactString,
     /// When its last server left, in milliseconds since the Unix epoch; absent while one is registered.
     gone_ms: Option<u64>,
+    /// When it was first stored as registered, in milliseconds since the Unix epoch; 0 if an older build stored it.
+    #[serde(default)]
+    since_ms: u64,
 }
 
 /// Loads the versions if the fleet has run before, and stores them whenever one comes or goes, until the process ends.
 pub(crate) async fn keep_stored(state: Arc<FleetState>) {
     if state.settings.first_start {
-        adopt(&state, &StoredVersions::default());
+        let begin = |history: &mut VersionHistory| history.begin_fleet(Instant::now());
+        state.backends.update_versions(begin);
     } else {
         while let Err(error) = load(&state).await.map(|(stored, _)| adopt(&state, &stored)) {
             pause("loading versions of servers failed", &error).await;
@@ -104,12 +114,16 @@
     sleep(JOIN_TIME).await;
     let mut last_stored = Vec::new();
     loop {
-        // A timeout starts the next check without a signal.
-        let _ = timeout(CHECK_INTERVAL, state.backends.versions_changed.notified()).await;
+        // A timeout starts the next check without a signal. The VMs don't read all at once after a change.
+        let interval = CHECK_INTERVAL.mul_f64(0.5 + rand::random::<f64>());
+        let _ = timeout(interval, state.backends.versions_changed.notified()).await;
         if let Err(error) = store(&state, &mut last_stored).await {
             pause("storing versions of servers failed", &error).await;
             state.backends.versions_changed.notify_one();
         }
+        if let Err(error) = check_stored(&state).await {
+            warn!(error = error.to_string().as_str(); "reading versions of servers failed");
+        }
     }
 }
 
@@ -134,15 +148,33 @@
     Ok((stored, Expected::At(object.version)))
 }
 
+/// Reads whether the store names the versions that all VMs have seen.
+async fn check_stored(state: &FleetState) -> Result<(), ServeError> {
+    let now = Instant::now();
+    let versions = &state.backends;
+    if versions.read_versions(|history| history.has_unstored(now)) {
+        let (stored, _) = load(state).await?;
+        adopt(state, &stored);
+    }
+    Ok(())
+}
+
 /// Adds the stored versions to this VM's history.
 fn adopt(state: &FleetState, stored: &StoredVersions) {
     let (now, wall) = (Instant::now(), wall_ms());
     let versions = stored.versions.iter();
-    let seen = versions.filter_map(|version| seen_version(version, now, wall));
-    let seen: Vec<SeenVersion> = seen.collect();
+    let adopted = versions.filter_map(|version| {
+        let stored_for = Duration::from_millis(wall.saturating_sub(version.since_ms));
+        let seen = seen_version(version, now, wall)?;
+        Some(stream_version::StoredVersion {
+            seen,
+            stored_for: stored_for.saturating_sub(CLOCK_MARGIN),
+        })
+    });
+    let adopted = adopted.collect();
     state
         .backends
-        .update_versions(|history| history.adopt(seen, now));
+        .update_versions(|history| history.adopt(adopted, now));
 }
 
 /// Converts a stored version; returns `None` if it left too long ago or isn't valid.
@@ -157,22 +189,28 @@
         service: u64::from_str_radix(&stored.service, 16).ok()?,
         version: u64::from_str_radix(&stored.version, 16).ok()?,
         last_seen: now.checked_sub(gone_for).unwrap_or(now),
-        registered: false,
+        registered: stored.gone_ms.is_none(),
     })
 }
 
 /// Stores the versions if this VM ranks first and they differ from those last stored.
 async fn store(state: &FleetState, last_stored: &mut Vec<VersionFlag>) -> Result<(), ServeError> {
     let now = Instant::now();
-    if lock(&state.members).own_rank(hash_name(VERSION_TASK), now) > 0 {
+    // A VM that is behind would remove versions that it doesn't know, or state that they have left.
+    let confirmed = servers_confirmed(state, now);
+    let is_behind = confirmed.is_none_or(|confirmed| now > confirmed + LIST_LIFETIME);
+    if is_behind || lock(&state.members).own_rank(hash_name(VERSION_TASK), now) > 0 {
         return Ok(());
     }
-    let known = stored_versions(state, now);
-    let flags = version_flags(&known);
+    let flags = version_flags(&stored_versions(state, &StoredVersions::default(), now));
     if flags.is_empty() || *last_stored == flags {
         return Ok(());
     }
     let (stored, expected) = load(state).await?;
+    // Versions that this VM hasn't seen may have been stored by another one.
+    adopt(state, &stored);
+    let known = stored_versions(state, &stored, now);
+    let flags = version_flags(&known);
     if version_flags(&stored) != flags {
         let spec = serde_json::to_value(&known).unwrap_or(Value::Null);
         let written = state
@@ -180,25 +218,28 @@
             .put(VERSION_KIND, VERSION_NAME, expected, "", &spec)
             .await?;
         info!(versions = known.versions.len(), revision = written.version; "versions of servers stored");
+        adopt(state, &known);
     }
     *last_stored = flags;
     Ok(())
 }
 
-/// Returns the versions that this VM knows, as they are stored.
-fn stored_versions(state: &FleetState, now: Instant) -> StoredVersions {
+/// Returns the versions that this VM knows, as they are stored; `stored` are those that were stored before.
+fn stored_versions(state: &FleetState, stored: &StoredVersions, now: Instant) -> StoredVersions {
     let wall = wall_ms();
-    let stored = |seen: &SeenVersion| {
+    let stored_version = |seen: &SeenVersion| {
         let gone_for = millis(now.saturating_duration_since(seen.last_seen));
+        let version = format_compact!("{:x}", seen.version);
+        let mut before = stored.versions.iter();
+        let before = before.find(|before| before.version == version && before.gone_ms.is_none());
         StoredVersion {
             service: format_compact!("{:x}", seen.service),
-            version: format_compact!("{:x}", seen.version),
             gone_ms: (!seen.registered).then(|| wall.saturating_sub(gone_for)),
+            since_ms: before.map_or(wall, |before| before.since_ms),
+            version,
         }
     };
-    let versions = |history: &boragerill::stream_version::VersionHistory| {
-        history.seen().iter().map(stored).collect()
-    };
+    let versions = |history: &VersionHistory| history.storable(now).map(stored_version).collect();
     StoredVersions {
         versions: state.backends.read_versions(versions),
     }
