--- a/boragerill/tests/stream_version.rs
+++ b/boragerill/tests/stream_version.rs
@@ -221,6 +221,11 @@
     let early = history.is_settled(SERVICE, 11);
     let settled = seen + SETTLE_TIME;
     observe_until(&mut history, &[10, 11], (seen, settled));
+    let mut gone: Vec<StoredVersion> = stored(&history);
+    for version in &mut gone {
+        version.seen.registered = false;
+    }
+    history.adopt(gone, settled);
 
     // act
     let unstored = (
