Soak: a load in steps with long items and releases, and checks of the order of events by run

`--load stepped` has a rate that rises and falls, ten items of 150 to 300 events a job, three of five streams that may not be resumed, and two releases that replace all servers in waves while most VMs are killed at once or all restart in turn; half of the servers that crash are back at once. `--unframed X` lets servers answer without length or chunks, `--garbled X` breaks responses off, resets them after their end, or adds a second one, also late. All are off by default, and the plan of a seed without them draws the same numbers as before.

Each event states the run that brought it. So streams and texts are checked for a run that goes on where it wasn't asked to, beside events that are missing, doubled or of two versions; a report says whether it was a stream or a text, moved by a VM or taken up by a client, of how many versions, framed or not, and names the runs. A text that is out of order counts as ORDER, one that ends too early as MIXED; both were MIXED.

--- a/standins/src/soak/clients.rs
+++ b/standins/src/soak/clients.rs
@@ -25,11 +25,14 @@
 use super::{
     config::{
         HOST,
-        KEY, //
+        KEY,
+        SINGLE_PATH, //
     },
-    servers::{
-        event_text,
-        LAST_EVENT, //
+    events::{
+        BreachKind,
+        OrderBreach,
+        OrderCheck,
+        ServerRuns, //
     },
 };
 
@@ -48,7 +51,7 @@
     /// No response.
     Failed,
     /// Events are missing, doubled or from several versions, or the end came early.
-    Disordered(String),
+    Disordered(OrderBreach),
 }
 
 /// A request of a client and its outcome.
@@ -75,17 +78,21 @@
     vms: Arc<Vec<SocketAddr>>,
     records: Arc<Mutex<Vec<ClientRecord>>>,
     next: Arc<AtomicU64>,
+    last_event: u64,
+    runs: ServerRuns,
 }
 
 impl SoakClients {
-    /// Returns clients of the VMs at the given addresses.
-    pub(crate) fn new(vms: Vec<SocketAddr>) -> SoakClients {
+    /// Returns clients of the VMs at the given addresses, whose streams end with an event.
+    pub(crate) fn new(vms: Vec<SocketAddr>, last_event: u64, runs: ServerRuns) -> SoakClients {
         let client = Client::builder().no_proxy().timeout(REQUEST_TIMEOUT);
         SoakClients {
             client: client.build().expect("client"),
             vms: Arc::new(vms),
             records: Arc::default(),
             next: Arc::default(),
+            last_event,
+            runs,
         }
     }
 
@@ -94,15 +101,16 @@
         lock(&self.records).clone()
     }
 
-    /// Sends a request for a stream to a VM, and resumes the stream once at another one if that is allowed.
-    pub(crate) async fn send(&self, vm: usize, path: &str, resumable: bool) {
+    /// Sends a request for a stream to a VM, and takes the stream up once at another one if it breaks and
+    /// `is_taken_up` is set.
+    pub(crate) async fn send(&self, vm: usize, path: &str, is_taken_up: bool) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let body = format!("subject-{number}");
-        let mut reader = StreamReader::new(&body);
+        let mut reader = StreamReader::new(&body, path != SINGLE_PATH);
         let first = self
             .attempt(vm, path, &mut reader, &format!("{number:08x}0000"))
             .await;
-        if let (true, StreamOutcome::Broken(Some(_))) = (resumable, &first) {
+        if let (true, StreamOutcome::Broken(Some(_))) = (is_taken_up, &first) {
             let other = (vm + 1) % self.vms.len();
             self.attempt(other, path, &mut reader, &format!("{number:08x}0001"))
                 .await;
@@ -123,7 +131,7 @@
             .header("host", HOST)
             .header("attempt-id", id)
             .header("model", "m")
-            .header("token-usage", "450,19")
+            .header("token-usage", format!("450,{}", self.last_event + 1))
             .header("prompt-prefix", format!("5c1e07a2:200,{id}:250"))
             .header("time-remaining-ms", REQUEST_TIMEOUT.as_millis().to_string())
             .header("authorization", format!("Token {KEY}"))
@@ -134,7 +142,10 @@
                 .header("resumes", resumed);
         }
         let outcome = match request.send().await {
-            Ok(response) if response.status() == 200 => reader.read(response, id).await,
+            Ok(response) if response.status() == 200 => {
+                let ends = (self.last_event, &self.runs);
+                reader.read(response, id, ends).await
+            }
             Ok(response) => StreamOutcome::Status(response.status().as_u16()),
             Err(_) => StreamOutcome::Failed,
         };
@@ -153,63 +164,63 @@
 /// Reads the events of one stream, also from several responses.
 struct StreamReader {
     body: String,
-    version: Option<String>,
-    last: Option<u64>,
+    check: OrderCheck,
     request: String, // Id of the request that brought the first event.
 }
 
 impl StreamReader {
-    fn new(body: &str) -> StreamReader {
+    fn new(body: &str, is_resumable: bool) -> StreamReader {
         StreamReader {
             body: body.to_owned(),
-            version: None,
-            last: None,
+            check: OrderCheck::new(body, is_resumable),
             request: String::new(),
         }
     }
 
     /// Returns the last event's number and the request that brought the first event, if there is one.
     fn position(&self) -> Option<(u64, String)> {
-        Some((self.last?, self.request.clone()))
+        Some((self.check.last()?, self.request.clone()))
     }
 
-    async fn read(&mut self, mut response: Response, id: &str) -> StreamOutcome {
+    async fn read(
+        &mut self,
+        mut response: Response,
+        id: &str,
+        (last_event, runs): (u64, &ServerRuns),
+    ) -> StreamOutcome {
         let mut buffer = String::new();
         loop {
             match response.chunk().await {
                 Ok(Some(bytes)) => buffer.push_str(&String::from_utf8_lossy(&bytes)),
-                Ok(None) if self.last == Some(LAST_EVENT) && buffer.is_empty() => {
-                    return StreamOutcome::Complete
+                Ok(None) if !buffer.is_empty() => {
+                    let got = format!("the end after {buffer:?}");
+                    let breach = self.check.breach(BreachKind::TooEarly, &got, runs);
+                    return StreamOutcome::Disordered(breach);
                 }
                 Ok(None) => {
-                    let cause = format!("complete after {:?}, rest {buffer:?}", self.last);
-                    return StreamOutcome::Disordered(cause);
+                    return match self.check.end(last_event, runs) {
+                        Ok(()) => StreamOutcome::Complete,
+                        Err(breach) => StreamOutcome::Disordered(breach),
+                    }
                 }
-                Err(_) => return StreamOutcome::Broken(self.last),
+                Err(_) => return StreamOutcome::Broken(self.check.last()),
             }
             while let Some(end) = buffer.find("\n\n") {
                 let event: String = buffer.drain(..end + 2).collect();
-                if let Err(cause) = self.accept(&event, id) {
-                    return StreamOutcome::Disordered(cause);
+                if let Err(breach) = self.accept(&event, id, runs) {
+                    return StreamOutcome::Disordered(breach);
                 }
             }
         }
     }
 
     /// Checks that an event is the next one of the stream.
-    fn accept(&mut self, event: &str, id: &str) -> Result<(), String> {
-        let expected = self.last.map_or(0, |last| last + 1);
+    fn accept(&mut self, event: &str, id: &str, runs: &ServerRuns) -> Result<(), OrderBreach> {
         let data = event.lines().find_map(|line| line.strip_prefix("data: "));
-        let data = data.ok_or_else(|| format!("event without data: {event:?}"))?;
-        let version = data.split(' ').nth(1).unwrap_or_default().to_owned();
-        let known = self.version.get_or_insert(version);
-        if data != event_text(&self.body, known, expected) {
-            return Err(format!("expected {expected} of {known}, got {data:?}"));
-        }
-        if self.last.is_none() {
-            self.request = id.to_owned();
+        self.check.accept(data.unwrap_or(event), runs)?;
+        if self.request.is_empty() {
+            id.clone_into(&mut self.request);
         }
-        self.last = Some(expected);
         Ok(())
     }
 }
--- a/standins/src/soak/jobs.rs
+++ b/standins/src/soak/jobs.rs
@@ -31,18 +31,14 @@
         HOST,
         KEY, //
     },
-    servers::{
-        event_text,
-        LAST_EVENT, //
+    events::{
+        OrderBreach,
+        OrderCheck,
+        ServerRuns, //
     },
+    load::SoakLoad,
 };
 
-/// Number of items of a job.
-const ITEMS: usize = 4;
-
-/// Body of every item, and its base64 text.
-const ITEM_BODY: (&str, &str) = ("item", "aXRlbQ==");
-
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(4000);
 
@@ -52,9 +48,6 @@
 /// Time for which a submission or cancellation is repeated.
 const REPEAT_LIMIT: Duration = Duration::from_secs(10);
 
-/// Time after its acceptance within which a job is complete.
-const COMPLETION_LIMIT: Duration = Duration::from_secs(30);
-
 /// Share of the jobs that their client cancels.
 const CANCELLED_SHARE: f64 = 0.2;
 
@@ -74,6 +67,8 @@
     Incomplete(String),
     /// A result was wrong.
     Wrong(String),
+    /// The text of the item with an id was out of order, or too short.
+    Disordered(String, OrderBreach),
 }
 
 /// A job and what became of it.
@@ -95,11 +90,13 @@
     client: Client,
     vms: Vec<SocketAddr>,
     outcomes: Arc<Mutex<Vec<JobOutcome>>>,
+    load: Arc<SoakLoad>,
+    runs: ServerRuns,
 }
 
 impl JobClients {
     /// Returns clients of the VMs at the given addresses.
-    pub(crate) fn new(vms: Vec<SocketAddr>) -> JobClients {
+    pub(crate) fn new(vms: Vec<SocketAddr>, load: Arc<SoakLoad>, runs: ServerRuns) -> JobClients {
         let client = Client::builder()
             .no_proxy()
             .timeout(CALL_TIMEOUT)
@@ -108,6 +105,8 @@
             client: client.build().expect("client"),
             vms,
             outcomes: Arc::default(),
+            load,
+            runs,
         }
     }
 
@@ -124,14 +123,15 @@
     }
 
     async fn follow_job(&self, id: &str) -> JobState {
-        let items: Vec<Value> = (0..ITEMS)
+        let items: Vec<Value> = (0..self.load.item_count)
             .map(|item| {
+                let body = self.load.item_body(item);
                 json!({
                     "id": format!("{id}-{item}"),
                     "path": format!("{BATCH_PATH}{id}-{item}"),
-                    "headers": {"Model": "m", "Token-Usage": "450,19"},
-                    "body": ITEM_BODY.1,
-                    "tokens": 469,
+                    "headers": {"Model": "m", "Token-Usage": format!("450,{}", body.last_event + 1)},
+                    "body": body.encoded,
+                    "tokens": 451 + body.last_event,
                 })
             })
             .collect();
@@ -171,7 +171,7 @@
     }
 
     async fn read_results(&self, id: &str) -> JobState {
-        let until = Instant::now() + COMPLETION_LIMIT;
+        let until = Instant::now() + self.load.job_limit;
         let mut results: Vec<Value> = Vec::new();
         let mut last_status = 0;
         while Instant::now() < until {
@@ -188,8 +188,8 @@
                 continue;
             };
             results.extend(page["results"].as_array().cloned().unwrap_or_default());
-            if results.len() >= ITEMS {
-                return check_results(id, &results);
+            if results.len() >= self.load.item_count {
+                return self.check_results(id, &results);
             }
         }
         let listed = results.len();
@@ -207,27 +207,41 @@
             .header("authorization", format!("Token {KEY}"))
             .header("time-remaining-ms", CALL_TIMEOUT.as_millis().to_string())
     }
-}
 
-/// Checks that each item has one result with the whole text of one software version.
-fn check_results(id: &str, results: &[Value]) -> JobState {
-    let mut ids: Vec<&str> = results
-        .iter()
-        .filter_map(|result| result["id"].as_str())
-        .collect();
-    ids.sort_unstable();
-    let expected: Vec<String> = (0..ITEMS).map(|item| format!("{id}-{item}")).collect();
-    if ids != expected {
-        return JobState::Wrong(format!("results of {ids:?}"));
+    /// Checks that each item has one result with the whole text of one software version.
+    fn check_results(&self, id: &str, results: &[Value]) -> JobState {
+        let ids = results.iter().filter_map(|result| result["id"].as_str());
+        let mut ids: Vec<&str> = ids.collect();
+        ids.sort_unstable();
+        let count = self.load.item_count;
+        let expected = (0..count).map(|item| (format!("{id}-{item}"), item));
+        let mut expected: Vec<(String, usize)> = expected.collect();
+        expected.sort_unstable();
+        if !ids.iter().eq(expected.iter().map(|(id, _)| id)) {
+            return JobState::Wrong(format!("results of {ids:?}"));
+        }
+        for result in results {
+            let id = result["id"].as_str().unwrap_or_default();
+            if result["state"] != "completed" {
+                return JobState::Wrong(format!("{result}"));
+            }
+            let found = expected.binary_search_by(|(other, _)| other.as_str().cmp(id));
+            let item = found.map_or(0, |found| expected[found].1);
+            let text = result["text"].as_str().unwrap_or_default();
+            if let Err(breach) = self.check_text(item, text) {
+                return JobState::Disordered(id.to_owned(), breach);
+            }
+        }
+        JobState::Complete
     }
-    for result in results {
-        let text = result["text"].as_str().unwrap_or_default();
-        let version = text.split(' ').nth(1).unwrap_or_default();
-        let events = (0..=LAST_EVENT).map(|number| event_text(ITEM_BODY.0, version, number));
-        let whole = events.collect::<Vec<_>>().join("\n");
-        if result["state"] != "completed" || text != whole {
-            return JobState::Wrong(format!("{result}"));
+
+    /// Checks the text of the item with an index in its job.
+    fn check_text(&self, item: usize, text: &str) -> Result<(), OrderBreach> {
+        let body = self.load.item_body(item);
+        let mut check = OrderCheck::new(body.text, true);
+        for data in text.lines() {
+            check.accept(data, &self.runs)?;
         }
+        check.end(body.last_event, &self.runs)
     }
-    JobState::Complete
 }
--- a/standins/src/soak/oracle.rs
+++ b/standins/src/soak/oracle.rs
@@ -15,6 +15,11 @@
         RESUMABLE_PATH,
         SINGLE_PATH, //
     },
+    events::{
+        BreachKind,
+        OrderBreach,
+        ServerRuns, //
+    },
     fleet::{
         SoakVm,
         VmFault, //
@@ -35,6 +40,12 @@
 /// Number of violations of a rule that are described.
 const MAX_DESCRIBED: usize = 6;
 
+/// Length of the part of a request's id that is the same in all requests for one stream.
+const STREAM_ID_LENGTH: usize = 8;
+
+/// Ends the ids of requests by which clients take a stream up.
+const TAKEN_UP: &str = "0001";
+
 /// Bounds of the rules, as the deployments state them.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RuleBounds {
@@ -88,6 +99,8 @@
     pub(crate) jobs: &'a [JobOutcome],
     /// Requests of items that reached any server.
     pub(crate) arrivals: &'a [ServerArrival],
+    /// Runs at all servers.
+    pub(crate) runs: &'a ServerRuns,
 }
 
 /// Violations of the rules, as descriptions.
@@ -155,11 +168,57 @@
     }
 
     fn check_order(&self, request: &ClientRecord, report: &mut RuleReport) {
-        if let StreamOutcome::Disordered(_) = request.outcome {
-            report.add("ORDER", self.describe(request));
+        if let StreamOutcome::Disordered(breach) = &request.outcome {
+            let way = match self.runs.of(&request.id).len() > 1 {
+                true => "moved by a VM",
+                false => "one run in its response",
+            };
+            let way = match request.id.ends_with(TAKEN_UP) {
+                true => format!("{way}, taken up by a client"),
+                false => way.to_owned(),
+            };
+            let stream = &request.id[..STREAM_ID_LENGTH];
+            let breach = self.describe_breach(breach, &way, stream);
+            report.add(
+                "ORDER",
+                format!("stream {breach}: {}", self.describe(request)),
+            );
         }
     }
 
+    /// Describes a case of wrong order and the runs of requests whose id begins with a text.
+    fn describe_breach(&self, breach: &OrderBreach, way: &str, prefix: &str) -> String {
+        let runs = self.runs.of(prefix);
+        let mut versions: Vec<&str> = runs.iter().map(|(_, run)| run.version.as_str()).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let frame = match breach.is_framed {
+            true => "framed",
+            false => "unframed",
+        };
+        format!(
+            "{:?}, {way}, {frame}, {} version(s), after {:?} got {:?}, runs [{}]",
+            breach.kind,
+            versions.len(),
+            breach.after,
+            breach.got,
+            self.runs.describe(prefix, self.start)
+        )
+    }
+
+    fn check_text(&self, item: &str, breach: &OrderBreach, report: &mut RuleReport) {
+        let rule = match breach.kind {
+            BreachKind::TooEarly => "MIXED",
+            _ => "ORDER",
+        };
+        let way = match self.runs.of(item).len() > 1 {
+            true => "several runs",
+            false => "one run",
+        };
+        let breach = self.describe_breach(breach, way, item);
+        report.add(rule, format!("text {breach}: {item}"));
+    }
+
     /// Checks a refusal by a configuration against those that may be in force.
     fn check_config(&self, request: &ClientRecord, report: &mut RuleReport) {
         let StreamOutcome::Status(401 | 403 | 404) = request.outcome else {
@@ -226,6 +285,7 @@
                     self.check_cancelled(&job.id, *acknowledged, report);
                 }
                 JobState::Incomplete(cause) => report.add("LOST", format!("{}: {cause}", job.id)),
+                JobState::Disordered(item, breach) => self.check_text(item, breach, report),
                 JobState::Wrong(cause) => report.add("MIXED", format!("{}: {cause}", job.id)),
             }
         }
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -8,10 +8,13 @@
     SeedableRng, //
 };
 
-use super::trouble::{
-    make_troubles,
-    LinkTrouble,
-    RelayScope, //
+use super::{
+    release::make_releases,
+    trouble::{
+        make_troubles,
+        LinkTrouble,
+        RelayScope, //
+    },
 };
 
 /// Largest number of routes that a small change of the configuration adds.
@@ -46,6 +49,22 @@
         /// Time from the announcement to its end.
         lasts: Duration,
     },
+    /// The newest server at a place is replaced by one with the version of a release.
+    Upgrade {
+        /// Place of the server.
+        server: usize,
+        /// Number of the release.
+        release: u64,
+        /// Time from the announcement to the end of the server that leaves.
+        lasts: Duration,
+    },
+    /// The newest server at a place crashes and is back after `lasts`.
+    CrashNewest {
+        /// Place of the server.
+        server: usize,
+        /// Downtime.
+        lasts: Duration,
+    },
     /// A server crashes and is back after `lasts`.
     Crash {
         /// Index of the server.
@@ -101,12 +120,24 @@
     pub(crate) routes: usize,
     /// Links that are disturbed.
     pub(crate) relays: RelayScope,
+    /// Whether releases replace the other actions.
+    pub(crate) has_releases: bool,
     /// Seed.
     pub(crate) seed: u64,
 }
 
 /// Returns actions with their times since the start of the load, sorted by time.
 pub(crate) fn make_plan(terms: PlanTerms) -> Vec<(Duration, SoakAction)> {
+    let mut plan = match terms.has_releases {
+        true => make_releases(terms),
+        false => make_actions(terms),
+    };
+    plan.extend(make_troubles(terms, terms.relays));
+    plan.sort_by_key(|entry| entry.0);
+    plan
+}
+
+fn make_actions(terms: PlanTerms) -> Vec<(Duration, SoakAction)> {
     let mut random = StdRng::seed_from_u64(terms.seed);
     let mut plan = Vec::new();
     let length = terms.length.as_secs_f64();
@@ -181,7 +212,5 @@
         let seconds = random.random_range(2.0..length - 6.0);
         at(&mut plan, seconds, SoakAction::StoreOutage { lasts });
     }
-    plan.extend(make_troubles(terms, terms.relays));
-    plan.sort_by_key(|entry| entry.0);
     plan
 }
--- /dev/null
+++ b/standins/src/soak/release.rs
@@ -0,0 +1,111 @@
+//! Seeded plans of releases: all servers are replaced by newer versions, in waves, while VMs restart.
+
+use std::time::Duration;
+
+use rand::{
+    rngs::StdRng,
+    RngExt,
+    SeedableRng, //
+};
+
+use super::plan::{
+    PlanTerms,
+    SoakAction, //
+};
+
+/// Makes these plans independent of the others of a seed.
+const RELEASE_SEED: u64 = 0x51ab_90d3;
+
+/// Versions that replace all servers, one after the other.
+const RELEASES: std::ops::RangeInclusive<u64> = 2..=3;
+
+/// Number of waves in which a version replaces the servers.
+const WAVES: usize = 3;
+
+/// Largest number of routes that a change of the configuration adds beside releases.
+const SMALL_CHANGE: usize = 3;
+
+/// Time before the end of the load in which nothing begins, in seconds.
+const TAIL_S: f64 = 3.0;
+
+/// Returns actions with their times since the start of the load.
+pub(super) fn make_releases(terms: PlanTerms) -> Vec<(Duration, SoakAction)> {
+    let mut random = StdRng::seed_from_u64(terms.seed ^ RELEASE_SEED);
+    let mut plan: Vec<(f64, SoakAction)> = Vec::new();
+    let length = terms.length.as_secs_f64();
+    let last = length - TAIL_S;
+    let large = random.random_range(0.25..0.4) * length;
+    plan.push((large, SoakAction::AddRoutes(terms.routes)));
+    let mut change = 1.0;
+    while change < last {
+        let routes = random.random_range(1..=SMALL_CHANGE);
+        plan.push((change, SoakAction::AddRoutes(routes)));
+        change += random.random_range(0.4..4.0);
+    }
+    let distance = length / 2.2;
+    for release in RELEASES {
+        let number = (release - RELEASES.start()) as f64;
+        let begin = distance * number + random.random_range(2.0..4.0);
+        let gap = random.random_range(0.3..1.5);
+        for server in 0..terms.servers {
+            let wave = server / terms.servers.div_ceil(WAVES);
+            let at = begin + gap * wave as f64 + random.random_range(0.0..0.1);
+            let lasts = Duration::from_secs_f64(random.random_range(2.1..4.0));
+            let action = SoakAction::Upgrade {
+                server,
+                release,
+                lasts,
+            };
+            plan.push((at, action));
+        }
+        add_restarts(&mut plan, &mut random, terms.vms, begin);
+    }
+    for _ in 0..terms.servers.div_ceil(2) {
+        let is_back_at_once = random.random_bool(0.5);
+        let lasts = match is_back_at_once {
+            true => Duration::ZERO,
+            false => Duration::from_secs_f64(random.random_range(0.3..2.0)),
+        };
+        let server = random.random_range(0..terms.servers);
+        let at = random.random_range(2.0..last);
+        plan.push((at, SoakAction::CrashNewest { server, lasts }));
+    }
+    if random.random_bool(0.5) {
+        let after = Duration::from_secs_f64(random.random_range(0.5..8.0));
+        plan.push((0.0, SoakAction::CutWatches { after }));
+    }
+    if random.random_bool(0.5) {
+        let lasts = Duration::from_secs_f64(random.random_range(0.5..3.0));
+        plan.push((
+            random.random_range(2.0..last),
+            SoakAction::StoreOutage { lasts },
+        ));
+    }
+    let plan = plan.into_iter().filter(|entry| entry.0 < last);
+    plan.map(|(at, action)| (Duration::from_secs_f64(at), action))
+        .collect()
+}
+
+/// Adds restarts of VMs beside a release: most of them killed at once, or all killed or stopped in turn.
+fn add_restarts(plan: &mut Vec<(f64, SoakAction)>, random: &mut StdRng, vms: usize, begin: f64) {
+    let first = random.random_range(0..vms);
+    let kind = random.random_range(0..3);
+    let (count, gap) = match kind {
+        0 => (vms * 3 / 4, 0.0),
+        1 => (vms, random.random_range(0.15..0.6)),
+        _ => (vms, random.random_range(0.3..0.9)),
+    };
+    for number in 0..count {
+        let vm = (first + number) % vms;
+        let lasts = Duration::from_secs_f64(random.random_range(0.1..1.5));
+        let at = match kind {
+            0 => begin + random.random_range(0.08..1.2),
+            _ => begin + gap * number as f64,
+        };
+        let action = match kind {
+            0 | 1 => SoakAction::Kill { vm, lasts },
+            _ => SoakAction::Stop { vm, lasts },
+        };
+        plan.push((at, action));
+    }
+}
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -45,6 +45,7 @@
         RESUMABLE_PATH,
         SINGLE_PATH, //
     },
+    events::ServerRuns,
     fleet::{
         self,
         begin_fault,
@@ -57,6 +58,7 @@
         JobClients, //
     },
     links::SoakLinks,
+    load::SoakLoad,
     oracle::{
         ConfigChange,
         RuleBounds,
@@ -70,6 +72,7 @@
     },
     servers::{
         ServerArrival,
+        ServerTerms,
         SoakServer, //
     },
     trouble::{
@@ -87,9 +90,6 @@
 /// Time from the readiness of all VMs to the start of the load.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// Interval of the requests at each VM that show which configuration is in force.
-const PROBE_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Time in which a VM has to end after SIGTERM.
 const GRACE_TIME: Duration = Duration::from_secs(8);
 
@@ -99,9 +99,6 @@
 /// Downtime of a server that doesn't come back.
 const FOREVER: Duration = Duration::from_secs(3600);
 
-/// Interval between submissions of jobs.
-const JOB_INTERVAL: Duration = Duration::from_millis(400);
-
 /// Period of a quota of processor time.
 const QUOTA_PERIOD: Duration = Duration::from_millis(100);
 
@@ -137,6 +134,8 @@
     pub share: f64,
     /// Links that relays stand on, and that are disturbed.
     pub relays: RelayScope,
+    /// What clients send, and how servers answer.
+    pub load: SoakLoad,
     /// Folder that keeps settings and logs.
     pub keep: Option<PathBuf>,
 }
@@ -154,15 +153,29 @@
             routes: 1972,
             share: 1.0,
             relays: RelayScope::All,
+            load: SoakLoad::default(),
             keep: None,
         }
     }
 }
 
+impl SoakOptions {
+    /// Returns options of a load that rises and falls: more VMs, at which crests need nearly all slots of the servers.
+    pub fn stepped() -> SoakOptions {
+        SoakOptions {
+            vms: 8,
+            rate: 6.0,
+            load: SoakLoad::stepped(),
+            ..SoakOptions::default()
+        }
+    }
+}
+
 /// Everything that runs.
 struct SoakRun {
     store: StandardStore,
     servers: Mutex<Vec<Arc<SoakServer>>>,
+    terms: ServerTerms,
     vms: Mutex<Vec<SoakVm>>,
     clients: SoakClients,
     configs: Mutex<Vec<ConfigChange>>,
@@ -194,7 +207,7 @@
     tasks.spawn(record_stalls(run.clone(), end));
     for vm in 0..options.vms {
         tasks.spawn(throttle(run.clone(), vm, options.share, end));
-        tasks.spawn(send_load(run.clone(), vm, options.rate, end));
+        tasks.spawn(send_load(run.clone(), vm, options.rate, (begin, end)));
         tasks.spawn(send_probes(run.clone(), vm, end));
     }
     let plan = make_plan(PlanTerms {
@@ -203,6 +216,7 @@
         length: Duration::from_secs(options.seconds),
         routes: options.routes,
         relays: options.relays,
+        has_releases: options.load.has_releases,
         seed: options.seed,
     });
     for (at, action) in plan {
@@ -226,9 +240,16 @@
 async fn start(options: &SoakOptions, folder: &std::path::Path) -> io::Result<SoakRun> {
     let store = StandardStore::start().await;
     store.write("config", "main", config(1, 0));
+    let load = Arc::new(options.load.clone());
+    let terms = ServerTerms {
+        load: load.clone(),
+        seed: options.seed,
+        runs: ServerRuns::default(),
+    };
     let mut servers = Vec::new();
     for index in 0..options.servers {
-        let server = SoakServer::start(format!("i-{index:03}"), "v1", domain(index)).await;
+        let id = format!("i-{index:03}");
+        let server = SoakServer::start(id, "v1", domain(index), &terms).await;
         store.write("servers", &server.id, server.entry("ready", 1));
         servers.push(Arc::new(server));
     }
@@ -252,7 +273,7 @@
         store,
         servers: Mutex::new(servers),
         vms: Mutex::new(vms),
-        clients: SoakClients::new(callers.clone()),
+        clients: SoakClients::new(callers.clone(), load.last_event, terms.runs.clone()),
         configs: Mutex::new(vec![ConfigChange {
             version: 1,
             acknowledged: Instant::now(),
@@ -263,7 +284,8 @@
         stalls: Mutex::default(),
         links,
         troubles: Mutex::default(),
-        jobs: JobClients::new(callers),
+        jobs: JobClients::new(callers, load, terms.runs.clone()),
+        terms,
         added: AtomicUsize::new(0),
     })
 }
@@ -314,13 +336,14 @@
     }
 }
 
-/// Sends streams to a VM at a rate until `end`, each by a task of its own.
-async fn send_load(run: Arc<SoakRun>, vm: usize, rate: f64, end: Instant) {
+/// Sends streams to a VM at a rate, which rises and falls by the load, until `end`, each by a task of its own.
+async fn send_load(run: Arc<SoakRun>, vm: usize, rate: f64, (begin, end): (Instant, Instant)) {
+    let load = run.terms.load.clone();
     let mut sending = JoinSet::new();
     while Instant::now() < end {
-        let pause = rand::rng().random_range(0.4..1.6) / rate;
+        let pause = rand::rng().random_range(0.4..1.6) / (rate * load.factor_at(begin.elapsed()));
         sleep(Duration::from_secs_f64(pause)).await;
-        let is_resumable = rand::rng().random_bool(0.7);
+        let is_resumable = rand::rng().random_bool(load.resumable_share);
         let path = if is_resumable {
             RESUMABLE_PATH
         } else {
@@ -336,7 +359,7 @@
 async fn submit_jobs(run: Arc<SoakRun>, end: Instant) {
     let mut jobs = JoinSet::new();
     for number in 0.. {
-        sleep(JOB_INTERVAL).await;
+        sleep(run.terms.load.job_interval).await;
         if Instant::now() >= end {
             break;
         }
@@ -350,7 +373,7 @@
 async fn send_probes(run: Arc<SoakRun>, vm: usize, end: Instant) {
     let mut sending = JoinSet::new();
     while Instant::now() < end {
-        sleep(PROBE_INTERVAL).await;
+        sleep(run.terms.load.probe_interval).await;
         let added = run.added.load(Ordering::Relaxed);
         if added > 0 {
             let run = run.clone();
@@ -369,11 +392,23 @@
             SoakAction::Leave { server, lasts } => self.leave(server, lasts).await,
             SoakAction::Replace { server, lasts } => {
                 let old = self.server(server);
-                let new = SoakServer::start(format!("{}-new", old.id), "v2", domain(server)).await;
-                self.store.write("servers", &new.id, new.entry("ready", 1));
-                lock(&self.servers).push(Arc::new(new));
-                sleep(RELEASE_PAUSE).await;
-                self.leave(server, lasts).await;
+                let id = format!("{}-new", old.id);
+                self.replace(server, (id, "v2"), domain(server), lasts)
+                    .await;
+            }
+            SoakAction::Upgrade {
+                server,
+                release,
+                lasts,
+            } => {
+                let id = format!("i-{server:03}-r{release}");
+                let version = format!("v{release}");
+                let old = self.newest_at(server);
+                self.replace(old, (id, &version), domain(server), lasts)
+                    .await;
+            }
+            SoakAction::CrashNewest { server, lasts } => {
+                self.server(self.newest_at(server)).crash(lasts);
             }
             SoakAction::Remove { server, lasts } => {
                 let leaving = self.server(server);
@@ -466,6 +501,31 @@
         lock(&self.servers)[index].clone()
     }
 
+    /// Returns the index of the newest server whose id is that of a place, or begins with it.
+    fn newest_at(&self, place: usize) -> usize {
+        let prefix = format!("i-{place:03}");
+        let servers = lock(&self.servers);
+        let newest = servers
+            .iter()
+            .rposition(|server| server.id.starts_with(&prefix));
+        newest.unwrap_or(place)
+    }
+
+    /// Registers a new server with an id and a version, and lets another one leave a little later.
+    async fn replace(
+        &self,
+        server: usize,
+        (id, version): (String, &str),
+        domain: String,
+        lasts: Duration,
+    ) {
+        let new = SoakServer::start(id, version, domain, &self.terms).await;
+        self.store.write("servers", &new.id, new.entry("ready", 1));
+        lock(&self.servers).push(Arc::new(new));
+        sleep(RELEASE_PAUSE).await;
+        self.leave(server, lasts).await;
+    }
+
     /// Lets a server announce in its entry that it leaves, and ends it `lasts` later.
     async fn leave(&self, server: usize, lasts: Duration) {
         let leaving = self.server(server);
@@ -559,6 +619,7 @@
             outages: &outages,
             jobs: &self.jobs.records(),
             arrivals: &self.item_arrivals(),
+            runs: &self.terms.runs,
         };
         let complete = requests
             .iter()
@@ -576,6 +637,22 @@
             configs.len(),
             leaves.len()
         );
+        let (items, streams): (Vec<_>, Vec<_>) = self
+            .terms
+            .runs
+            .of("")
+            .into_iter()
+            .map(|run| run.1)
+            .partition(|run| is_item(&run.request));
+        for (name, runs) in [("streams", streams), ("items", items)] {
+            let resumed = runs.iter().filter(|run| run.after.is_some()).count();
+            let unframed = runs.iter().filter(|run| !run.is_framed).count();
+            let malformed = runs.iter().filter(|run| run.fault.is_some()).count();
+            println!(
+                "{} runs of {name}, {resumed} after an event, {unframed} unframed, {malformed} malformed",
+                runs.len()
+            );
+        }
         for vm in &ended {
             println!("front-{vm:02} ended by itself");
         }
--- a/standins/src/soak/servers.rs
+++ b/standins/src/soak/servers.rs
@@ -1,6 +1,11 @@
 //! Backend servers of a run, and what they receive.
 
 use std::{
+    hash::{
+        DefaultHasher,
+        Hash,
+        Hasher, //
+    },
     sync::{
         Arc,
         Mutex, //
@@ -14,8 +19,10 @@
 };
 
 use crate::standard_server::{
+    complete_response,
     event_chunk,
     first_event,
+    head,
     rejection,
     stream_end,
     stream_head,
@@ -24,19 +31,32 @@
     StandardServer, //
 };
 use boragerill::sync::lock;
+use rand::{
+    rngs::StdRng,
+    RngExt,
+    SeedableRng, //
+};
 use serde_json::{
     json,
     Value, //
 };
 
-use super::config::SERVICE;
-
-/// Number of the last event of every stream.
-pub(crate) const LAST_EVENT: u64 = 18;
+use super::{
+    config::SERVICE,
+    events::{
+        event_text,
+        ServerRun,
+        ServerRuns, //
+    },
+    load::SoakLoad,
+};
 
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest time from the end of a response to a second one on its connection, in milliseconds.
+const MAX_EXTRA_DELAY_MS: u64 = 40;
+
 /// Number of requests that a server runs at once.
 const SLOTS: u32 = 8;
 
@@ -49,6 +69,17 @@
     pub(crate) at: Instant,
 }
 
+/// How all servers of a run respond.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerTerms {
+    /// Load.
+    pub(crate) load: Arc<SoakLoad>,
+    /// Seed of the choice of malformed responses.
+    pub(crate) seed: u64,
+    /// Runs at all servers.
+    pub(crate) runs: ServerRuns,
+}
+
 /// One backend server.
 pub(crate) struct SoakServer {
     /// Id of its entry in the store.
@@ -63,16 +94,22 @@
 
 impl SoakServer {
     /// Starts a server whose streams name the version of its software.
-    pub(crate) async fn start(id: String, version: &str, domain: String) -> SoakServer {
+    pub(crate) async fn start(
+        id: String,
+        version: &str,
+        domain: String,
+        terms: &ServerTerms,
+    ) -> SoakServer {
         let arrivals: Arc<Mutex<Vec<ServerArrival>>> = Arc::default();
         let (log, text) = (arrivals.clone(), version.to_owned());
+        let (name, terms) = (id.clone(), terms.clone());
         let server = StandardServer::start(move |request| {
             let id = request.header("attempt-id").unwrap_or_default().to_owned();
             lock(&log).push(ServerArrival {
                 request: id,
                 at: Instant::now(),
             });
-            respond(request, &text)
+            terms.respond(request, &name, &text)
         })
         .await;
         let start = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -107,23 +144,136 @@
     }
 }
 
-/// Streams the events of a request from the first one that it asks for.
-fn respond(request: &ReceivedRequest, version: &str) -> Vec<ResponseStep> {
-    if !request.line.starts_with("POST ") {
-        return rejection("400 Bad Request");
+/// How a response is malformed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ResponseFault {
+    /// It breaks off in the middle of an event.
+    WithinEvent,
+    /// It breaks off between two events.
+    BetweenEvents,
+    /// The connection is reset right after it.
+    ResetAfter,
+    /// A second response follows at once.
+    Extra,
+    /// A second response follows later.
+    LateExtra,
+}
+
+impl ResponseFault {
+    /// All faults.
+    const ALL: [ResponseFault; 5] = [
+        ResponseFault::WithinEvent,
+        ResponseFault::BetweenEvents,
+        ResponseFault::ResetAfter,
+        ResponseFault::Extra,
+        ResponseFault::LateExtra,
+    ];
+
+    /// Returns the name in descriptions of runs.
+    fn name(self) -> &'static str {
+        match self {
+            ResponseFault::WithinEvent => "broken off within an event",
+            ResponseFault::BetweenEvents => "broken off between events",
+            ResponseFault::ResetAfter => "reset after its end",
+            ResponseFault::Extra => "followed by a second response",
+            ResponseFault::LateExtra => "followed by a late second response",
+        }
+    }
+}
+
+impl ServerTerms {
+    /// Streams the events of a request from the first one that it asks for.
+    fn respond(&self, request: &ReceivedRequest, server: &str, version: &str) -> Vec<ResponseStep> {
+        if !request.line.starts_with("POST ") {
+            return rejection("400 Bad Request");
+        }
+        // The text of a stream belongs to what was asked for, which a client that resumes it sends again.
+        let body = String::from_utf8_lossy(&request.body);
+        let last = self.load.last_event_of(&body);
+        let first = first_event(request);
+        let id = request.header("attempt-id").unwrap_or_default();
+        let mut random = StdRng::seed_from_u64(self.response_seed(id, first));
+        let is_framed = !random.random_bool(self.load.unframed);
+        let is_garbled = is_framed && random.random_bool(self.load.garbled);
+        let fault = is_garbled
+            .then(|| ResponseFault::ALL[random.random_range(0..ResponseFault::ALL.len())]);
+        let run = self.runs.begin(ServerRun {
+            request: id.to_owned(),
+            server: server.to_owned(),
+            version: version.to_owned(),
+            after: first.checked_sub(1),
+            is_framed,
+            fault: fault.map(ResponseFault::name),
+            at: Instant::now(),
+        });
+        let text = |number| event_text(&body, version, number, run);
+        let mut steps = vec![match is_framed {
+            true => stream_head(),
+            false => unframed_head(),
+        }];
+        for number in first..=last {
+            steps.push(match is_framed {
+                true => event_chunk(number, &text(number)),
+                false => unframed_event(number, &text(number)),
+            });
+            steps.push(ResponseStep::Wait(EVENT_PAUSE));
+        }
+        match is_framed {
+            true => steps.push(stream_end()),
+            false => steps.push(ResponseStep::Close),
+        }
+        if let Some(fault) = fault {
+            garble(&mut steps, fault, &mut random);
+        }
+        steps
     }
-    // The text of a stream belongs to what was asked for, which a client that resumes it sends again.
-    let body = String::from_utf8_lossy(&request.body);
-    let mut steps = vec![stream_head()];
-    for number in first_event(request)..=LAST_EVENT {
-        steps.push(event_chunk(number, &event_text(&body, version, number)));
-        steps.push(ResponseStep::Wait(EVENT_PAUSE));
+
+    fn response_seed(&self, id: &str, first: u64) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self.seed, id, first).hash(&mut hasher);
+        hasher.finish()
     }
-    steps.push(stream_end());
-    steps
 }
 
-/// Returns the text of an event.
-pub(crate) fn event_text(body: &str, version: &str, number: u64) -> String {
-    format!("{body} {version} {number}")
+/// Returns the head of a stream that ends with its connection.
+fn unframed_head() -> ResponseStep {
+    let extra = "Content-Type: text/event-stream\r\nConnection: close\r\n";
+    ResponseStep::Write(head("200 OK", extra))
+}
+
+/// Returns an event of a stream that ends with its connection.
+fn unframed_event(number: u64, data: &str) -> ResponseStep {
+    ResponseStep::Write(format!("id: {number}\ndata: {data}\n\n"))
+}
+
+/// Makes the steps of a response in chunks malformed.
+fn garble(steps: &mut Vec<ResponseStep>, fault: ResponseFault, random: &mut StdRng) {
+    let extra = complete_response("200 OK", "id: 0\ndata: extra\n\n");
+    match fault {
+        ResponseFault::WithinEvent => {
+            // Writes of events have the odd places.
+            let place = 1 + 2 * random.random_range(0..steps.len() / 2);
+            steps.truncate(place + 1);
+            if let Some(ResponseStep::Write(text)) = steps.last_mut() {
+                text.truncate(random.random_range(1..text.len() - 2));
+            }
+            steps.push(ResponseStep::Close);
+        }
+        ResponseFault::BetweenEvents => {
+            let place = 1 + 2 * random.random_range(0..steps.len() / 2);
+            steps.truncate(place);
+            let is_reset = random.random_bool(0.5);
+            steps.push(match is_reset {
+                true => ResponseStep::Reset,
+                false => ResponseStep::Close,
+            });
+        }
+        ResponseFault::ResetAfter => steps.push(ResponseStep::Reset),
+        ResponseFault::Extra => steps.extend(extra),
+        ResponseFault::LateExtra => {
+            let delay = random.random_range(1..MAX_EXTRA_DELAY_MS);
+            steps.push(ResponseStep::Wait(Duration::from_millis(delay)));
+            steps.extend(extra);
+        }
+    }
 }
--- a/standins/src/soak_main.rs
+++ b/standins/src/soak_main.rs
@@ -16,7 +16,7 @@
 Runs VM processes under load and disturbs them by a seeded plan; exits with 1 if a rule was broken.
 
     soak --program FILE [--vms N] [--servers N] [--seconds N] [--seed N] [--rate N] [--busy N] [--routes N] [--share X]
-         [--relays none|store|all] [--keep DIR]
+         [--relays none|store|all] [--load plain|stepped] [--unframed X] [--garbled X] [--keep DIR]
 
   --program FILE   the program of a VM
   --vms N          number of VMs (6)
@@ -29,6 +29,10 @@
   --share X        share of the time in which each VM's process runs (1.0)
   --relays LINKS   links that relays stand on and that are disturbed: none, those between VMs and the store, or also
                    those between VMs (all), which needs a program with the setting `advertised_address`
+  --load KIND      plain; or stepped: a rate that rises and falls, long items that are preempted by its crests, and
+                   releases of all servers while VMs restart, with other numbers of VMs (8) and requests (6) by default
+  --unframed X     share of the streams without length or chunks (0)
+  --garbled X      share of the other streams that are malformed at their end or break off (0)
   --keep DIR       folder that keeps settings and logs
 ";
 
@@ -68,7 +72,15 @@
     if arguments.contains("--help") {
         return Ok(None);
     }
-    let default = SoakOptions::default();
+    let mut default = arguments
+        .opt_value_from_fn("--load", read_load)?
+        .unwrap_or_default();
+    if let Some(share) = arguments.opt_value_from_fn("--unframed", read_share)? {
+        default.load.unframed = share;
+    }
+    if let Some(share) = arguments.opt_value_from_fn("--garbled", read_share)? {
+        default.load.garbled = share;
+    }
     Ok(Some(SoakOptions {
         program: arguments.value_from_str::<_, PathBuf>("--program")?,
         vms: arguments
@@ -98,6 +110,7 @@
         relays: arguments
             .opt_value_from_fn("--relays", read_scope)?
             .unwrap_or(default.relays),
+        load: default.load,
         keep: arguments.opt_value_from_str("--keep")?,
     }))
 }
@@ -110,3 +123,18 @@
         _ => Err(format!("no scope of relays: {text}")),
     }
 }
+
+/// Returns the default options of a kind of load.
+fn read_load(text: &str) -> Result<SoakOptions, String> {
+    match text {
+        "plain" => Ok(SoakOptions::default()),
+        "stepped" => Ok(SoakOptions::stepped()),
+        _ => Err(format!("no kind of load: {text}")),
+    }
+}
+
+fn read_share(text: &str) -> Result<f64, String> {
+    let share = text.parse().ok();
+    let share = share.filter(|share| (0.0..=1.0).contains(share));
+    share.ok_or_else(|| format!("no share from 0 to 1: {text}"))
+}
