Soak: clients take streams up at several VMs under the load in steps

A client gave up when the one VM at which it took a stream up was just being killed or restarted, which is when VMs may not know a new version yet. Under `--load stepped` it goes on to the next VM after a failure or a refusal, up to four. The plain load stays at one.

--- a/standins/src/soak/clients.rs
+++ b/standins/src/soak/clients.rs
@@ -21,6 +21,7 @@
     Client,
     Response, //
 };
+use tokio::time::sleep;
 
 use super::{
     config::{
@@ -34,11 +35,15 @@
         OrderCheck,
         ServerRuns, //
     },
+    load::SoakLoad,
 };
 
 /// Time that a client waits for a response.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(5000);
 
+/// Pause between attempts to take a stream up.
+const TAKE_UP_PAUSE: Duration = Duration::from_millis(100);
+
 /// What became of a stream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum StreamOutcome {
@@ -78,20 +83,20 @@
     vms: Arc<Vec<SocketAddr>>,
     records: Arc<Mutex<Vec<ClientRecord>>>,
     next: Arc<AtomicU64>,
-    last_event: u64,
+    load: Arc<SoakLoad>,
     runs: ServerRuns,
 }
 
 impl SoakClients {
-    /// Returns clients of the VMs at the given addresses, whose streams end with an event.
-    pub(crate) fn new(vms: Vec<SocketAddr>, last_event: u64, runs: ServerRuns) -> SoakClients {
+    /// Returns clients of the VMs at the given addresses.
+    pub(crate) fn new(vms: Vec<SocketAddr>, load: Arc<SoakLoad>, runs: ServerRuns) -> SoakClients {
         let client = Client::builder().no_proxy().timeout(REQUEST_TIMEOUT);
         SoakClients {
             client: client.build().expect("client"),
             vms: Arc::new(vms),
             records: Arc::default(),
             next: Arc::default(),
-            last_event,
+            load,
             runs,
         }
     }
@@ -101,19 +106,31 @@
         lock(&self.records).clone()
     }
 
-    /// Sends a request for a stream to a VM, and takes the stream up once at another one if it breaks and
+    /// Sends a request for a stream to a VM, and takes the stream up at others if it breaks and
     /// `is_taken_up` is set.
     pub(crate) async fn send(&self, vm: usize, path: &str, is_taken_up: bool) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let body = format!("subject-{number}");
         let mut reader = StreamReader::new(&body, path != SINGLE_PATH);
-        let first = self
-            .attempt(vm, path, &mut reader, &format!("{number:08x}0000"))
-            .await;
-        if let (true, StreamOutcome::Broken(Some(_))) = (is_taken_up, &first) {
-            let other = (vm + 1) % self.vms.len();
-            self.attempt(other, path, &mut reader, &format!("{number:08x}0001"))
-                .await;
+        let first = format!("{number:08x}0000");
+        let mut outcome = self.attempt(vm, path, &mut reader, &first).await;
+        for step in 1..=self.load.take_ups {
+            let is_broken = match outcome {
+                StreamOutcome::Broken(Some(_)) => true,
+                StreamOutcome::Broken(None)
+                | StreamOutcome::Failed
+                | StreamOutcome::Status(429 | 502..=504) => step > 1,
+                _ => false,
+            };
+            if !is_taken_up || !is_broken {
+                return;
+            }
+            if step > 1 {
+                sleep(TAKE_UP_PAUSE).await;
+            }
+            let other = (vm + step) % self.vms.len();
+            let id = format!("{number:08x}{step:04x}");
+            outcome = self.attempt(other, path, &mut reader, &id).await;
         }
     }
 
@@ -131,7 +148,7 @@
             .header("host", HOST)
             .header("attempt-id", id)
             .header("model", "m")
-            .header("token-usage", format!("450,{}", self.last_event + 1))
+            .header("token-usage", format!("450,{}", self.load.last_event + 1))
             .header("prompt-prefix", format!("5c1e07a2:200,{id}:250"))
             .header("time-remaining-ms", REQUEST_TIMEOUT.as_millis().to_string())
             .header("authorization", format!("Token {KEY}"))
@@ -143,7 +160,7 @@
         }
         let outcome = match request.send().await {
             Ok(response) if response.status() == 200 => {
-                let ends = (self.last_event, &self.runs);
+                let ends = (self.load.last_event, &self.runs);
                 reader.read(response, id, ends).await
             }
             Ok(response) => StreamOutcome::Status(response.status().as_u16()),
--- a/standins/src/soak/load.rs
+++ b/standins/src/soak/load.rs
@@ -29,6 +29,8 @@
     pub resumable_share: f64,
     /// Number of the last event of every stream of a client.
     pub last_event: u64,
+    /// Number of VMs at which a client tries to take up a stream that broke.
+    pub take_ups: usize,
     /// Steps of the rate, which repeat; none if it is constant.
     pub steps: Vec<LoadStep>,
     /// Interval of the requests at each VM that show which configuration is in force.
@@ -54,6 +56,7 @@
         SoakLoad {
             resumable_share: 0.7,
             last_event: 18,
+            take_ups: 1,
             steps: Vec::new(),
             probe_interval: Duration::from_millis(200),
             item_count: 4,
@@ -86,6 +89,7 @@
         SoakLoad {
             resumable_share: 0.4,
             last_event: 43,
+            take_ups: 4,
             steps: vec![step(0.38, 3800), step(1.84, 2800)],
             probe_interval: Duration::from_secs(1),
             item_count: 10,
--- a/standins/src/soak/oracle.rs
+++ b/standins/src/soak/oracle.rs
@@ -43,8 +43,8 @@
 /// Length of the part of a request's id that is the same in all requests for one stream.
 const STREAM_ID_LENGTH: usize = 8;
 
-/// Ends the ids of requests by which clients take a stream up.
-const TAKEN_UP: &str = "0001";
+/// Ends the id of the first request for a stream.
+const FIRST_REQUEST: &str = "0000";
 
 /// Bounds of the rules, as the deployments state them.
 #[derive(Clone, Copy, Debug)]
@@ -173,9 +173,9 @@
                 true => "moved by a VM",
                 false => "one run in its response",
             };
-            let way = match request.id.ends_with(TAKEN_UP) {
-                true => format!("{way}, taken up by a client"),
-                false => way.to_owned(),
+            let way = match request.id.ends_with(FIRST_REQUEST) {
+                true => way.to_owned(),
+                false => format!("{way}, taken up by a client"),
             };
             let stream = &request.id[..STREAM_ID_LENGTH];
             let breach = self.describe_breach(breach, &way, stream);
--- a/standins/src/soak/release.rs
+++ b/standins/src/soak/release.rs
@@ -1,6 +1,9 @@
 //! Seeded plans of releases: all servers are replaced by newer versions, in waves, while VMs restart.
 
-use std::time::Duration;
+use std::{
+    ops::RangeInclusive,
+    time::Duration, //
+};
 
 use rand::{
     rngs::StdRng,
@@ -17,7 +20,7 @@
 const RELEASE_SEED: u64 = 0x51ab_90d3;
 
 /// Versions that replace all servers, one after the other.
-const RELEASES: std::ops::RangeInclusive<u64> = 2..=3;
+const RELEASES: RangeInclusive<u64> = 2..=3;
 
 /// Number of waves in which a version replaces the servers.
 const WAVES: usize = 3;
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -273,7 +273,7 @@
         store,
         servers: Mutex::new(servers),
         vms: Mutex::new(vms),
-        clients: SoakClients::new(callers.clone(), load.last_event, terms.runs.clone()),
+        clients: SoakClients::new(callers.clone(), load.clone(), terms.runs.clone()),
         configs: Mutex::new(vec![ConfigChange {
             version: 1,
             acknowledged: Instant::now(),
