Soak: cuts from the store beside the first servers of a release

Nothing in the releases kept the first servers of a new version from the VMs, but for restarts. With relays, some VMs are now cut off from the store just as the first wave registers, and servers of the wave crash soon after, so that streams of the new version are taken up by VMs that may not know it. Plans without relays stay as they are.

--- a/standins/src/soak/release.rs
+++ b/standins/src/soak/release.rs
@@ -11,14 +11,26 @@
     SeedableRng, //
 };
 
-use super::plan::{
-    PlanTerms,
-    SoakAction, //
+use super::{
+    plan::{
+        PlanTerms,
+        SoakAction, //
+    },
+    trouble::{
+        LinkTrouble,
+        RelayScope,
+        TroubleKind,
+        VmGroup, //
+    },
 };
+use crate::relay::RelayMode;
 
 /// Makes these plans independent of the others of a seed.
 const RELEASE_SEED: u64 = 0x51ab_90d3;
 
+/// Makes the cuts beside releases independent of the rest of a plan.
+const CUT_SEED: u64 = 0x3c07_66d9;
+
 /// Versions that replace all servers, one after the other.
 const RELEASES: RangeInclusive<u64> = 2..=3;
 
@@ -62,6 +74,9 @@
             plan.push((at, action));
         }
         add_restarts(&mut plan, &mut random, terms.vms, begin);
+        if terms.relays != RelayScope::None {
+            add_cut(&mut plan, &terms, release, begin);
+        }
     }
     for _ in 0..terms.servers.div_ceil(2) {
         let is_back_at_once = random.random_bool(0.5);
@@ -112,3 +127,32 @@
         plan.push((at, action));
     }
 }
+
+/// Cuts some VMs off from the store while the first servers of a release register, and crashes servers of the release
+/// soon after, so that its streams are taken up where it may not be known.
+fn add_cut(plan: &mut Vec<(f64, SoakAction)>, terms: &PlanTerms, release: u64, begin: f64) {
+    let mut random = StdRng::seed_from_u64(terms.seed ^ CUT_SEED ^ release);
+    let first = random.random_range(0..terms.vms);
+    let group = match random.random_range(0..3) {
+        0 => VmGroup::Third(first, 1),
+        1 => VmGroup::Domain(first),
+        _ => VmGroup::Rest(first, 1),
+    };
+    let mode = match random.random_range(0..3) {
+        0 => RelayMode::Hold,
+        1 => RelayMode::HoldResponses,
+        _ => RelayMode::Close,
+    };
+    let cut = LinkTrouble {
+        kind: TroubleKind::StoreCut(mode),
+        group,
+        lasts: Duration::from_secs_f64(random.random_range(1.0..5.0)),
+    };
+    let at = begin + random.random_range(-0.4..0.1);
+    plan.push((at, SoakAction::Trouble(cut)));
+    for server in 0..terms.servers.div_ceil(WAVES) {
+        let at = begin + random.random_range(0.2..2.0);
+        let lasts = Duration::from_secs_f64(random.random_range(0.0..1.0));
+        plan.push((at, SoakAction::CrashNewest { server, lasts }));
+    }
+}
