Soak: count cases of wrong order by kind

The report describes six violations of a rule, so a play with more of them couldn't be told from one with other kinds of breaches beside. It now counts all cases by kind: stream or text, moved or taken up, framed or not, one version or several.

--- a/standins/src/soak/oracle.rs
+++ b/standins/src/soak/oracle.rs
@@ -107,6 +107,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct RuleReport {
     violations: Vec<(&'static str, String)>,
+    breaches: Vec<(&'static str, String)>, // Kind of each case of wrong order.
 }
 
 impl RuleReport {
@@ -114,6 +115,12 @@
         self.violations.push((rule, text));
     }
 
+    /// Adds a case of wrong order of a kind.
+    fn add_breach(&mut self, rule: &'static str, kind: String, text: &str) {
+        self.add(rule, format!("{kind}, {text}"));
+        self.breaches.push((rule, kind));
+    }
+
     /// Prints the number of violations of each rule and the first ones of each; returns whether there are none.
     pub(crate) fn print(&self) -> bool {
         let mut rules: Vec<&str> = self.violations.iter().map(|entry| entry.0).collect();
@@ -122,6 +129,12 @@
         for rule in &rules {
             let of_rule = self.violations.iter().filter(|entry| entry.0 == *rule);
             println!("{rule}: {} violations", of_rule.clone().count());
+            let kinds = self.breaches.iter().filter(|entry| entry.0 == *rule);
+            let mut kinds: Vec<&str> = kinds.map(|entry| entry.1.as_str()).collect();
+            kinds.sort_unstable();
+            for same in kinds.chunk_by(|one, other| one == other) {
+                println!("  {} times {}", same.len(), same[0]);
+            }
             for (_, text) in of_rule.take(MAX_DESCRIBED) {
                 println!("    {text}");
             }
@@ -155,15 +168,18 @@
     }
 
     fn describe(&self, request: &ClientRecord) -> String {
+        format!("{}: {:?}", self.describe_send(request), request.outcome)
+    }
+
+    fn describe_send(&self, request: &ClientRecord) -> String {
         let at = |time: Instant| (time - self.start).as_secs_f64();
         format!(
-            "{} {} at front-{:02}, sent {:.3}, ended {:.3}: {:?}",
+            "{} {} at front-{:02}, sent {:.3}, ended {:.3}",
             request.id,
             request.path,
             request.vm,
             at(request.sent),
-            at(request.ended),
-            request.outcome
+            at(request.ended)
         )
     }
 
@@ -178,32 +194,37 @@
                 false => format!("{way}, taken up by a client"),
             };
             let stream = &request.id[..STREAM_ID_LENGTH];
-            let breach = self.describe_breach(breach, &way, stream);
-            report.add(
+            let kind = self.breach_kind(breach, ("stream", &way), stream);
+            let cause = format!("{}: {breach:?}", self.runs.describe(stream, self.start));
+            report.add_breach(
                 "ORDER",
-                format!("stream {breach}: {}", self.describe(request)),
+                kind,
+                &format!("{}, runs {cause}", self.describe_send(request)),
             );
         }
     }
 
-    /// Describes a case of wrong order and the runs of requests whose id begins with a text.
-    fn describe_breach(&self, breach: &OrderBreach, way: &str, prefix: &str) -> String {
+    /// Describes the kind of a case of wrong order, with the versions of the runs of requests whose id begins with a
+    /// text.
+    fn breach_kind(
+        &self,
+        breach: &OrderBreach,
+        (subject, way): (&str, &str),
+        prefix: &str,
+    ) -> String {
         let runs = self.runs.of(prefix);
         let mut versions: Vec<&str> = runs.iter().map(|(_, run)| run.version.as_str()).collect();
         versions.sort_unstable();
         versions.dedup();
+        let versions = match versions.len() {
+            0 | 1 => "one version",
+            _ => "several versions",
+        };
         let frame = match breach.is_framed {
             true => "framed",
             false => "unframed",
         };
-        format!(
-            "{:?}, {way}, {frame}, {} version(s), after {:?} got {:?}, runs [{}]",
-            breach.kind,
-            versions.len(),
-            breach.after,
-            breach.got,
-            self.runs.describe(prefix, self.start)
-        )
+        format!("{subject} {:?}, {way}, {frame}, {versions}", breach.kind)
     }
 
     fn check_text(&self, item: &str, breach: &OrderBreach, report: &mut RuleReport) {
@@ -215,8 +236,9 @@
             true => "several runs",
             false => "one run",
         };
-        let breach = self.describe_breach(breach, way, item);
-        report.add(rule, format!("text {breach}: {item}"));
+        let kind = self.breach_kind(breach, ("text", way), item);
+        let runs = self.runs.describe(item, self.start);
+        report.add_breach(rule, kind, &format!("{item}, runs {runs}: {breach:?}"));
     }
 
     /// Checks a refusal by a configuration against those that may be in force.
