Soak: servers that a release replaces at the same address; malformed responses are drawn anew for each run

`--in-place X` lets a share of the servers of a release end without an announcement, with a new server of the new version at their address at once and the old entry left for 1.5 s. Servers turn requests that expect another server away.

Whether a response is malformed depended on the id of the request and the event it goes on after. The number of the run is part of the choice now.

--- a/standins/src/soak/load.rs
+++ b/standins/src/soak/load.rs
@@ -45,6 +45,8 @@
     pub job_limit: Duration,
     /// Whether all servers are replaced by newer versions while VMs restart.
     pub has_releases: bool,
+    /// Share of the servers that a release replaces by one at the same address, without an announcement.
+    pub in_place: f64,
     /// Share of the streams without length or chunks, which end with their connection.
     pub unframed: f64,
     /// Share of the other streams that break off, are followed by a reset or by a second response.
@@ -68,6 +70,7 @@
             job_interval: Duration::from_millis(400),
             job_limit: Duration::from_secs(30),
             has_releases: false,
+            in_place: 0.0,
             unframed: 0.0,
             garbled: 0.0,
         }
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -55,6 +55,8 @@
         server: usize,
         /// Number of the release.
         release: u64,
+        /// Whether the new one has the address of the old one, which ends without an announcement.
+        is_in_place: bool,
         /// Time from the announcement to the end of the server that leaves.
         lasts: Duration,
     },
@@ -122,6 +124,8 @@
     pub(crate) relays: RelayScope,
     /// Whether releases replace the other actions.
     pub(crate) has_releases: bool,
+    /// Share of the servers that a release replaces at the same address.
+    pub(crate) in_place: f64,
     /// Seed.
     pub(crate) seed: u64,
 }
--- a/standins/src/soak/release.rs
+++ b/standins/src/soak/release.rs
@@ -31,6 +31,9 @@
 /// Makes the cuts beside releases independent of the rest of a plan.
 const CUT_SEED: u64 = 0x3c07_66d9;
 
+/// Makes the choice of servers that are replaced at their address independent of the rest of a plan.
+const PLACE_SEED: u64 = 0x6d12_fe85;
+
 /// Versions that replace all servers, one after the other.
 const RELEASES: RangeInclusive<u64> = 2..=3;
 
@@ -58,6 +61,7 @@
         change += random.random_range(0.4..4.0);
     }
     let distance = length / 2.2;
+    let mut places = StdRng::seed_from_u64(terms.seed ^ PLACE_SEED);
     for release in RELEASES {
         let number = (release - RELEASES.start()) as f64;
         let begin = distance * number + random.random_range(2.0..4.0);
@@ -69,6 +73,7 @@
             let action = SoakAction::Upgrade {
                 server,
                 release,
+                is_in_place: places.random_bool(terms.in_place),
                 lasts,
             };
             plan.push((at, action));
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -96,6 +96,9 @@
 /// Time from the registration of a server to the leave of the server that it replaces.
 const RELEASE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time after the end of a server that sends nothing more until its entry expires.
+const EXPIRY_TIME: Duration = Duration::from_millis(1500);
+
 /// Downtime of a server that doesn't come back.
 const FOREVER: Duration = Duration::from_secs(3600);
 
@@ -217,6 +220,7 @@
         routes: options.routes,
         relays: options.relays,
         has_releases: options.load.has_releases,
+        in_place: options.load.in_place,
         seed: options.seed,
     });
     for (at, action) in plan {
@@ -399,13 +403,19 @@
             SoakAction::Upgrade {
                 server,
                 release,
+                is_in_place,
                 lasts,
             } => {
                 let id = format!("i-{server:03}-r{release}");
                 let version = format!("v{release}");
                 let old = self.newest_at(server);
-                self.replace(old, (id, &version), domain(server), lasts)
-                    .await;
+                match is_in_place {
+                    true => self.replace_in_place(old, (id, &version)).await,
+                    false => {
+                        self.replace(old, (id, &version), domain(server), lasts)
+                            .await;
+                    }
+                }
             }
             SoakAction::CrashNewest { server, lasts } => {
                 self.server(self.newest_at(server)).crash(lasts);
@@ -526,6 +536,17 @@
         self.leave(server, lasts).await;
     }
 
+    /// Lets a server crash and a new one with an id and a version have its address at once. The entry of the old one
+    /// expires later.
+    async fn replace_in_place(&self, server: usize, (id, version): (String, &str)) {
+        let old = self.server(server);
+        let new = old.succeed(id, version, &self.terms);
+        self.store.write("servers", &new.id, new.entry("ready", 1));
+        lock(&self.servers).push(Arc::new(new));
+        sleep(EXPIRY_TIME).await;
+        self.store.remove("servers", &old.id);
+    }
+
     /// Lets a server announce in its entry that it leaves, and ends it `lasts` later.
     async fn leave(&self, server: usize, lasts: Duration) {
         let leaving = self.server(server);
--- a/standins/src/soak/servers.rs
+++ b/standins/src/soak/servers.rs
@@ -101,25 +101,30 @@
         terms: &ServerTerms,
     ) -> SoakServer {
         let arrivals: Arc<Mutex<Vec<ServerArrival>>> = Arc::default();
-        let (log, text) = (arrivals.clone(), version.to_owned());
-        let (name, terms) = (id.clone(), terms.clone());
-        let server = StandardServer::start(move |request| {
-            let id = request.header("attempt-id").unwrap_or_default().to_owned();
-            lock(&log).push(ServerArrival {
-                request: id,
-                at: Instant::now(),
-            });
-            terms.respond(request, &name, &text)
-        })
-        .await;
-        let start = SystemTime::now().duration_since(UNIX_EPOCH);
+        let script = terms.script(&id, version, &arrivals);
         SoakServer {
             id,
             arrivals,
-            server,
+            server: StandardServer::start(script).await,
             version: version.to_owned(),
             domain,
-            start: start.unwrap_or_default().as_millis(),
+            start: unix_millis(),
+        }
+    }
+
+    /// Ends the server without an announcement, and starts another one at its address at once.
+    pub(crate) fn succeed(&self, id: String, version: &str, terms: &ServerTerms) -> SoakServer {
+        let arrivals: Arc<Mutex<Vec<ServerArrival>>> = Arc::default();
+        self.server.crash(Duration::ZERO);
+        self.server
+            .set_script(terms.script(&id, version, &arrivals));
+        SoakServer {
+            id,
+            arrivals,
+            server: self.server.clone(),
+            version: version.to_owned(),
+            domain: self.domain.clone(),
+            start: unix_millis(),
         }
     }
 
@@ -181,7 +186,35 @@
     }
 }
 
+fn unix_millis() -> u128 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.unwrap_or_default().as_millis()
+}
+
 impl ServerTerms {
+    /// Returns the script of the server with an id and a version, which logs what arrives.
+    fn script(
+        &self,
+        id: &str,
+        version: &str,
+        arrivals: &Arc<Mutex<Vec<ServerArrival>>>,
+    ) -> impl Fn(&ReceivedRequest) -> Vec<ResponseStep> + Send + Sync + 'static {
+        let (terms, arrivals) = (self.clone(), arrivals.clone());
+        let (id, version) = (id.to_owned(), version.to_owned());
+        move |request| {
+            let expected = request.header("expected-instance");
+            if expected.is_some_and(|expected| expected != id) {
+                return rejection("421 Misdirected Request");
+            }
+            let request_id = request.header("attempt-id").unwrap_or_default().to_owned();
+            lock(&arrivals).push(ServerArrival {
+                request: request_id,
+                at: Instant::now(),
+            });
+            terms.respond(request, &id, &version)
+        }
+    }
+
     /// Streams the events of a request from the first one that it asks for.
     fn respond(&self, request: &ReceivedRequest, server: &str, version: &str) -> Vec<ResponseStep> {
         if !request.line.starts_with("POST ") {
@@ -192,7 +225,7 @@
         let last = self.load.last_event_of(&body);
         let first = first_event(request);
         let id = request.header("attempt-id").unwrap_or_default();
-        let mut random = StdRng::seed_from_u64(self.response_seed(id, first));
+        let mut random = StdRng::seed_from_u64(self.response_seed(id));
         let is_framed = !random.random_bool(self.load.unframed);
         let is_garbled = is_framed && random.random_bool(self.load.garbled);
         let fault = is_garbled
@@ -228,9 +261,10 @@
         steps
     }
 
-    fn response_seed(&self, id: &str, first: u64) -> u64 {
+    /// Returns a seed that differs between the runs of a request: one that is malformed each time would never end.
+    fn response_seed(&self, id: &str) -> u64 {
         let mut hasher = DefaultHasher::new();
-        (self.seed, id, first).hash(&mut hasher);
+        (self.seed, id, self.runs.of(id).len()).hash(&mut hasher);
         hasher.finish()
     }
 }
--- a/standins/src/soak_main.rs
+++ b/standins/src/soak_main.rs
@@ -16,7 +16,8 @@
 Runs VM processes under load and disturbs them by a seeded plan; exits with 1 if a rule was broken.
 
     soak --program FILE [--vms N] [--servers N] [--seconds N] [--seed N] [--rate N] [--busy N] [--routes N] [--share X]
-         [--relays none|store|all] [--load plain|stepped] [--unframed X] [--garbled X] [--keep DIR]
+         [--relays none|store|all] [--load plain|stepped] [--in-place X] [--unframed X] [--garbled X]
+         [--keep DIR]
 
   --program FILE   the program of a VM
   --vms N          number of VMs (6)
@@ -31,6 +32,7 @@
                    those between VMs (all), which needs a program with the setting `advertised_address`
   --load KIND      plain; or stepped: a rate that rises and falls, long items that are preempted by its crests, and
                    releases of all servers while VMs restart, with other numbers of VMs (8) and requests (6) by default
+  --in-place X     share of the servers that a release replaces at the same address, without an announcement (0)
   --unframed X     share of the streams without length or chunks (0)
   --garbled X      share of the other streams that are malformed at their end or break off (0)
   --keep DIR       folder that keeps settings and logs
@@ -75,6 +77,9 @@
     let mut default = arguments
         .opt_value_from_fn("--load", read_load)?
         .unwrap_or_default();
+    if let Some(share) = arguments.opt_value_from_fn("--in-place", read_share)? {
+        default.load.in_place = share;
+    }
     if let Some(share) = arguments.opt_value_from_fn("--unframed", read_share)? {
         default.load.unframed = share;
     }
