--- a/standins/src/soak/oracle.rs
+++ b/standins/src/soak/oracle.rs
@@ -15,6 +15,11 @@
         RESUMABLE_PATH,
         SINGLE_PATH, //
     },
+    events::{
+        BreachKind,
+        OrderBreach,
+        ServerRuns, //
+    },
     fleet::{
         SoakVm,
         VmFault, //
@@ -35,6 +40,12 @@
 /// Number of violations of a rule that are described.
 const MAX_DESCRIBED: usize = 6;
 
+/// Length of the part of a request's id that is the same in all requests for one stream.
+const STREAM_ID_LENGTH: usize = 8;
+
+/// Ends the id of the first request for a stream.
+const FIRST_REQUEST: &str = "0000";
+
 /// Bounds of the rules, as the deployments state them.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RuleBounds {
@@ -88,12 +99,15 @@
     pub(crate) jobs: &'a [JobOutcome],
     /// Requests of items that reached any server.
     pub(crate) arrivals: &'a [ServerArrival],
+    /// Runs at all servers.
+    pub(crate) runs: &'a ServerRuns,
 }
 
 /// Violations of the rules, as descriptions.
 #[derive(Debug, Default)]
 pub(crate) struct RuleReport {
     violations: Vec<(&'static str, String)>,
+    breaches: Vec<(&'static str, String)>, // Kind of each case of wrong order.
 }
 
 impl RuleReport {
@@ -101,6 +115,12 @@
         self.violations.push((rule, text));
     }
 
+    /// Adds a case of wrong order of a kind.
+    fn add_breach(&mut self, rule: &'static str, kind: String, text: &str) {
+        self.add(rule, format!("{kind}, {text}"));
+        self.breaches.push((rule, kind));
+    }
+
     /// Prints the number of violations of each rule and the first ones of each; returns whether there are none.
     pub(crate) fn print(&self) -> bool {
         let mut rules: Vec<&str> = self.violations.iter().map(|entry| entry.0).collect();
@@ -109,6 +129,12 @@
         for rule in &rules {
             let of_rule = self.violations.iter().filter(|entry| entry.0 == *rule);
             println!("{rule}: {} violations", of_rule.clone().count());
+            let kinds = self.breaches.iter().filter(|entry| entry.0 == *rule);
+            let mut kinds: Vec<&str> = kinds.map(|entry| entry.1.as_str()).collect();
+            kinds.sort_unstable();
+            for same in kinds.chunk_by(|one, other| one == other) {
+                println!("  {} times {}", same.len(), same[0]);
+            }
             for (_, text) in of_rule.take(MAX_DESCRIBED) {
                 println!("    {text}");
             }
@@ -142,24 +168,79 @@
     }
 
     fn describe(&self, request: &ClientRecord) -> String {
+        format!("{}: {:?}", self.describe_send(request), request.outcome)
+    }
+
+    fn describe_send(&self, request: &ClientRecord) -> String {
         let at = |time: Instant| (time - self.start).as_secs_f64();
         format!(
-            "{} {} at front-{:02}, sent {:.3}, ended {:.3}: {:?}",
+            "{} {} at front-{:02}, sent {:.3}, ended {:.3}",
             request.id,
             request.path,
             request.vm,
             at(request.sent),
-            at(request.ended),
-            request.outcome
+            at(request.ended)
         )
     }
 
     fn check_order(&self, request: &ClientRecord, report: &mut RuleReport) {
-        if let StreamOutcome::Disordered(_) = request.outcome {
-            report.add("ORDER", self.describe(request));
+        if let StreamOutcome::Disordered(breach) = &request.outcome {
+            let way = match self.runs.of(&request.id).len() > 1 {
+                true => "moved by a VM",
+                false => "one run in its response",
+            };
+            let way = match request.id.ends_with(FIRST_REQUEST) {
+                true => way.to_owned(),
+                false => format!("{way}, taken up by a client"),
+            };
+            let stream = &request.id[..STREAM_ID_LENGTH];
+            let kind = self.breach_kind(breach, ("stream", &way), stream);
+            let cause = format!("{}: {breach:?}", self.runs.describe(stream, self.start));
+            report.add_breach(
+                "ORDER",
+                kind,
+                &format!("{}, runs {cause}", self.describe_send(request)),
+            );
         }
     }
 
+    /// Describes the kind of a case of wrong order, with the versions of the runs of requests whose id begins with a
+    /// text.
+    fn breach_kind(
+        &self,
+        breach: &OrderBreach,
+        (subject, way): (&str, &str),
+        prefix: &str,
+    ) -> String {
+        let runs = self.runs.of(prefix);
+        let mut versions: Vec<&str> = runs.iter().map(|(_, run)| run.version.as_str()).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let versions = match versions.len() {
+            0 | 1 => "one version",
+            _ => "several versions",
+        };
+        let frame = match breach.is_framed {
+            true => "framed",
+            false => "unframed",
+        };
+        format!("{subject} {:?}, {way}, {frame}, {versions}", breach.kind)
+    }
+
+    fn check_text(&self, item: &str, breach: &OrderBreach, report: &mut RuleReport) {
+        let rule = match breach.kind {
+            BreachKind::TooEarly => "MIXED",
+            _ => "ORDER",
+        };
+        let way = match self.runs.of(item).len() > 1 {
+            true => "several runs",
+            false => "one run",
+        };
+        let kind = self.breach_kind(breach, ("text", way), item);
+        let runs = self.runs.describe(item, self.start);
+        report.add_breach(rule, kind, &format!("{item}, runs {runs}: {breach:?}"));
+    }
+
     /// Checks a refusal by a configuration against those that may be in force.
     fn check_config(&self, request: &ClientRecord, report: &mut RuleReport) {
         let StreamOutcome::Status(401 | 403 | 404) = request.outcome else {
@@ -226,6 +307,7 @@
                     self.check_cancelled(&job.id, *acknowledged, report);
                 }
                 JobState::Incomplete(cause) => report.add("LOST", format!("{}: {cause}", job.id)),
+                JobState::Disordered(item, breach) => self.check_text(item, breach, report),
                 JobState::Wrong(cause) => report.add("MIXED", format!("{}: {cause}", job.id)),
             }
         }
