A stream that is taken up after its last event is complete

A caller that had all events of a resumable stream but not its end got 502 when it took the stream up: its server sends a complete stream without events, which counted as a failure, and was sent again to another server first.

A run that goes on after an event and brings none is complete if its own end is (`response_end`); one that begins a stream still needs an event. The end that `begin` has checked is handed on, so it is checked once.

--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -86,7 +86,10 @@
         ServerDemand, //
     },
     state::FleetState,
-    stream_start::OpenedStream, //
+    stream_start::{
+        FirstRead,
+        OpenedStream, //
+    },
 };
 
 /// Time after a request's deadline during which events already received are still forwarded.
@@ -142,7 +145,7 @@
     runs: u32,
     max_runs: u32,
     stall: StallTerms,
-    first: Option<Bytes>,
+    first: Option<FirstRead>,
     response: Option<ServerResponse>, // `None` once the stream has ended or its run was interrupted.
     begun_after: Option<EventId>,     // Event after which the current run began.
     tried: Vec<u32>,                  // Keys of the servers that ran the stream.
@@ -205,9 +208,16 @@
 
     /// Returns the next events, `None` at the end, or an error that aborts the response.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
-        if let Some(first) = self.first.take() {
-            self.record_events();
-            return Some(Ok(first));
+        match self.first.take() {
+            Some(FirstRead::Events(events)) => {
+                self.record_events();
+                return Some(Ok(events));
+            }
+            Some(FirstRead::End(process)) => {
+                self.record_end(process);
+                return None;
+            }
+            None => {}
         }
         // The caller may have paused its reading since the last events; that is no silence of the server.
         self.last_event = Instant::now();
--- a/fleet/src/stream_start.rs
+++ b/fleet/src/stream_start.rs
@@ -13,6 +13,7 @@
         PromptCheck,
         TrialTerms, //
     },
+    response_end::ProcessState,
     stall::FIRST_EVENT_MOVE,
     stream::EventSplitter, //
 };
@@ -43,6 +44,7 @@
         record_attempt_failure,
         RunHistory, //
     },
+    response_end::check_end,
     server_limits::SendPermit,
     server_selection::{
         choose_resume_server,
@@ -59,14 +61,22 @@
 /// Interval at which a request without a first event looks for another server after that time.
 const MOVE_RETRY_PERIOD: Duration = Duration::from_millis(100);
 
-/// A stream whose first events have been received.
+/// What the first read of a stream brought.
+pub(crate) enum FirstRead {
+    /// Events.
+    Events(Bytes),
+    /// The end of a stream that goes on after its last event, and the state of its server's process if it was needed.
+    End(Option<ProcessState>),
+}
+
+/// A stream whose first events, or whose end without further events, have been received.
 pub(crate) struct OpenedStream {
     /// Response of the server.
     pub(crate) response: ServerResponse,
     /// Splits the response's body into events.
     pub(crate) splitter: EventSplitter,
-    /// First events.
-    pub(crate) first: Bytes,
+    /// First events or end.
+    pub(crate) first: FirstRead,
 }
 
 /// Start of a server's response to a request for a stream.
@@ -204,7 +214,8 @@
     )
 }
 
-/// Sends a request to a server and waits for the first complete event of its response.
+/// Sends a request to a server and waits for the first complete event of its response. A request that goes on after an
+/// event may get none: then its caller lacked only the end.
 async fn begin(
     state: &FleetState,
     request: &AdmittedRequest,
@@ -216,16 +227,25 @@
         return Ok(StreamStart::Error(response));
     }
     let mut splitter = EventSplitter::after(request.outgoing.last_event(&state.format.names));
-    match read_events(&mut response, &mut splitter).await {
-        Ok(Some(first)) => Ok(StreamStart::Opened(OpenedStream {
+    let first = match read_events(&mut response, &mut splitter).await {
+        Ok(Some(events)) => Ok(FirstRead::Events(events)),
+        Ok(None) if splitter.last().is_none() => {
+            let cause = CompactString::const_new("stream ended without an event");
+            return Err(AttemptFailure::Unknown(cause));
+        }
+        Ok(None) => {
+            let may_run_again = request.outgoing.repeatable;
+            let ended = check_end(&request.outgoing, &mut response, may_run_again).await;
+            ended.map(FirstRead::End)
+        }
+        Err(cause) => Err(cause),
+    };
+    match first {
+        Ok(first) => Ok(StreamStart::Opened(OpenedStream {
             response,
             splitter,
             first,
         })),
-        Ok(None) => {
-            let cause = CompactString::const_new("stream ended without an event");
-            Err(AttemptFailure::Unknown(cause))
-        }
         Err(cause) => {
             state.backends.record_failure(&server, Instant::now());
             let lost = LostRequest::new(&request.outgoing, response.in_flight.age());
