Refuse streams to callers of HTTP/1.0

A caller of HTTP/1.0 sees a stream that ends with its connection, since the protocol has no chunks. So a stream whose VM was killed, or that was aborted, looked complete to it. It gets 505 now, before anything runs (protocol_unsupported).

To buffer whole streams for such callers was weighed: they leave after seconds without an event.

--- a/boragerill/src/refusal.rs
+++ b/boragerill/src/refusal.rs
@@ -32,6 +32,8 @@
     HeaderTooLarge,
     /// The body or a header can't be parsed.
     RequestMalformed,
+    /// The caller's HTTP version can't tell a complete stream from one that breaks off.
+    ProtocolUnsupported,
     /// The workspace has exceeded its rate and burst.
     RateExceeded,
     /// No reachable member holds a share of the workspace's rate.
@@ -175,6 +177,7 @@
             RefusalReason::BodyTooLarge => ("body_too_large", 413),
             RefusalReason::HeaderTooLarge => ("header_too_large", 431),
             RefusalReason::RequestMalformed => ("request_malformed", 400),
+            RefusalReason::ProtocolUnsupported => ("protocol_unsupported", 505),
             RefusalReason::RateExceeded => ("rate_exceeded", 429),
             RefusalReason::RateUnavailable => ("rate_unavailable", 503),
             RefusalReason::ConfigStale => ("config_stale", 503),
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -35,7 +35,8 @@
 use hyper::{
     body::Incoming,
     http::request::Parts,
-    Request, //
+    Request,
+    Version, //
 };
 use log::info;
 use metrics::{
@@ -201,6 +202,7 @@
         let name = workspace.map_or("", |workspace| workspace.name.as_str());
         return jobs::submit(state, &caller, (route.as_ref(), terms), name, body).await;
     }
+    check_protocol(parts.version, &route.kind)?;
     let mut request = admit(state, caller, route, workspace, body)?;
     pin_version(state, &mut request).await?;
     let workspace = workspace.filter(|workspace| workspace.rate > 0.0);
@@ -216,6 +218,19 @@
     result
 }
 
+/// Refuses a stream to a caller of HTTP/1.0, which has no chunks: a stream would end with its connection, and one that is
+/// aborted, or whose VM ends, would look complete.
+fn check_protocol(version: Version, kind: &RouteKind) -> Result<(), RefusalResponse> {
+    match kind {
+        RouteKind::Stream(_) if version < Version::HTTP_11 => {
+            let detail = format_compact!("streams need HTTP/1.1, the request is {version:?}");
+            let reason = RefusalReason::ProtocolUnsupported;
+            Err(RefusalResponse::not_run(reason, detail))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Returns the route of a request, and the workspace that the caller's API key belongs to; no workspace on routes that
 /// are open to all.
 ///
