State the length of plain responses to callers of HTTP/1.0

A caller of HTTP/1.0 got plain responses without a length, which end with their connection: one cut short as its VM was killed looked complete. The body's length was known, but lost in the wrapper that watches for the end of a response. It is stated now to these callers; over HTTP/1.1 responses stay in chunks.

Tried first: a wrapper that keeps the length, for all callers. It changes the bytes of each response over HTTP/1.1, which old_decisions::request_with_a_slow_body_* compare with the chunks; so it was left.

Before: plain_response_states_its_length_to_a_caller_without_chunks fails (mutant lengths-not-stated, by hand).

--- a/fleet/src/listener.rs
+++ b/fleet/src/listener.rs
@@ -24,10 +24,18 @@
 use bytes::Bytes;
 use compact_str::ToCompactString;
 use hyper::{
-    body::Incoming,
+    body::{
+        Body,
+        Incoming, //
+    },
+    header::{
+        HeaderValue,
+        CONTENT_LENGTH, //
+    },
     server::conn::http1,
     service::service_fn,
-    Request, //
+    Request,
+    Version, //
 };
 use hyper_util::rt::TokioIo;
 use log::warn;
@@ -47,7 +55,10 @@
         TimedStream, //
     },
     pool::set_socket_options,
-    response::local_response,
+    response::{
+        local_response,
+        CallerResponse, //
+    },
     state::FleetState, //
 };
 
@@ -162,10 +173,14 @@
         timer.end_head();
         let (state, timer) = (state.clone(), timer.clone());
         async move {
-            let response = admission::serve(&state, request).await;
+            let version = request.version();
+            let mut response = admission::serve(&state, request).await;
+            if version < Version::HTTP_11 {
+                state_length(&mut response);
+            }
             let mut response = response.map(|body| timer.watch_body(body));
             if state.is_shutting_down() {
-                let value = hyper::header::HeaderValue::from_static("close");
+                let value = HeaderValue::from_static("close");
                 response
                     .headers_mut()
                     .insert(hyper::header::CONNECTION, value);
@@ -203,6 +218,15 @@
     }
 }
 
+/// States the length of a response whose body is known. HTTP/1.0 has no chunks, so that the end of the connection would
+/// be the end of the response, also if this process is killed.
+fn state_length(response: &mut CallerResponse) {
+    if let Some(length) = response.body().size_hint().exact() {
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    }
+}
+
 /// Serves readiness checks.
 pub(crate) async fn serve_ready(state: Arc<FleetState>, listener: TcpListener) {
     serve_plain(listener, move || {
