Settle versions by this VM's own time; look for registered versions only in the store

A version counted as known to all VMs as soon as the time of day said that the store had named it for long. The stored age counts only where a VM loads versions that it doesn't know the history of. A version that left before it was stored is no longer looked for in the store every few seconds.

--- a/boragerill/src/stream_version.rs
+++ b/boragerill/src/stream_version.rs
@@ -275,9 +275,14 @@
     /// version begins streams beside those of another one only once it has been stored. Those that the store names once
     /// all VMs have seen them are settled: no VM that is behind replaces them there.
     pub fn adopt(&mut self, stored: Vec<StoredVersion>, now: Instant) {
+        // By the clocks of other VMs only where this one doesn't know better.
+        let is_known = |service: &ServiceKey| self.is_complete(*service, now);
+        let mut complete: Vec<ServiceKey> =
+            stored.iter().map(|stored| stored.seen.service).collect();
+        complete.retain(is_known);
         for StoredVersion { seen, stored_for } in stored {
             let key = (seen.service, seen.version);
-            let is_old = stored_for >= SETTLE_TIME;
+            let is_old = stored_for >= SETTLE_TIME && !complete.contains(&seen.service);
             match self.find_settling(key) {
                 Ok(index) => {
                     let has_settled = now >= self.settling[index].first_seen + SETTLE_TIME;
@@ -330,10 +335,14 @@
         self.find_settling((service, version)).is_err()
     }
 
-    /// Returns whether all VMs have seen a version of which this one hasn't read that the store names it.
+    /// Returns whether all VMs have seen a registered version of which this one hasn't read that the store names it.
     pub fn has_unstored(&self, now: Instant) -> bool {
         let mut settling = self.settling.iter();
-        settling.any(|settling| now >= settling.first_seen + SETTLE_TIME)
+        settling.any(|settling| {
+            let found = find_seen(&self.seen, (settling.service, settling.version));
+            let is_registered = found.is_ok_and(|index| self.seen[index].registered);
+            is_registered && now >= settling.first_seen + SETTLE_TIME
+        })
     }
 
     /// Returns all versions that were seen lately.
--- a/boragerill/tests/stream_version.rs
+++ b/boragerill/tests/stream_version.rs
@@ -243,6 +243,43 @@
     assert!(!history.has_unstored(settled));
 }
 
+// Guards against ORDER: a version counted as known to all VMs at once, by the clock of a VM whose time of day is behind.
+#[test]
+fn age_of_a_stored_version_by_another_clock_does_not_settle_what_this_vm_has_just_seen() {
+    // arrange
+    let (mut history, start) = settled_history();
+    let seen = start + seconds(1);
+    observe_until(&mut history, &[10, 11], (start, seen));
+    let stored = history.seen().iter().map(|&seen| StoredVersion {
+        seen,
+        stored_for: seconds(3600),
+    });
+    let stored: Vec<StoredVersion> = stored.collect();
+
+    // act
+    history.adopt(stored, seen);
+
+    // assert
+    assert!(history.is_settled(SERVICE, 10));
+    assert!(!history.is_settled(SERVICE, 11));
+}
+
+// Guards against calls to the store without end: a version that left before it was stored was looked for there.
+#[test]
+fn version_that_has_left_is_not_looked_for_in_the_store() {
+    // arrange
+    let (mut history, start) = settled_history();
+    let seen = start + seconds(1);
+    observe_until(&mut history, &[10, 11], (start, seen));
+    let settled = seen + SETTLE_TIME;
+
+    // act
+    observe_until(&mut history, &[10], (seen, settled));
+
+    // assert
+    assert!(!history.has_unstored(settled));
+}
+
 // Guards against ORDER: a VM that has just started took a new version for one that all VMs know.
 #[test]
 fn vm_that_starts_takes_a_version_as_settled_only_if_the_store_has_named_it_for_long() {
