--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -389,7 +389,7 @@
             NotRunCause::Refused
         };
         let detail = format_compact!("status {}", status.as_u16());
-        discard_refusal(response);
+        discard_refusal(response, request.repeatable);
         return Err(AttemptFailure::NotRun(cause, detail));
     }
     if status.is_success() {
@@ -431,8 +431,9 @@
     state.jobs.work.notify_one();
 }
 
-/// Reads the rest of a refusal in the background, so that its connection can be reused.
-fn discard_refusal(response: ServerResponse) {
+/// Reads the rest of a refusal in the background, so that its connection can be reused. A request that must not run twice
+/// isn't sent there again: a late copy of the refusal would be read as the response to it.
+fn discard_refusal(response: ServerResponse, is_repeatable: bool) {
     let ServerResponse {
         head,
         body,
@@ -441,7 +442,9 @@
         in_flight,
         ..
     } = response;
-    connection.withdraw_request();
+    if is_repeatable {
+        connection.withdraw_request();
+    }
     drop(in_flight);
     if closes_connection(&head.headers) {
         return;
