A server that refuses further connections has not crashed while an earlier one stays open

A connection from before the end that is still open 50 ms later shows that the process runs, whatever becomes of a new one. Requests that may be repeated no longer count an end as complete for want of attempts: their callers send them again.

--- a/boragerill/src/response_end.rs
+++ b/boragerill/src/response_end.rs
@@ -15,7 +15,7 @@
 /// State of a server's process after it has ended a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProcessState {
-    /// It accepts a connection, and a connection from before the end is still open.
+    /// A connection from before the end is still open.
     Running,
     /// It accepts a connection, and none from before the end is open. It may be another process.
     Listening,
@@ -52,7 +52,8 @@
     pub framing: BodyFraming,
     /// State of the server's process after it, once known.
     pub process: Option<ProcessState>,
-    /// Whether the request may run again, so that another run shows whether the response was complete.
+    /// Whether the request may run again, here or when its caller sends it again, which shows whether the response was
+    /// complete.
     pub may_run_again: bool,
 }
 
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -314,8 +314,7 @@
             return Err(AttemptFailure::Unknown(cause));
         }
     }
-    let may_run_again = request.outgoing.repeatable && history.runs + 1 < request.route.attempts;
-    forward_complete(state, request, response, may_run_again).await
+    forward_complete(state, request, response).await
 }
 
 /// Buffers a response until it is complete and forwards it; [`dispatch_request`] limits the time.
@@ -323,7 +322,6 @@
     state: &FleetState,
     request: &AdmittedRequest,
     mut response: ServerResponse,
-    may_run_again: bool,
 ) -> Result<CallerResponse, AttemptFailure> {
     let limit = match response.head.status.is_success() {
         true => RESPONSE_LIMIT_BYTES,
@@ -332,6 +330,7 @@
     let reading = Limited::new(&mut response.body, limit).collect();
     let read = match reading.await {
         Ok(body) => {
+            let may_run_again = request.outgoing.repeatable;
             let ended = check_end(&request.outgoing, &mut response, may_run_again).await;
             ended.map(|_| body.to_bytes())
         }
--- a/fleet/src/response_end.rs
+++ b/fleet/src/response_end.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use boragerill::{
@@ -29,7 +32,10 @@
 };
 use log::info;
 use metrics::counter;
-use tokio::task::JoinHandle;
+use tokio::{
+    task::JoinHandle,
+    time::sleep, //
+};
 
 use crate::{
     attempt::{
@@ -41,6 +47,9 @@
     pool::BackendConnection, //
 };
 
+/// Time within which all connections of a process that has ended are closed.
+const EXIT_TIME: Duration = Duration::from_millis(50);
+
 /// A second connection to a server that sends a response, which stays open if the server's process outlives it.
 #[derive(Debug)]
 pub(crate) struct EndWitness {
@@ -125,24 +134,30 @@
 }
 
 /// Finds out whether the process that sent a response still runs. A connection that is opened now shows whether one
-/// listens, and the witness whether it is the same.
+/// listens, and the witness whether it is the same. A running server may refuse a further connection: it is full, or leaves.
 async fn find_process_state(response: &mut ServerResponse) -> ProcessState {
     let server = response.server.clone();
     let opened = open_settled(server.server.address).await;
+    if matches!(opened, Err(ServeError::Rejected(..))) {
+        sleep(EXIT_TIME).await;
+    }
     // The witness may have waited for long, so it isn't used again.
     let is_same = match response.witness.take() {
         Some(witness) => witness.stayed_open().await,
         None => false,
     };
-    match opened {
-        Ok(connection) if connection.is_open() => {
+    match (opened, is_same) {
+        (Ok(connection), is_same) if connection.is_open() => {
             server.pool().put(connection, Instant::now());
             match is_same {
                 true => ProcessState::Running,
                 false => ProcessState::Listening,
             }
         }
-        Err(ServeError::Rejected(..)) => ProcessState::Gone,
-        Ok(_) | Err(_) => ProcessState::Unknown,
+        // A server that is cut off can't close the witness.
+        (Err(ServeError::Timeout(..)), _) => ProcessState::Unknown,
+        (_, true) => ProcessState::Running,
+        (Err(ServeError::Rejected(..)), false) => ProcessState::Gone,
+        (_, false) => ProcessState::Unknown,
     }
 }
--- a/standins/src/standard_server.rs
+++ b/standins/src/standard_server.rs
@@ -76,6 +76,8 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Closes the listener for good; connections go on.
+    StopListening,
     /// Closes all connections and the listener, and starts again after a time.
     Crash(Duration),
     /// Closes all connections, as if another process had taken the address by the time anyone looks.
@@ -103,6 +105,7 @@
     connections: Arc<AtomicU64>,        // Number of connections that were accepted.
     script: Arc<Mutex<ResponseScript>>,
     crash: watch::Sender<Option<Duration>>, // Downtime of the last crash.
+    stop: watch::Sender<()>,                // Signals that the listener has to be closed for good.
     down: watch::Sender<()>, // Signals that the listener is closed; connections close after it.
 }
 
@@ -127,6 +130,7 @@
             connections: Arc::default(),
             script: Arc::new(Mutex::new(script)),
             crash: watch::Sender::new(None),
+            stop: watch::Sender::new(()),
             down: watch::Sender::new(()),
         };
         tokio::spawn(server.clone().run(listener));
@@ -136,6 +140,7 @@
     /// Accepts connections; after a crash, listens again once the downtime is over.
     async fn run(self, mut listener: TcpListener) {
         let mut crash = self.crash.subscribe();
+        let mut stop = self.stop.subscribe();
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
@@ -148,6 +153,7 @@
                         }
                     });
                 }
+                _ = stop.changed() => return,
                 _ = crash.changed() => {
                     let downtime = crash.borrow_and_update().unwrap_or_default();
                     drop(listener);
@@ -246,6 +252,9 @@
                     return ResponseEnd::Close;
                 }
                 ResponseStep::Wait(time) => sleep(time).await,
+                ResponseStep::StopListening => {
+                    self.stop.send_replace(());
+                }
                 ResponseStep::Close => return ResponseEnd::Close,
                 ResponseStep::Reset => {
                     let socket = SockRef::from(writer.as_ref());
