An end is broken off if an earlier connection was closed with it, also where the request may not run again

Callers saw streams that may not be resumed complete after event 2 to 40 of 44 (ORDER): their servers had crashed and another process listened at the address by the time that the end was read. An earlier connection that is closed together with the response is evidence of the process's end. So that it isn't closed for its idle time before, it is looked at with each event and opened again, once a second at most.

--- a/boragerill/src/response_end.rs
+++ b/boragerill/src/response_end.rs
@@ -17,7 +17,9 @@
 pub enum ProcessState {
     /// A connection from before the end is still open.
     Running,
-    /// It accepts a connection, and none from before the end is open. It may be another process.
+    /// Another one accepts connections: one that was open before the end was closed with it.
+    Replaced,
+    /// It accepts a connection, and there was none before the end. It may be another process.
     Listening,
     /// It refuses connections.
     Gone,
@@ -64,7 +66,9 @@
             (BodyFraming::Marked, _) | (_, Some(ProcessState::Running)) => EndVerdict::Complete,
             (_, None) => EndVerdict::Undecided,
             (_, Some(ProcessState::Listening)) if !self.may_run_again => EndVerdict::Complete,
-            (_, Some(ProcessState::Gone)) => EndVerdict::BrokenOff(EndFault::ProcessGone),
+            (_, Some(ProcessState::Gone | ProcessState::Replaced)) => {
+                EndVerdict::BrokenOff(EndFault::ProcessGone)
+            }
             (_, Some(ProcessState::Listening | ProcessState::Unknown)) => {
                 EndVerdict::BrokenOff(EndFault::ProcessUnknown)
             }
@@ -87,6 +91,7 @@
     pub fn name(self) -> &'static str {
         match self {
             ProcessState::Running => "running",
+            ProcessState::Replaced => "replaced",
             ProcessState::Listening => "listening",
             ProcessState::Gone => "gone",
             ProcessState::Unknown => "unknown",
--- a/boragerill/tests/response_end.rs
+++ b/boragerill/tests/response_end.rs
@@ -24,7 +24,7 @@
     is_killed: bool,   // It was killed, and the response was cut short by it.
     is_replaced: bool, // Another process listens at its address by the time of the check.
     is_cut_off: bool,  // No answer arrives.
-    closes_idle: bool, // It closes connections that wait for a request.
+    closes_idle: bool, // It keeps no connections that wait for a request.
 }
 
 impl ServerFate {
@@ -32,7 +32,8 @@
         match self {
             _ if self.is_cut_off => ProcessState::Unknown,
             _ if self.is_killed && !self.is_replaced => ProcessState::Gone,
-            _ if self.is_killed || self.closes_idle => ProcessState::Listening,
+            _ if self.closes_idle => ProcessState::Listening,
+            _ if self.is_killed => ProcessState::Replaced,
             _ => ProcessState::Running,
         }
     }
@@ -58,7 +59,8 @@
 
         // assert
         let is_complete = verdict == EndVerdict::Complete;
-        if fate.is_killed && (may_run_again || !fate.is_replaced || fate.is_cut_off) {
+        let is_shown = may_run_again || !fate.is_replaced || fate.is_cut_off || !fate.closes_idle;
+        if fate.is_killed && is_shown {
             prop_assert!(!is_complete);
         }
         let is_in_doubt = fate.is_cut_off || (fate.closes_idle && may_run_again);
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -334,6 +334,7 @@
                 }
             })?;
             if let Some(chunk) = chunk {
+                response.renew_witness().await;
                 self.state.backends.record_activity(self.server);
                 self.extend(&chunk.bytes)?;
                 let progress = RunProgress::Events(splitter.event_count());
--- a/fleet/src/response_end.rs
+++ b/fleet/src/response_end.rs
@@ -50,10 +50,15 @@
 /// Time within which all connections of a process that has ended are closed.
 const EXIT_TIME: Duration = Duration::from_millis(50);
 
+/// Shortest time between two attempts to open such a connection: a server may close connections that wait.
+const RENEW_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A second connection to a server that sends a response, which stays open if the server's process outlives it.
 #[derive(Debug)]
 pub(crate) struct EndWitness {
-    opening: JoinHandle<Option<BackendConnection>>,
+    opening: Option<JoinHandle<Option<BackendConnection>>>,
+    connection: Option<BackendConnection>, // Was open once.
+    begun: Instant,
 }
 
 impl EndWitness {
@@ -64,17 +69,55 @@
             match server.pool().take_unused(Instant::now()) {
                 Some(connection) => Some(connection),
                 // Without a connection the state of the process is less certain; the check reports errors.
-                None => BackendConnection::open(server.server.address).await.ok(),
+                None => open_settled(server.server.address).await.ok(),
             }
         });
-        EndWitness { opening }
+        EndWitness {
+            opening: Some(opening),
+            connection: None,
+            begun: Instant::now(),
+        }
+    }
+
+    /// Opens another connection if the server has closed the last one, while the response goes on.
+    async fn renew(&mut self, server: &Arc<BackendState>) {
+        let is_opened = self.opening.as_ref().is_some_and(JoinHandle::is_finished);
+        if is_opened {
+            self.finish_opening().await;
+        }
+        let is_closed = |connection: &BackendConnection| !connection.is_open();
+        let is_due = self.begun.elapsed() >= RENEW_INTERVAL;
+        if self.connection.as_ref().is_some_and(is_closed) {
+            // Closed before the end, so it tells nothing about it.
+            self.connection = None;
+        }
+        if self.opening.is_none() && self.connection.is_none() && is_due {
+            *self = EndWitness::open(server);
+        }
     }
 
-    /// Returns whether the connection was opened and the server has left it open.
-    async fn stayed_open(self) -> bool {
-        // An error means that this process ends.
-        let opened = self.opening.await.ok().flatten();
-        opened.is_some_and(|connection| connection.is_open())
+    /// Returns whether the server has left the connection open; `None` if there was none.
+    async fn stayed_open(mut self) -> Option<bool> {
+        self.finish_opening().await;
+        self.connection.as_ref().map(BackendConnection::is_open)
+    }
+
+    async fn finish_opening(&mut self) {
+        if let Some(opening) = self.opening.take() {
+            // An error means that this process ends.
+            let opened = opening.await.ok().flatten();
+            self.connection = opened.filter(BackendConnection::is_open);
+        }
+    }
+}
+
+impl ServerResponse {
+    /// Makes sure that a connection of before the end will show whether the server's process outlives the response. To be
+    /// called while the response goes on.
+    pub(crate) async fn renew_witness(&mut self) {
+        if let Some(witness) = &mut self.witness {
+            witness.renew(&self.server).await;
+        }
     }
 }
 
@@ -142,22 +185,23 @@
         sleep(EXIT_TIME).await;
     }
     // The witness may have waited for long, so it isn't used again.
-    let is_same = match response.witness.take() {
+    let stayed_open = match response.witness.take() {
         Some(witness) => witness.stayed_open().await,
-        None => false,
+        None => None,
     };
-    match (opened, is_same) {
-        (Ok(connection), is_same) if connection.is_open() => {
+    match (opened, stayed_open) {
+        (Ok(connection), stayed_open) if connection.is_open() => {
             server.pool().put(connection, Instant::now());
-            match is_same {
-                true => ProcessState::Running,
-                false => ProcessState::Listening,
+            match stayed_open {
+                Some(true) => ProcessState::Running,
+                Some(false) => ProcessState::Replaced,
+                None => ProcessState::Listening,
             }
         }
         // A server that is cut off can't close the witness.
         (Err(ServeError::Timeout(..)), _) => ProcessState::Unknown,
-        (_, true) => ProcessState::Running,
-        (Err(ServeError::Rejected(..)), false) => ProcessState::Gone,
-        (_, false) => ProcessState::Unknown,
+        (_, Some(true)) => ProcessState::Running,
+        (Err(ServeError::Rejected(..)), _) => ProcessState::Gone,
+        (_, _) => ProcessState::Unknown,
     }
 }
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -116,6 +116,7 @@
             .take()
             .map_err(|fault| format_compact!("{fault:?}"))?
         {
+            response.renew_witness().await;
             return Ok(Some(chunk.bytes));
         }
         match response.body.frame().await {
