Look at settled versions only while there are versions that aren't

Each request that begins a resumable stream looked each server's version up under a lock. A flag beside the history says whether there is anything to look for.

--- a/boragerill/src/stream_version.rs
+++ b/boragerill/src/stream_version.rs
@@ -335,6 +335,11 @@
         self.find_settling((service, version)).is_err()
     }
 
+    /// Returns whether there is a version that isn't settled.
+    pub fn has_settling(&self) -> bool {
+        !self.settling.is_empty()
+    }
+
     /// Returns whether all VMs have seen a registered version of which this one hasn't read that the store names it.
     pub fn has_unstored(&self, now: Instant) -> bool {
         let mut settling = self.settling.iter();
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -141,6 +141,7 @@
     reachability: Mutex<ReachabilityTable>,
     drains: Mutex<DrainTable>,
     versions: Mutex<VersionHistory>,
+    has_settling: AtomicBool, // Whether the history has versions that aren't settled.
     /// Signals that the next heartbeat has changes to report.
     pub(crate) changed: Notify,
     /// Signals that a version of the servers' software has come or gone.
@@ -161,6 +162,7 @@
             reachability: Mutex::default(),
             drains: Mutex::default(),
             versions: Mutex::new(VersionHistory::new(Instant::now())),
+            has_settling: AtomicBool::new(false),
             versions_changed: Notify::new(),
             changed: Notify::new(),
             slot_freed: Notify::new(),
@@ -205,7 +207,9 @@
         let registered = servers
             .iter()
             .map(|state| (hash_name(&state.server.service), state.version));
-        if lock(&self.versions).observe(registered, confirmed, now) {
+        let mut has_changed = false;
+        self.update_versions(|history| has_changed = history.observe(registered, confirmed, now));
+        if has_changed {
             self.versions_changed.notify_one();
             self.changed.notify_one();
         }
@@ -226,6 +230,11 @@
         lock(&self.versions).sole_version(service, confirmed, Instant::now())
     }
 
+    /// Returns whether some VM may not know a version yet.
+    pub(crate) fn has_settling_versions(&self) -> bool {
+        self.has_settling.load(Ordering::Relaxed)
+    }
+
     /// Reads the history of versions.
     pub(crate) fn read_versions<T>(&self, read: impl FnOnce(&VersionHistory) -> T) -> T {
         read(&lock(&self.versions))
@@ -233,7 +242,10 @@
 
     /// Changes the history of versions.
     pub(crate) fn update_versions(&self, change: impl FnOnce(&mut VersionHistory)) {
-        change(&mut lock(&self.versions));
+        let mut versions = lock(&self.versions);
+        change(&mut versions);
+        let has_settling = versions.has_settling();
+        self.has_settling.store(has_settling, Ordering::Relaxed);
     }
 
     /// Returns the name of a version, for logs.
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -229,6 +229,9 @@
     (servers, views): (&mut Vec<Arc<BackendState>>, &mut Vec<SlotView>),
     tried: &[u32],
 ) {
+    if !state.backends.has_settling_versions() {
+        return;
+    }
     let is_settled: Vec<bool> = state.backends.read_versions(|history| {
         let settled = servers.iter().map(|server| {
             let service = hash_name(&server.server.service);
