Count a connection that was closed shortly before the end was read as closed with it

After a stall of the VM the last events and the end are read together: at the events the earlier connection was already closed, counted as closed for its idle time, and was given up, so that the end had nothing against it ('listening, complete' in the log). It counts for a second now.

--- a/fleet/src/response_end.rs
+++ b/fleet/src/response_end.rs
@@ -50,15 +50,15 @@
 /// Time within which all connections of a process that has ended are closed.
 const EXIT_TIME: Duration = Duration::from_millis(50);
 
-/// Shortest time between two attempts to open such a connection: a server may close connections that wait.
-const RENEW_INTERVAL: Duration = Duration::from_secs(1);
+/// Time before the end of a response within which the server's process counts as ended with a connection that closed.
+const CLOSED_TIME: Duration = Duration::from_secs(1);
 
 /// A second connection to a server that sends a response, which stays open if the server's process outlives it.
 #[derive(Debug)]
 pub(crate) struct EndWitness {
     opening: Option<JoinHandle<Option<BackendConnection>>>,
     connection: Option<BackendConnection>, // Was open once.
-    begun: Instant,
+    closed: Option<Instant>,               // When it was found closed.
 }
 
 impl EndWitness {
@@ -68,45 +68,54 @@
         let opening = tokio::spawn(async move {
             match server.pool().take_unused(Instant::now()) {
                 Some(connection) => Some(connection),
-                // Without a connection the state of the process is less certain; the check reports errors.
-                None => open_settled(server.server.address).await.ok(),
+                None => {
+                    // Without a connection the state of the process is less certain; the check reports errors.
+                    let opened = open_settled(server.server.address).await.ok();
+                    opened.filter(BackendConnection::is_open)
+                }
             }
         });
         EndWitness {
             opening: Some(opening),
             connection: None,
-            begun: Instant::now(),
+            closed: None,
         }
     }
 
-    /// Opens another connection if the server has closed the last one, while the response goes on.
+    /// Opens another connection while the response goes on, if the server has closed the last one for some time.
     async fn renew(&mut self, server: &Arc<BackendState>) {
-        let is_opened = self.opening.as_ref().is_some_and(JoinHandle::is_finished);
-        if is_opened {
+        if self.opening.as_ref().is_some_and(JoinHandle::is_finished) {
             self.finish_opening().await;
         }
-        let is_closed = |connection: &BackendConnection| !connection.is_open();
-        let is_due = self.begun.elapsed() >= RENEW_INTERVAL;
-        if self.connection.as_ref().is_some_and(is_closed) {
-            // Closed before the end, so it tells nothing about it.
-            self.connection = None;
+        if self
+            .connection
+            .as_ref()
+            .is_some_and(|connection| !connection.is_open())
+        {
+            self.closed.get_or_insert_with(Instant::now);
         }
-        if self.opening.is_none() && self.connection.is_none() && is_due {
+        if self.is_outlived() {
             *self = EndWitness::open(server);
         }
     }
 
+    /// Returns whether the response has gone on after the connection was closed, which tells nothing about its end then.
+    fn is_outlived(&self) -> bool {
+        self.closed
+            .is_some_and(|closed| closed.elapsed() >= CLOSED_TIME)
+    }
+
     /// Returns whether the server has left the connection open; `None` if there was none.
     async fn stayed_open(mut self) -> Option<bool> {
         self.finish_opening().await;
-        self.connection.as_ref().map(BackendConnection::is_open)
+        let connection = self.connection.as_ref().filter(|_| !self.is_outlived());
+        connection.map(BackendConnection::is_open)
     }
 
     async fn finish_opening(&mut self) {
         if let Some(opening) = self.opening.take() {
             // An error means that this process ends.
-            let opened = opening.await.ok().flatten();
-            self.connection = opened.filter(BackendConnection::is_open);
+            self.connection = opening.await.ok().flatten();
         }
     }
 }
