One test of a confirmed list, one choice of the servers of a request, ends that know whether their request may run again

Whether the list of servers was confirmed lately stood twice, in the reports of streams and in the store of versions; the filter of settled versions was called after the same look-up in two places; and all four callers of check_end passed what the request itself says.

--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -330,8 +330,7 @@
     let reading = Limited::new(&mut response.body, limit).collect();
     let read = match reading.await {
         Ok(body) => {
-            let may_run_again = request.outgoing.repeatable;
-            let ended = check_end(&request.outgoing, &mut response, may_run_again).await;
+            let ended = check_end(&request.outgoing, &mut response).await;
             ended.map(|_| body.to_bytes())
         }
         Err(error) => Err(format_compact!("reading the response failed: {error}")),
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -317,7 +317,7 @@
                 splitter
                     .finish()
                     .map_err(|fault| format_compact!("{fault:?}"))?;
-                let process = check_end(outgoing, response, true).await?;
+                let process = check_end(outgoing, response).await?;
                 proof.record(quarantine, &outgoing.prompt, RunProgress::Complete);
                 return Ok(process);
             };
--- a/fleet/src/response_end.rs
+++ b/fleet/src/response_end.rs
@@ -145,8 +145,7 @@
     }
 }
 
-/// Checks whether a response whose body has ended is complete. `may_run_again` tells whether another run of the
-/// request would show it. Returns the state of the server's process if it was needed.
+/// Checks whether a response whose body has ended is complete. Returns the state of the server's process if it was needed.
 ///
 /// # Errors
 ///
@@ -154,12 +153,11 @@
 pub(crate) async fn check_end(
     request: &OutgoingRequest,
     response: &mut ServerResponse,
-    may_run_again: bool,
 ) -> Result<Option<ProcessState>, CompactString> {
     let mut end = ResponseEnd {
         framing: response.framing,
         process: None,
-        may_run_again,
+        may_run_again: request.repeatable,
     };
     let mut verdict = end.decide();
     if verdict == EndVerdict::Undecided {
@@ -174,7 +172,7 @@
             server = response.server.server.id.as_str(),
             process = process.name(),
             verdict = verdict.name(),
-            may_run_again,
+            may_run_again = end.may_run_again,
             check_ms = millis(asked.elapsed());
             "response ended with its connection"
         );
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -103,10 +103,7 @@
     loop {
         let slot_freed = state.backends.slot_freed.notified();
         let now = Instant::now();
-        let (mut servers, mut views) = state.server_views(&request.service, request.version, now);
-        if begins_resumable(request) {
-            keep_settled(state, (&mut servers, &mut views), &history.tried);
-        }
+        let (servers, views) = request_views(state, request, &history.tried, now);
         if request.version.is_some() && views.iter().all(|view| view.leaving) {
             return Err(version_unavailable(history));
         }
@@ -216,6 +213,20 @@
     Free,
 }
 
+/// Returns the servers that a request of a caller may be sent to, and a view of each.
+fn request_views(
+    state: &FleetState,
+    request: &AdmittedRequest,
+    tried: &[u32],
+    now: Instant,
+) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
+    let (mut servers, mut views) = state.server_views(&request.service, request.version, now);
+    if begins_resumable(request) {
+        keep_settled(state, (&mut servers, &mut views), tried);
+    }
+    (servers, views)
+}
+
 /// Returns whether a request begins a stream that its caller may take up again at any VM.
 fn begins_resumable(request: &AdmittedRequest) -> bool {
     let is_stream = matches!(request.route.kind, RouteKind::Stream(_));
@@ -257,11 +268,7 @@
     request: &AdmittedRequest,
     tried: &[u32],
 ) -> Option<PermittedServer> {
-    let now = Instant::now();
-    let (mut servers, mut views) = state.server_views(&request.service, request.version, now);
-    if begins_resumable(request) {
-        keep_settled(state, (&mut servers, &mut views), tried);
-    }
+    let (servers, views) = request_views(state, request, tried, Instant::now());
     choose_for_stream(state, (&servers, &views), tried, ServerDemand::Free)
 }
 
--- a/fleet/src/state_fetch.rs
+++ b/fleet/src/state_fetch.rs
@@ -29,6 +29,7 @@
         HEDGE_DELAY,
         MAX_REQUESTS, //
     },
+    stream_version::LIST_LIFETIME,
     sync::lock,
     timer::millis,
 };
@@ -197,6 +198,12 @@
     Some(behind_since.map_or(confirmed, |since| confirmed.min(since)))
 }
 
+/// Returns whether the own list of servers was known to be the newest one lately enough to vouch for a version by it.
+pub(crate) fn has_confirmed_servers(state: &FleetState, now: Instant) -> bool {
+    let confirmed = servers_confirmed(state, now);
+    confirmed.is_some_and(|confirmed| now.saturating_duration_since(confirmed) <= LIST_LIFETIME)
+}
+
 /// Logs states that have just become unconfirmed or confirmed, and sets their metrics.
 pub(crate) fn report_confirmations(state: &FleetState) {
     for kind in FETCHED_STATES {
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -329,9 +329,8 @@
     ///
     /// Returns the cause if nothing shows that the run is complete.
     async fn check_end(&mut self) -> Result<Option<Bytes>, CompactString> {
-        let may_run_again = self.outgoing.repeatable;
         if let Some(response) = &mut self.response {
-            let process = check_end(&self.outgoing, response, may_run_again).await?;
+            let process = check_end(&self.outgoing, response).await?;
             self.record_end(process);
         }
         Ok(None)
--- a/fleet/src/stream_start.rs
+++ b/fleet/src/stream_start.rs
@@ -228,8 +228,7 @@
             return Err(AttemptFailure::Unknown(cause));
         }
         Ok(None) => {
-            let may_run_again = request.outgoing.repeatable;
-            let ended = check_end(&request.outgoing, &mut response, may_run_again).await;
+            let ended = check_end(&request.outgoing, &mut response).await;
             ended.map(FirstRead::End)
         }
         Err(cause) => Err(cause),
--- a/fleet/src/stream_versions.rs
+++ b/fleet/src/stream_versions.rs
@@ -28,8 +28,7 @@
         StreamKey,
         StreamOrigin,
         StreamTable,
-        VersionKey,
-        LIST_LIFETIME, //
+        VersionKey, //
     },
     sync::lock,
     timer::millis, //
@@ -53,6 +52,7 @@
     peers,
     state::FleetState,
     state_fetch::{
+        has_confirmed_servers,
         servers_confirmed,
         FetchedState, //
     }, //
@@ -97,9 +97,7 @@
     /// are any: those of services with several versions, and all while the list of servers isn't confirmed, since no VM may
     /// be able to vouch for their version then.
     pub(crate) fn add_new(&self, heartbeat: &mut Heartbeat, state: &FleetState) -> bool {
-        let now = Instant::now();
-        let is_confirmed = servers_confirmed(state, now)
-            .is_some_and(|confirmed| now.saturating_duration_since(confirmed) <= LIST_LIFETIME);
+        let is_confirmed = has_confirmed_servers(state, Instant::now());
         let is_needed = |service| !is_confirmed || state.backends.has_mixed_versions(service);
         let origins = lock(&self.table).take_unreported(is_needed, NOTICE_STREAMS);
         heartbeat.streams = stream_notices(origins);
--- a/fleet/src/version_store.rs
+++ b/fleet/src/version_store.rs
@@ -20,7 +20,6 @@
         self,
         SeenVersion,
         VersionHistory,
-        LIST_LIFETIME,
         STREAM_LIFETIME, //
     },
     sync::lock,
@@ -50,7 +49,7 @@
         wall_ms,
         FleetState, //
     },
-    state_fetch::servers_confirmed,
+    state_fetch::has_confirmed_servers,
 };
 
 /// Kind of the object that holds the versions.
@@ -197,9 +196,9 @@
 async fn store(state: &FleetState, last_stored: &mut Vec<VersionFlag>) -> Result<(), ServeError> {
     let now = Instant::now();
     // A VM that is behind would remove versions that it doesn't know, or state that they have left.
-    let confirmed = servers_confirmed(state, now);
-    let is_behind = confirmed.is_none_or(|confirmed| now > confirmed + LIST_LIFETIME);
-    if is_behind || lock(&state.members).own_rank(hash_name(VERSION_TASK), now) > 0 {
+    if !has_confirmed_servers(state, now)
+        || lock(&state.members).own_rank(hash_name(VERSION_TASK), now) > 0
+    {
         return Ok(());
     }
     let flags = version_flags(&stored_versions(state, &StoredVersions::default(), now));
