Choose servers by the estimated times of a request's events

Cause: the choice took slots only into account, while servers of one service differ in speed by 2.4 times and one in six takes 2.5 times as long for some tenths of a second.

Change: Server-Load is decoded into statements with an age; speeds are learned by server process, costs by workspace, route and prompt part; a service whose servers state four figures is served where the first and last event are expected soonest. Full heartbeats carry two speeds each.

Process tests not run yet.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -33,6 +33,7 @@
 mod lease;
 pub mod link_reuse;
 pub mod links;
+pub mod load;
 pub mod logger;
 pub mod member;
 pub mod meter;
--- a/boragerill/src/slot.rs
+++ b/boragerill/src/slot.rs
@@ -10,6 +10,10 @@
 };
 
 use crate::{
+    load::{
+        soonest,
+        ServerOutlook, //
+    },
     rank::score,
     server_limit::SendAdmission, //
 };
@@ -192,7 +196,7 @@
     let usable = views
         .iter()
         .filter(|view| !view.leaving && !view.ejected && view.admission == SendAdmission::All);
-    let free = usable.map(|view| view.slots.saturating_sub(reserve + view.used.total()));
+    let free = usable.map(|view| view.slots.saturating_sub(reserve + view.load()));
     free.sum()
 }
 
@@ -222,6 +226,21 @@
     pub ejected: bool,
     /// Which requests the server's limit admits.
     pub admission: SendAdmission,
+    /// Estimate for the request, in services whose servers state how long work takes.
+    pub outlook: Option<ServerOutlook>,
+}
+
+impl SlotView {
+    /// Returns the number of requests at the server, those included that only the server counts.
+    pub fn load(&self) -> u32 {
+        let unreported = self.outlook.map_or(0, |outlook| outlook.unreported);
+        self.used.total() + unreported
+    }
+
+    /// Returns whether all slots are in use.
+    pub fn is_full(&self) -> bool {
+        self.load() >= self.slots
+    }
 }
 
 /// Parameters of the choice for one online request.
@@ -239,25 +258,25 @@
 /// Chooses the server for an online request, or returns `None` if all servers are full.
 ///
 /// A server with a free slot comes first, then one whose batch items will be preempted. Among these, servers
-/// of this VM's failure domain come first: their streams survive a network partition of the domain.
+/// of this VM's failure domain come first: their streams survive a network partition of the domain. Where estimates are
+/// known, only the servers with the soonest events are considered.
 pub fn choose_online_server(views: &[SlotView], tried: &[u32], query: SlotQuery) -> Option<usize> {
     let usable = |view: &SlotView| {
         !view.leaving && view.admission != SendAdmission::Nothing && !tried.contains(&view.key)
     };
     let fits = |view: &SlotView| view.used.online < view.slots + query.waiting;
     let rank = |view: &SlotView| {
-        let waits = view.used.total() >= view.slots;
+        let waits = view.is_full();
         let affinity = query
             .prefix
             .map_or(0, |prefix| u64::MAX - score(prefix, u64::from(view.key)));
         let spread = score(query.draw, u64::from(view.key));
-        let load = view.used.total();
+        let load = view.load();
         (view.ejected, waits, !view.local, load, affinity, spread)
     };
-    let candidates = views.iter().enumerate();
-    let candidates = candidates.filter(|(_, view)| usable(view) && fits(view));
-    let best = candidates.min_by_key(|(_, view)| rank(view));
-    best.map(|(index, _)| index)
+    let candidates = (0..views.len()).filter(|&index| usable(&views[index]) && fits(&views[index]));
+    let candidates = soonest(views, candidates.collect()).into_iter();
+    candidates.min_by_key(|&index| rank(&views[index]))
 }
 
 /// Chooses the server for a batch item: the least loaded one that keeps `reserve` slots free for online
@@ -268,9 +287,9 @@
             && !view.ejected
             && view.admission == SendAdmission::All
             && !tried.contains(&view.key)
-            && view.used.total() + reserve < view.slots
+            && view.load() + reserve < view.slots
     };
-    let rank = |view: &SlotView| (!view.local, view.used.total(), view.key);
+    let rank = |view: &SlotView| (!view.local, view.load(), view.key);
     let candidates = views.iter().enumerate().filter(|(_, view)| fits(view));
     let best = candidates.min_by_key(|(_, view)| rank(view));
     best.map(|(index, _)| index)
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -373,6 +373,9 @@
     }
     if status != 421 {
         record_limit(state, &response, sent, now);
+        if let Some(reading) = (state.format.decode_load)(headers, sent, now) {
+            state.load.record(&response.server, &reading);
+        }
     }
     if status != 421
         && headers
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -145,6 +145,7 @@
         };
         add_news(&mut heartbeat, &self.state.quarantine.repeated_news());
         self.state.limits.add_state(&mut heartbeat, false);
+        self.state.load.add_speeds(&mut heartbeat);
         heartbeat
     }
 
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -80,6 +80,10 @@
             .limits
             .record_heartbeat(heartbeat, unreported_for, now);
         self.state.streams.record_heartbeat(heartbeat, now);
+        if !heartbeat.speeds.is_empty() {
+            let servers = self.state.backends.all();
+            self.state.load.record_heartbeat(heartbeat, &servers);
+        }
         for job in &heartbeat.jobs {
             self.record_job(job, heartbeat, now);
         }
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -20,6 +20,7 @@
         OutputFault,
         RunNumber, //
     },
+    load::EventClock,
     prompt::PromptParts,
     response_end::ProcessState,
     slot::free_slots,
@@ -311,6 +312,7 @@
         let quarantine = &self.state.quarantine;
         let last = outgoing.last_event(&self.state.format.names);
         let mut splitter = EventSplitter::after(last);
+        let mut clock: Option<EventClock> = None;
         loop {
             let frame = self.wait_for_server(response.body.frame()).await;
             let Some(frame) = frame.ok_or(RunBreak::ServerSilent)? else {
@@ -336,6 +338,7 @@
             if let Some(chunk) = chunk {
                 response.renew_witness().await;
                 self.state.backends.record_activity(self.server);
+                self.record_pace(&mut clock, splitter.event_count());
                 self.extend(&chunk.bytes)?;
                 let progress = RunProgress::Events(splitter.event_count());
                 proof.record(quarantine, &outgoing.prompt, progress);
@@ -343,6 +346,15 @@
         }
     }
 
+    /// Records the times of events, from which the speed of the server is learned.
+    fn record_pace(&self, clock: &mut Option<EventClock>, count: u64) {
+        let now = Instant::now();
+        let clock = clock.get_or_insert_with(|| EventClock::start(now, count));
+        if let Some(sample) = clock.sample(now, count) {
+            self.state.load.record_pace(self.server, sample, now);
+        }
+    }
+
     /// Appends events to the item's output; fails when it exceeds what can be stored.
     fn extend(&self, events: &[u8]) -> Result<(), RunBreak> {
         let limit = usize::try_from(self.state.settings.value_bytes / OUTPUT_DIVISOR);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -35,6 +35,7 @@
 mod response_end;
 mod retirement;
 mod server_limits;
+mod server_load;
 mod server_selection;
 mod state;
 mod state_fetch;
--- /dev/null
+++ b/fleet/src/server_load.rs
@@ -0,0 +1,255 @@
+//! Registry of the load, speed and cost that this VM has learned of backend servers and requests.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+        Mutex, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use boragerill::{
+    generated::messages::{
+        Heartbeat,
+        SpeedNotice, //
+    },
+    load::{
+        CostKeys,
+        CostTable,
+        DeclaredCost,
+        FirstEvent,
+        LoadReading,
+        LoadTable,
+        OutlookQuery,
+        PaceSample,
+        ServerSpeed, //
+    },
+    rank::hash_name,
+    server_limit::ProcessKey,
+    slot::SlotView,
+    sync::lock, //
+};
+use log::info;
+use metrics::counter;
+
+use crate::{
+    attempt::OutgoingRequest,
+    backends::BackendState,
+    caller::header_text,
+    wire::HeaderNames, //
+};
+
+/// Speeds in one full heartbeat; each takes 16 bytes. A VM that has just started learns all within a few seconds, since
+/// all VMs report different ones.
+const SPEEDS_REPORTED: usize = 2;
+
+/// Shortest time between two log lines about malformed statements.
+const FAULT_LOG_PERIOD: Duration = Duration::from_secs(1);
+
+/// What this VM knows of the load of servers and of the cost of requests.
+#[derive(Debug, Default)]
+pub(crate) struct LoadRegistry {
+    servers: Mutex<LoadTable>,
+    costs: Mutex<CostTable>,
+    is_active: AtomicBool, // Whether any service is; saves the locks otherwise.
+    fault_logged: Mutex<Option<Instant>>,
+}
+
+/// What the estimate for a request depends on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestCost {
+    /// What the request declares.
+    pub(crate) declared: DeclaredCost,
+    /// Hash of the shared parts of its prompt.
+    pub(crate) prompt: Option<u64>,
+    /// Keys of its distributions.
+    pub(crate) keys: CostKeys,
+}
+
+impl RequestCost {
+    /// Returns the cost that a request of a route declares.
+    pub(crate) fn of(names: &HeaderNames, route: &str, request: &OutgoingRequest) -> RequestCost {
+        let prompt = request.prompt.shared_hash();
+        let workspace = hash_name(&request.workspace);
+        RequestCost {
+            declared: declared_cost(names, request),
+            prompt,
+            keys: CostKeys::new(hash_name(route), workspace, prompt),
+        }
+    }
+}
+
+impl LoadRegistry {
+    /// Records what a response of a server states about its load.
+    pub(crate) fn record(&self, server: &BackendState, reading: &LoadReading) {
+        for fault in &reading.faults {
+            counter!("server_loads_malformed_total", "figures" => fault.name()).increment(1);
+        }
+        if let Some(fault) = reading.faults.first() {
+            if self.may_log_fault(reading.statement.received) {
+                info!(server = server.server.id.as_str(), figures = fault.name(), text = fault.text(); "malformed load");
+            }
+        }
+        let own = server.used().total();
+        let mut servers = lock(&self.servers);
+        servers.record(
+            process_key(server),
+            service_key(server),
+            reading.statement,
+            own,
+        );
+        if reading.statement.slowdown.is_some() {
+            self.is_active.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Records the times of events of a server.
+    pub(crate) fn record_pace(&self, server: &BackendState, sample: PaceSample, now: Instant) {
+        if self.is_active.load(Ordering::Relaxed) {
+            let (process, service) = (process_key(server), service_key(server));
+            lock(&self.servers).record_pace(process, service, sample, now);
+        }
+    }
+
+    /// Records the first event of a response, `delay` after its request was sent.
+    pub(crate) fn record_first_event(
+        &self,
+        names: &HeaderNames,
+        server: &BackendState,
+        request: &OutgoingRequest,
+        delay: Duration,
+    ) {
+        if !self.is_active.load(Ordering::Relaxed) {
+            return;
+        }
+        let first = FirstEvent {
+            declared: declared_cost(names, request),
+            prompt: request.prompt.shared_hash(),
+            delay,
+        };
+        let (process, service) = (process_key(server), service_key(server));
+        lock(&self.servers).record_first_event(process, service, first, Instant::now());
+    }
+
+    /// Records a response that one run brought completely, with its number of events.
+    pub(crate) fn record_length(
+        &self,
+        names: &HeaderNames,
+        route: &str,
+        request: &OutgoingRequest,
+        events: u64,
+    ) {
+        if self.is_active.load(Ordering::Relaxed) {
+            let cost = RequestCost::of(names, route, request);
+            lock(&self.costs).record(cost.keys, cost.declared, events);
+        }
+    }
+
+    /// Sets in the views of a service's servers what is expected there for a request, or for an ordinary one if no
+    /// `cost` is given; does nothing for services whose servers don't state how long work takes.
+    pub(crate) fn apply(
+        &self,
+        service: &str,
+        (servers, views): (&[Arc<BackendState>], &mut [SlotView]),
+        cost: Option<&RequestCost>,
+        now: Instant,
+    ) {
+        if !self.is_active.load(Ordering::Relaxed) {
+            return;
+        }
+        let events = cost.map(|cost| lock(&self.costs).estimate(cost.keys, cost.declared));
+        let service = hash_name(service);
+        let queries = servers.iter().zip(views.iter()).map(|(server, view)| {
+            let declared = cost.map(|cost| cost.declared);
+            OutlookQuery {
+                process: process_key(server),
+                service,
+                reported: view.used.total(),
+                own: server.used().total(),
+                slots: view.slots,
+                declared: declared.unwrap_or_default(),
+                prompt: cost.and_then(|cost| cost.prompt),
+                cost: events.unwrap_or_default(),
+            }
+        });
+        let outlooks = lock(&self.servers).outlooks(service, queries, now);
+        for (view, outlook) in views.iter_mut().zip(outlooks.unwrap_or_default()) {
+            view.outlook = Some(outlook);
+        }
+    }
+
+    /// Adds some speeds to a full heartbeat.
+    pub(crate) fn add_speeds(&self, heartbeat: &mut Heartbeat) {
+        if !self.is_active.load(Ordering::Relaxed) {
+            return;
+        }
+        let speeds = lock(&self.servers).next_speeds(SPEEDS_REPORTED);
+        heartbeat.speeds = speeds.into_iter().map(speed_notice).collect();
+    }
+
+    /// Records the speeds that another VM reported; `servers` are the registered servers.
+    pub(crate) fn record_heartbeat(&self, heartbeat: &Heartbeat, servers: &[Arc<BackendState>]) {
+        for notice in &heartbeat.speeds {
+            let process = (notice.server, notice.start);
+            let found = servers.iter().find(|server| process_key(server) == process);
+            let Some(server) = found else {
+                continue;
+            };
+            let speed = ServerSpeed {
+                process,
+                interval: Duration::from_micros(notice.interval_us.into()),
+            };
+            lock(&self.servers).record_reported(service_key(server), speed);
+        }
+    }
+
+    /// Removes the processes that aren't registered any more.
+    pub(crate) fn retain(&self, is_listed: impl Fn(ProcessKey) -> bool) {
+        let mut servers = lock(&self.servers);
+        servers.retain(is_listed);
+        let is_active = servers.is_any_active();
+        self.is_active.store(is_active, Ordering::Relaxed);
+    }
+
+    fn may_log_fault(&self, now: Instant) -> bool {
+        let mut logged = lock(&self.fault_logged);
+        let is_due = logged.is_none_or(|logged| now >= logged + FAULT_LOG_PERIOD);
+        if is_due {
+            *logged = Some(now);
+        }
+        is_due
+    }
+}
+
+fn declared_cost(names: &HeaderNames, request: &OutgoingRequest) -> DeclaredCost {
+    let headers = &request.headers;
+    DeclaredCost::parse(
+        header_text(headers, &names.token_usage),
+        header_text(headers, &names.length_hint),
+        request.prompt.text(),
+    )
+}
+
+fn process_key(server: &BackendState) -> ProcessKey {
+    (server.key, server.server.start)
+}
+
+fn service_key(server: &BackendState) -> u64 {
+    hash_name(&server.server.service)
+}
+
+fn speed_notice(speed: ServerSpeed) -> SpeedNotice {
+    let (server, start) = speed.process;
+    SpeedNotice {
+        server,
+        start,
+        interval_us: u32::try_from(speed.interval.as_micros()).unwrap_or(u32::MAX),
+    }
+}
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -62,6 +62,7 @@
     quarantine::QuarantineRegistry,
     read_cache::ReadCache,
     server_limits::LimitRegistry,
+    server_load::LoadRegistry,
     state_fetch::FetchSources,
     stream_versions::StreamRegistry,
     wire::WireFormat, //
@@ -88,6 +89,8 @@
     pub(crate) backends: Arc<BackendRegistry>,
     /// Limits that backend servers state.
     pub(crate) limits: Arc<LimitRegistry>,
+    /// Load of backend servers and cost of requests.
+    pub(crate) load: LoadRegistry,
     /// Other VMs.
     pub(crate) members: Arc<Mutex<MemberTable>>,
     /// Token buckets for the rates of workspaces.
@@ -169,6 +172,7 @@
             transfers: Mutex::default(),
             backends: Arc::default(),
             limits: Arc::new(LimitRegistry::new(members.clone())),
+            load: LoadRegistry::default(),
             members,
             rate_limiter: Mutex::new(RateLimiter::new(first, tolerance, now)),
             timeouts: TimeoutTable::default(),
@@ -191,7 +195,8 @@
         }
     }
 
-    /// Returns the servers of a service, of one version if it is given, and a view of the load, health and limit of each.
+    /// Returns the servers of a service, of one version if it is given, and a view of the load, health, limit and expected speed of
+    /// each.
     pub(crate) fn server_views(
         &self,
         service: &str,
@@ -201,6 +206,7 @@
         let domain = &self.settings.domain;
         let (servers, mut views) = self.backends.views(service, version, domain, now);
         self.limits.apply(&servers, &mut views);
+        self.load.apply(service, (&servers, &mut views), None, now);
         (servers, views)
     }
 
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -235,10 +235,12 @@
         }
         state.backends.prune_drain_announcements(now);
         let servers = state.backends.all();
-        state.limits.retain(|process| {
+        let is_listed = |process| {
             let mut servers = servers.iter();
             servers.any(|server| (server.key, server.server.start) == process)
-        });
+        };
+        state.limits.retain(is_listed);
+        state.load.retain(is_listed);
         let confirmed = servers_confirmed(&state, now);
         state.backends.observe_versions(confirmed, now);
         state.streams.prune(now);
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -16,6 +16,7 @@
         RouteKind,
         StreamTerms, //
     },
+    load::EventClock,
     quarantine::{
         PromptCheck,
         TrialTerms, //
@@ -99,6 +100,9 @@
 /// time for this long at most.
 pub(crate) const HANDOVER_TIME: Duration = Duration::from_millis(250);
 
+/// Time without a read by the caller after which the times of events don't show the server's speed.
+const CALLER_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time for which a server that refused a stream isn't asked again.
 const REFUSED_TIME: Duration = Duration::from_millis(500);
 
@@ -155,8 +159,9 @@
     proof: RunProof,
     splitter: EventSplitter,
     arrived: Instant,
-    last_event: Instant, // When the last events arrived.
-    last_sign: Instant,  // When the server last sent events or the head of its response.
+    last_event: Instant,       // When the last events arrived.
+    last_sign: Instant,        // When the server last sent events or the head of its response.
+    clock: Option<EventClock>, // Of the current run, once it has brought events.
 }
 
 impl StreamRelay {
@@ -198,6 +203,7 @@
             arrived: request.arrived,
             last_event: now,
             last_sign: now,
+            clock: None,
             state,
         };
         let body = stream::unfold(relay, |mut relay| async move {
@@ -220,6 +226,9 @@
             }
             None => {}
         }
+        if self.last_event.elapsed() > CALLER_PAUSE {
+            self.clock = None;
+        }
         // The caller may have paused its reading since the last events; that is no silence of the server.
         self.last_event = Instant::now();
         self.last_sign = self.last_event;
@@ -314,6 +323,7 @@
         self.last_event = Instant::now();
         self.last_sign = self.last_event;
         self.record_progress(RunProgress::Events(self.splitter.event_count()));
+        self.record_pace();
         if let Some(response) = &self.response {
             self.state.backends.record_activity(&response.server);
         }
@@ -323,6 +333,18 @@
         }
     }
 
+    /// Records the times of events, from which the speed of the server is learned.
+    fn record_pace(&mut self) {
+        let (now, count) = (self.last_event, self.splitter.event_count());
+        let Some(clock) = &mut self.clock else {
+            self.clock = Some(EventClock::start(now, count));
+            return;
+        };
+        if let (Some(sample), Some(response)) = (clock.sample(now, count), &self.response) {
+            self.state.load.record_pace(&response.server, sample, now);
+        }
+    }
+
     /// Ends the stream after its last run has ended, and returns `None`.
     ///
     /// # Errors
@@ -340,6 +362,13 @@
         self.record_progress(RunProgress::Complete);
         if let Some(response) = self.response.take() {
             self.log_end(&response, process);
+            if self.tried.len() == 1 && self.begun_after.is_none() {
+                let events = self.splitter.event_count();
+                let names = &self.state.format.names;
+                self.state
+                    .load
+                    .record_length(names, &self.route, &self.outgoing, events);
+            }
             let service = hash_name(&self.service);
             self.state
                 .wait_estimator
@@ -388,6 +417,7 @@
         let server = response.server.clone();
         response.abandon();
         self.is_suspect = false;
+        self.clock = None;
         info!(
             request = self.outgoing.id.as_str(),
             route = self.route.as_str(),
--- a/fleet/src/stream_start.rs
+++ b/fleet/src/stream_start.rs
@@ -222,7 +222,14 @@
     }
     let mut splitter = EventSplitter::after(request.outgoing.last_event(&state.format.names));
     let first = match read_events(&mut response, &mut splitter).await {
-        Ok(Some(events)) => Ok(FirstRead::Events(events)),
+        Ok(Some(events)) => {
+            let names = &state.format.names;
+            let delay = response.in_flight.age();
+            state
+                .load
+                .record_first_event(names, &server, &request.outgoing, delay);
+            Ok(FirstRead::Events(events))
+        }
         Ok(None) if splitter.last().is_none() => {
             let cause = CompactString::const_new("stream ended without an event");
             return Err(AttemptFailure::Unknown(cause));
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -16,6 +16,7 @@
         JobItem,
         JobResult, //
     },
+    load::LoadReading,
     server_limit::LimitStatement, //
 };
 use bytes::Bytes;
@@ -52,6 +53,10 @@
     pub resumed_request: HeaderName,
     /// Parts of the prompt, separated by commas; the last is specific to the request.
     pub prefix: HeaderName,
+    /// Tokens of the prompt and largest number of output tokens, separated by a comma.
+    pub token_usage: HeaderName,
+    /// Caller's estimate of the output tokens.
+    pub length_hint: HeaderName,
     /// Longest time that a read of results may wait, in milliseconds.
     pub wait_ms: HeaderName,
     /// Headers by which the system steers servers; values from callers are dropped.
@@ -130,6 +135,9 @@
     /// Decodes what the headers of a response, with the times of the request and of the response, state about the
     /// limit of the server.
     pub decode_limit: fn(&HeaderMap, Instant, Instant) -> Result<LimitStatement, CompactString>,
+    /// Decodes what the headers of a response, with the times of the request and of the response, state about the load
+    /// of the server.
+    pub decode_load: fn(&HeaderMap, Instant, Instant) -> Option<LoadReading>,
     /// Encodes the status of a retirement: whether the VM has drained.
     pub encode_retirement: fn(bool) -> Value,
 }
