Count a refused request at no server when its load statement is merged

Cause: the VM still counts a request while it reads the refusal, the server doesn't. The server's stated load then seemed to have fallen by one, so that a full server looked free.

Change: the VM's own count at the time of the statement leaves the refused request out.

--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -374,7 +374,8 @@
     if status != 421 {
         record_limit(state, &response, sent, now);
         if let Some(reading) = (state.format.decode_load)(headers, sent, now) {
-            state.load.record(&response.server, &reading);
+            let is_refused = headers.contains_key(&names.not_run);
+            state.load.record(&response.server, &reading, is_refused);
         }
     }
     if status != 421
--- a/fleet/src/server_load.rs
+++ b/fleet/src/server_load.rs
@@ -87,8 +87,9 @@
 }
 
 impl LoadRegistry {
-    /// Records what a response of a server states about its load.
-    pub(crate) fn record(&self, server: &BackendState, reading: &LoadReading) {
+    /// Records what a response of a server states about its load. A request that the server refused is still counted by
+    /// this VM, but not by the server.
+    pub(crate) fn record(&self, server: &BackendState, reading: &LoadReading, is_refused: bool) {
         for fault in &reading.faults {
             counter!("server_loads_malformed_total", "figures" => fault.name()).increment(1);
         }
@@ -98,6 +99,7 @@
             }
         }
         let own = server.used().total();
+        let own = own.saturating_sub(u32::from(is_refused));
         let mut servers = lock(&self.servers);
         servers.record(
             process_key(server),
@@ -110,6 +112,11 @@
         }
     }
 
+    /// Returns whether the servers of any service are chosen by estimates.
+    pub(crate) fn is_active(&self) -> bool {
+        self.is_active.load(Ordering::Relaxed)
+    }
+
     /// Records the times of events of a server.
     pub(crate) fn record_pace(&self, server: &BackendState, sample: PaceSample, now: Instant) {
         if self.is_active.load(Ordering::Relaxed) {
