Cut each item once for an online request, the one with least output first

Cause: an item that has been cut holds its slot until its task has ended. Each heartbeat in between started a pass that found the same excess and cut another item for the same online request. Items were ordered by the millisecond at which their job is due, and by their output at the start of the run, so that items near their end were cut.

Change: cut items that still hold their slots count as slots that become free. Due times are compared in steps of a doubling, output as it is now.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod meter;
 pub mod online;
 pub mod platform;
+pub mod preemption;
 pub mod process;
 pub mod prompt;
 pub mod quarantine;
--- /dev/null
+++ b/boragerill/src/preemption.rs
@@ -0,0 +1,42 @@
+//! Which of a VM's items are cut at a server where online requests need their slots.
+
+use std::{
+    cmp::Reverse,
+    time::Duration, //
+};
+
+/// Time left for a job, below which all jobs are equally urgent.
+const URGENT: Duration = Duration::from_secs(1);
+
+/// One of this VM's items at a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ItemView {
+    /// Time until its job is due; zero if the job is overdue.
+    pub time_left: Duration,
+    /// Output received so far, in all its runs.
+    pub output_bytes: usize,
+    /// Whether it has been cut already, but still holds its slot.
+    pub is_ending: bool,
+}
+
+/// Returns the positions of the items to cut so that `count` slots become free. Items that have been cut before and
+/// still hold their slots count. Of the others, those of the jobs with the most time go first, in steps of a doubling,
+/// and of these the ones with the least output: the others are nearer to their end, and free their slots for good.
+pub fn items_to_cut(items: &[ItemView], count: u32) -> Vec<usize> {
+    let ending = items.iter().filter(|item| item.is_ending).count();
+    let needed = usize::try_from(count).unwrap_or(usize::MAX);
+    let running = (0..items.len()).filter(|&index| !items[index].is_ending);
+    let mut running: Vec<usize> = running.collect();
+    running.sort_by_key(|&index| {
+        let item = items[index];
+        (Reverse(urgency_step(item.time_left)), item.output_bytes)
+    });
+    running.truncate(needed.saturating_sub(ending));
+    running
+}
+
+/// Returns how often the time left can be halved until it is [`URGENT`].
+fn urgency_step(time_left: Duration) -> u32 {
+    let seconds = time_left.as_secs() / URGENT.as_secs();
+    u64::BITS - seconds.leading_zeros()
+}
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -23,6 +23,10 @@
         RouteKind, //
     },
     job::JobPriority,
+    preemption::{
+        items_to_cut,
+        ItemView, //
+    },
     quarantine::{
         PromptCheck,
         TrialTerms, //
@@ -83,10 +87,20 @@
 struct RunningItem {
     number: u64,
     job: Arc<JobEntry>,
+    index: usize,
     server: u32,
     job_due: Duration,
-    output_bytes: usize, // At the start of the run.
-    preempt: Option<oneshot::Sender<()>>,
+    preempt: Option<oneshot::Sender<()>>, // `None` once it has been preempted.
+}
+
+impl RunningItem {
+    fn view(&self) -> ItemView {
+        ItemView {
+            time_left: self.job_due,
+            output_bytes: lock(&self.job.progress).output_bytes(self.index),
+            is_ending: self.preempt.is_none(),
+        }
+    }
 }
 
 /// Schedules the items of this VM's jobs.
@@ -149,21 +163,15 @@
         }
     }
 
-    /// Preempts `count` items on a server: those of the jobs due last, and of these the items that started with the
-    /// least output.
+    /// Preempts items on a server until `count` of its slots are or become free.
     fn preempt_at(&self, server: u32, count: u32) {
         let mut running = lock(&self.running);
-        let mut candidates: Vec<&mut RunningItem> = running
-            .iter_mut()
-            .filter(|item| item.server == server && item.preempt.is_some())
-            .collect();
-        candidates.sort_by_key(|item| (std::cmp::Reverse(item.job_due), item.output_bytes));
-        for item in candidates
-            .into_iter()
-            .take(usize::try_from(count).unwrap_or(0))
-        {
+        let at_server = running.iter_mut().filter(|item| item.server == server);
+        let mut candidates: Vec<&mut RunningItem> = at_server.collect();
+        let views: Vec<ItemView> = candidates.iter().map(|item| item.view()).collect();
+        for index in items_to_cut(&views, count) {
             counter!("items_paused_total").increment(1);
-            if let Some(preempt) = item.preempt.take() {
+            if let Some(preempt) = candidates[index].preempt.take() {
                 // An error means that the item has just ended.
                 let _ = preempt.send(());
             }
@@ -295,13 +303,12 @@
             // Its result has been found in the store since.
             return;
         };
-        let output_bytes = lock(&entry.progress).output_bytes(index);
         lock(&self.running).push(RunningItem {
             number,
             job: entry.clone(),
+            index,
             server: server.key,
             job_due,
-            output_bytes,
             preempt: Some(preempt),
         });
         let outgoing = item_request(state, entry, route, index, started.last);
