Start items at servers of their own choice, and where online demand of recent seconds leaves slots

Causes: all VMs that saw slots become free at the end of a burst started items at the same, least loaded server, where most of them were cut at once. Items filled all slots of each trough, and the next burst, 3 to 4 s later, cut them.

Change: a VM chooses among servers with room at random, in proportion to their free slots. Items of jobs with at least 10 s left leave as many slots free as online requests needed in nine of ten of the last 32 intervals of 250 ms, unless the waiting items need more to end in time. Overdue jobs and those due soon use all free slots as before.

--- a/boragerill/src/slot.rs
+++ b/boragerill/src/slot.rs
@@ -169,6 +169,17 @@
         }
     }
 
+    /// Returns how many items of a service the other VMs could start.
+    pub fn waiting(&self, vm: u64, service: u64, now: Instant) -> u32 {
+        let valid = self
+            .demands
+            .iter()
+            .filter(|entry| entry.0 != vm && now < entry.1 + REPORT_LIFETIME);
+        let demands = valid.flat_map(|entry| &entry.2);
+        let same = demands.filter(|demand| demand.service == service);
+        same.fold(0, |sum, demand| demand.waiting.saturating_add(sum))
+    }
+
     /// Returns how many items a VM may start while `free` slots are left for batch. VMs take slots in the
     /// order of their items' due times, so that VMs which see the same free slots don't all take them.
     pub fn allowed_starts(&self, vm: u64, own: SlotDemand, free: u32, now: Instant) -> u32 {
@@ -193,9 +204,7 @@
 
 /// Returns the number of slots left for batch, with `reserve` slots of each server kept free.
 pub fn free_slots(views: &[SlotView], reserve: u32) -> u32 {
-    let usable = views
-        .iter()
-        .filter(|view| !view.leaving && !view.ejected && view.admission == SendAdmission::All);
+    let usable = views.iter().filter(|view| view.takes_items());
     let free = usable.map(|view| view.slots.saturating_sub(reserve + view.load()));
     free.sum()
 }
@@ -237,6 +246,11 @@
         self.used.total() + unreported
     }
 
+    /// Returns whether items may be started at the server.
+    pub fn takes_items(&self) -> bool {
+        !self.leaving && !self.ejected && self.admission == SendAdmission::All
+    }
+
     /// Returns whether all slots are in use.
     pub fn is_full(&self) -> bool {
         self.load() >= self.slots
@@ -283,11 +297,7 @@
 /// requests, in this VM's failure domain if possible.
 pub fn choose_batch_server(views: &[SlotView], tried: &[u32], reserve: u32) -> Option<usize> {
     let fits = |view: &SlotView| {
-        !view.leaving
-            && !view.ejected
-            && view.admission == SendAdmission::All
-            && !tried.contains(&view.key)
-            && view.load() + reserve < view.slots
+        view.takes_items() && !tried.contains(&view.key) && view.load() + reserve < view.slots
     };
     let rank = |view: &SlotView| (!view.local, view.load(), view.key);
     let candidates = views.iter().enumerate().filter(|(_, view)| fits(view));
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -362,6 +362,11 @@
         lock(&self.demands).allowed_starts(vm, own, free, now)
     }
 
+    /// Returns how many items of a service the VMs other than `vm` could start.
+    pub(crate) fn waiting_items(&self, vm: u64, service: u64, now: Instant) -> u32 {
+        lock(&self.demands).waiting(vm, service, now)
+    }
+
     /// Replaces the batch items that this VM could start, for the next heartbeat.
     pub(crate) fn set_own_demands(&self, demands: Vec<SlotDemand>) {
         let mut own = lock(&self.own_demands);
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -285,6 +285,8 @@
         let is_current = lock(&self.entry.progress).complete(self.index, self.number);
         self.record_change(is_current, "complete");
         if is_current {
+            let run = response.in_flight.age();
+            self.state.load.record_item_run(self.server, run);
             counter!("items_completed_total").increment(1);
             info!(
                 job = self.entry.id.as_str(),
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -22,6 +22,11 @@
         CatalogRoute,
         RouteKind, //
     },
+    item_start::{
+        choose_item_server,
+        SlotTotals,
+        WaitingItems, //
+    },
     job::JobPriority,
     preemption::{
         items_to_cut,
@@ -33,10 +38,10 @@
     },
     rank::hash_name,
     slot::{
-        choose_batch_server,
         free_slots,
         OwnUsage,
         SlotDemand,
+        SlotView,
         DUE_OVERDUE, //
     },
     stream_version::VersionKey,
@@ -232,7 +237,7 @@
                 };
                 let remaining = allowed.get_or_insert_with(|| {
                     let (_, views) = state.server_views(service, None, now);
-                    let free = free_slots(&views, RESERVED_SLOTS);
+                    let free = startable_slots(state, &views, demand, priority, now);
                     state
                         .backends
                         .allowed_starts(state.vm_hash, demand, free, now)
@@ -242,8 +247,8 @@
                     continue;
                 }
                 let (servers, views) = state.server_views(service, version, now);
-                let chosen =
-                    choose_batch_server(&views, &[], RESERVED_SLOTS).filter(|_| *remaining > 0);
+                let chosen = choose_item_server(&views, RESERVED_SLOTS, rand::random())
+                    .filter(|_| *remaining > 0);
                 let Some(chosen) = chosen else {
                     match version {
                         Some(version) if *remaining > 0 => full_versions.push(version),
@@ -341,6 +346,29 @@
     }
 }
 
+/// Returns the number of slots of a service in which items may be started: free ones that online requests aren't
+/// expected to need soon, if the job has time.
+fn startable_slots(
+    state: &FleetState,
+    views: &[SlotView],
+    demand: SlotDemand,
+    priority: &JobPriority,
+    now: Instant,
+) -> u32 {
+    let others = state
+        .backends
+        .waiting_items(state.vm_hash, demand.service, now);
+    let waiting = WaitingItems {
+        count: others.saturating_add(demand.waiting),
+        time_left: priority.time_left,
+    };
+    let totals = SlotTotals::of(views, RESERVED_SLOTS);
+    let allowed = state
+        .load
+        .slots_for_items(demand.service, totals, waiting, now);
+    allowed.min(free_slots(views, RESERVED_SLOTS))
+}
+
 /// Returns the version at which an item has to be resumed; `None` if it may begin at any, since it has no output or no
 /// server of the version that generated its output is left at `service`, to which its route goes now. `sole` is the only
 /// version that can have generated it, if there is only one.
--- a/fleet/src/server_load.rs
+++ b/fleet/src/server_load.rs
@@ -20,6 +20,11 @@
         Heartbeat,
         SpeedNotice, //
     },
+    item_start::{
+        DemandHistory,
+        SlotTotals,
+        WaitingItems, //
+    },
     load::{
         CostKeys,
         CostTable,
@@ -58,6 +63,7 @@
 pub(crate) struct LoadRegistry {
     servers: Mutex<LoadTable>,
     costs: Mutex<CostTable>,
+    demand: Mutex<DemandHistory>,
     is_active: AtomicBool, // Whether any service is; saves the locks otherwise.
     fault_logged: Mutex<Option<Instant>>,
 }
@@ -192,6 +198,30 @@
         }
     }
 
+    /// Records the online requests at the servers of a service.
+    pub(crate) fn record_demand(&self, service: &str, views: &[SlotView], now: Instant) {
+        let totals = SlotTotals::of(views, 0);
+        lock(&self.demand).record(hash_name(service), totals.online, now);
+    }
+
+    /// Records the use of the slots of a service, and returns how many more items may be started there.
+    pub(crate) fn slots_for_items(
+        &self,
+        service: u64,
+        totals: SlotTotals,
+        waiting: WaitingItems,
+        now: Instant,
+    ) -> u32 {
+        let mut demand = lock(&self.demand);
+        demand.record(service, totals.online, now);
+        demand.slots_for_items(service, totals, waiting)
+    }
+
+    /// Records for how long an item held its slot until its end.
+    pub(crate) fn record_item_run(&self, server: &BackendState, run: Duration) {
+        lock(&self.demand).record_run(service_key(server), run);
+    }
+
     /// Adds some speeds to a full heartbeat.
     pub(crate) fn add_speeds(&self, heartbeat: &mut Heartbeat) {
         if !self.is_active.load(Ordering::Relaxed) {
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -105,6 +105,9 @@
         let slot_freed = state.backends.slot_freed.notified();
         let now = Instant::now();
         let (servers, views) = request_views(state, request, &history.tried, now);
+        if request.version.is_none() {
+            state.load.record_demand(&request.service, &views, now);
+        }
         if request.version.is_some() && views.iter().all(|view| view.leaving) {
             return Err(version_unavailable(history));
         }
