Send an online request that takes an item's slot once the item has left

Cause: the request was sent at once to a server full of items. It arrived before the item had left and was queued or rejected; then it went to another server, and the item had been cut for nothing.

Change: the request counts at the server at once, so that the item is cut, and is sent when the slot is free, after 60 ms at the latest. If another server has a free slot meanwhile, it goes there; if the claimed one drains, is ejected or removed, a server is chosen anew.

--- a/boragerill/src/preemption.rs
+++ b/boragerill/src/preemption.rs
@@ -1,13 +1,30 @@
-//! Which of a VM's items are cut at a server where online requests need their slots.
+//! Which of a VM's items are cut at a server where online requests need their slots, and when these are sent.
 
 use std::{
     cmp::Reverse,
     time::Duration, //
 };
 
+use crate::slot::SlotView;
+
 /// Time left for a job, below which all jobs are equally urgent.
 const URGENT: Duration = Duration::from_secs(1);
 
+/// Longest time for which an online request waits until an item has left its slot. VMs learn of a request within 2 ms
+/// and cut the item at once, but a busy one needs some tens of milliseconds. After that the request is sent anyway.
+pub const CLAIM_TIME: Duration = Duration::from_millis(60);
+
+/// Returns whether an online request that is sent to a server now takes the slot of an item. Sent before the item has
+/// left, it would be queued behind it or rejected, so that the item would be cut for nothing.
+pub fn needs_cut(view: &SlotView) -> bool {
+    view.is_full() && view.used.batch > 0 && view.used.online < view.slots
+}
+
+/// Returns whether a request that counts at the server already has a slot.
+pub fn has_slot(view: &SlotView) -> bool {
+    view.load() <= view.slots
+}
+
 /// One of this VM's items at a server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ItemView {
--- a/boragerill/tests/preemption.rs
+++ b/boragerill/tests/preemption.rs
@@ -2,9 +2,17 @@
 
 use std::time::Duration;
 
-use boragerill::preemption::{
-    items_to_cut,
-    ItemView, //
+use boragerill::{
+    preemption::{
+        has_slot,
+        items_to_cut,
+        needs_cut,
+        ItemView, //
+    },
+    slot::{
+        SlotUsage,
+        SlotView, //
+    },
 };
 
 fn item(left_s: u64, output_bytes: usize) -> ItemView {
@@ -72,3 +80,24 @@
     assert_eq!(items_to_cut(&items, 2), [2, 1]);
     assert_eq!(items_to_cut(&items, 9), [2, 1, 0]);
 }
+
+/// In a burst of 1.84 times the mean, online requests take the slots of items at all servers. On earlier code, they were
+/// sent before the items had left, and rejected by the full servers.
+#[test]
+fn online_request_is_sent_once_the_item_has_left() {
+    // arrange
+    let view = |online, batch| SlotView {
+        used: SlotUsage { online, batch },
+        slots: 8,
+        ..SlotView::default()
+    };
+
+    // act
+    let waits = [view(3, 4), view(3, 5), view(8, 2), view(8, 0)].map(|view| needs_cut(&view));
+    let claimed = has_slot(&view(4, 5));
+    let item_left = has_slot(&view(4, 4));
+
+    // assert: a server full of online requests has no slot to wait for
+    assert_eq!(waits, [false, true, false, false]);
+    assert!(!claimed && item_left);
+}
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -202,9 +202,12 @@
     state: &FleetState,
     server: &Arc<BackendState>,
     request: &OutgoingRequest,
-    permit: SendPermit,
+    mut permit: SendPermit,
 ) -> Result<ServerResponse, AttemptFailure> {
-    let in_flight = state.backends.track_request(server, request.kind);
+    let in_flight = match permit.take_claim() {
+        Some(claim) => claim.begin_request(),
+        None => state.backends.track_request(server, request.kind),
+    };
     let sent = Instant::now();
     let result = exchange(state, server, request, permit).await;
     let now = Instant::now();
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -661,6 +661,12 @@
         });
     }
 
+    /// Returns the guard for a request that is sent now and has been counted before.
+    pub(crate) fn begin_request(mut self) -> InFlightGuard {
+        self.started = Instant::now();
+        self
+    }
+
     /// Returns for how long the request has held its slot.
     pub(crate) fn age(&self) -> Duration {
         self.started.elapsed()
--- a/fleet/src/server_limits.rs
+++ b/fleet/src/server_limits.rs
@@ -38,6 +38,7 @@
 use crate::{
     backends::{
         BackendState,
+        InFlightGuard,
         RequestClass, //
     },
     timestamps::{
@@ -59,6 +60,7 @@
     registry: Arc<LimitRegistry>,
     process: ProcessKey,
     sent: bool,
+    claim: Option<InFlightGuard>, // Counts the request before it is sent.
 }
 
 impl SendPermit {
@@ -67,6 +69,16 @@
         self.sent = true;
     }
 
+    /// Counts the request as in flight before it is sent.
+    pub(crate) fn set_claim(&mut self, claim: InFlightGuard) {
+        self.claim = Some(claim);
+    }
+
+    /// Returns what counts the request already, if anything does.
+    pub(crate) fn take_claim(&mut self) -> Option<InFlightGuard> {
+        self.claim.take()
+    }
+
     /// Records that the connection failed before the request was sent.
     pub(crate) fn record_unsent(&mut self) {
         self.sent = false;
@@ -112,6 +124,7 @@
             registry: self.clone(),
             process,
             sent: false,
+            claim: None,
         })
     }
 
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -17,6 +17,11 @@
 
 use boragerill::{
     catalog::RouteKind,
+    preemption::{
+        has_slot,
+        needs_cut,
+        CLAIM_TIME, //
+    },
     rank::hash_name,
     refusal::{
         RefusalReason,
@@ -40,6 +45,7 @@
     },
 };
 use compact_str::format_compact;
+use metrics::counter;
 use tokio::time::timeout;
 
 use crate::{
@@ -117,9 +123,15 @@
             if let Some(permitted) =
                 PermittedServer::take(state, &servers[index], request.outgoing.kind)
             {
-                return Ok(permitted);
+                let permitted = match needs_cut(&views[index]) {
+                    true => claim_slot(state, request, history, permitted).await,
+                    false => Some(permitted),
+                };
+                if let Some(permitted) = permitted {
+                    return Ok(permitted);
+                }
             }
-            // Another thread has just taken the server's token.
+            // Another thread has just taken the server's token, or the claimed server takes no requests any more.
             continue;
         }
         let exhausted = !history.tried.is_empty() && history.tried.len() >= servers.len();
@@ -136,6 +148,42 @@
     }
 }
 
+/// Counts a request at a server that is full of items, and waits for [`CLAIM_TIME`] at most until an item has left or
+/// another server has a free slot. Returns `None` if the claimed server takes no requests any more.
+async fn claim_slot(
+    state: &FleetState,
+    request: &AdmittedRequest,
+    history: &RunHistory,
+    mut claimed: PermittedServer,
+) -> Option<PermittedServer> {
+    let until = Instant::now() + CLAIM_TIME;
+    let claim = state
+        .backends
+        .track_request(&claimed.server, RequestClass::Online);
+    claimed.permit.set_claim(claim);
+    loop {
+        let slot_freed = state.backends.slot_freed.notified();
+        let now = Instant::now();
+        let (servers, views) = request_views(state, request, &history.tried, now);
+        let key = claimed.server.key;
+        let view = views.iter().find(|view| view.key == key);
+        let view = view.filter(|view| !view.leaving && !view.ejected)?;
+        if now >= until || has_slot(view) {
+            return Some(claimed);
+        }
+        let other = choose_server(&views, request, history, SlotRule::Free);
+        let other = other.filter(|&index| views[index].key != key && !views[index].is_full());
+        let taken = other
+            .and_then(|index| PermittedServer::take(state, &servers[index], RequestClass::Online));
+        if let Some(taken) = taken {
+            counter!("slot_claims_withdrawn_total").increment(1);
+            return Some(taken);
+        }
+        // After a timeout the servers are checked as well.
+        let _ = timeout(SLOT_POLL.min(until - now), slot_freed).await;
+    }
+}
+
 /// Returns the state of a request that is waiting for a slot at `now`.
 fn wait_state(
     state: &FleetState,
