--- a/boragerill/tests/load.rs
+++ b/boragerill/tests/load.rs
@@ -35,6 +35,7 @@
         SlotView, //
     }, //
 };
+use proptest::prelude::*;
 
 const SERVICE: u64 = 5;
 const SLOTS: u32 = 8;
@@ -747,3 +748,77 @@
     let many = vec!["a:9000000"; 900].join(",");
     assert_eq!(parse(None, None, &many).prompt, 10_000_000);
 }
+
+/// One thing that a VM learns, at a time in milliseconds.
+#[derive(Clone, Debug)]
+enum LoadEvent {
+    Statement(u32, String, u32),
+    Pace(u32, u64, u64),
+    Report(u32, u64),
+    Forget(u32),
+}
+
+fn load_event() -> impl Strategy<Value = LoadEvent> {
+    let figure = prop_oneof![
+        (0..12_u32).prop_map(|figure| figure.to_string()),
+        (0..4000_u32).prop_map(|figure| figure.to_string()),
+        Just("-3".to_owned()),
+        Just("NaN".to_owned()),
+        Just("1e308".to_owned()),
+        Just(String::new()),
+    ];
+    let text = prop::collection::vec(figure, 0..6).prop_map(|figures| figures.join(","));
+    prop_oneof![
+        (0..4_u32, text, 0..20_u32)
+            .prop_map(|(key, text, own)| LoadEvent::Statement(key, text, own)),
+        (0..4_u32, any::<u64>(), any::<u64>())
+            .prop_map(|(key, events, micros)| LoadEvent::Pace(key, events, micros)),
+        (0..4_u32, any::<u64>()).prop_map(|(key, micros)| LoadEvent::Report(key, micros)),
+        (0..4_u32).prop_map(LoadEvent::Forget),
+    ]
+}
+
+proptest! {
+    /// Guards against estimates that overflow or aren't finite, and against requests that count twice, whatever servers
+    /// state and other VMs report, in any order.
+    #[test]
+    fn any_statements_and_reports_leave_plausible_estimates(
+        events in prop::collection::vec((load_event(), 0..400_u64), 1..60),
+        reported in 0..20_u32,
+        own in 0..20_u32,
+    ) {
+        // arrange
+        let mut now = Instant::now();
+        let mut table = table(&[1.0, 1.0], now);
+        for (event, pause) in events {
+            now += Duration::from_millis(pause);
+
+            // act
+            match event {
+                LoadEvent::Statement(key, text, own) => {
+                    table.record(process(key), SERVICE, read(&text, now).statement, own);
+                }
+                LoadEvent::Pace(key, events, micros) => {
+                    let elapsed = Duration::from_micros(micros);
+                    table.record_pace(process(key), SERVICE, PaceSample { events, elapsed }, now);
+                }
+                LoadEvent::Report(key, micros) => {
+                    let interval = Duration::from_micros(micros);
+                    let speed = ServerSpeed { process: process(key), interval };
+                    table.record_reported(SERVICE, speed);
+                }
+                LoadEvent::Forget(key) => table.retain(|process| process.0 != key || key == 0),
+            }
+
+            // assert
+            for key in 0..4 {
+                let query = OutlookQuery { reported, own, ..query(key, 100.0) };
+                let outlook = outlook(&table, query, now);
+                prop_assert!(outlook.first <= outlook.last);
+                prop_assert!(outlook.last <= Duration::from_secs(3600));
+                prop_assert!(outlook.unreported <= 20_000 + own);
+            }
+            prop_assert!(table.len() <= 4);
+        }
+    }
+}
