Warm-up of backend servers: requests to servers that are warming up are bounded over all VMs

Cause: a server that starts while there is traffic is slow for some seconds and crashes well above the rate that its service states. VMs sent to it as to any other server.

Change: `warmup` decides which processes are warming up and until when, `send_tables` joins that with the limits that servers state, and the bucket of `server_limit` gets the terms of a warm-up: it begins empty, holds less, gives no VM its turn at once, and takes back what accrued for VMs that had become unreachable. A request that was permitted before is checked again before it is sent. Warm-ups are reported in the notices and usages of limits and in the list of servers.

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -13,9 +13,15 @@
 
 use compact_str::CompactString;
 
-use crate::rank::{
-    hash_name,
-    score, //
+use crate::{
+    rank::{
+        hash_name,
+        score, //
+    },
+    warmup::{
+        ListedProcess,
+        StatedWarmup, //
+    }, //
 };
 
 /// Revision of the platform's store.
@@ -53,6 +59,8 @@
     pub leaving: bool,
     /// Start identifier of the server's process; changes with each restart.
     pub start: u64,
+    /// Remaining warm-up time of the process, if the entry states it.
+    pub warmup: Option<StatedWarmup>,
 }
 
 impl BackendServer {
@@ -73,6 +81,7 @@
     id: ServerId,
     revision: Revision,
     server: Option<BackendServer>,
+    received: Instant,        // When the last change was received.
     missing: Option<Instant>, // When the entry was first missing in the store.
 }
 
@@ -321,6 +330,20 @@
             .filter_map(|entry| entry.server.as_ref())
     }
 
+    /// Returns the processes of the servers in use and what their entries state about their warm-up.
+    pub fn processes(&self) -> impl Iterator<Item = ListedProcess> + '_ {
+        self.entries.iter().filter_map(|entry| {
+            let server = entry.server.as_ref()?;
+            Some(ListedProcess {
+                process: (server.key(), server.start),
+                service: hash_name(&server.service),
+                revision: entry.revision,
+                stated: server.warmup,
+                received: entry.received,
+            })
+        })
+    }
+
     fn apply_one(&mut self, change: BackendChange, keeps_missing: bool, now: Instant) {
         let found = self.search(&change.id);
         let index = match found {
@@ -331,6 +354,7 @@
                     id: change.id.clone(),
                     revision: 0,
                     server: None,
+                    received: now,
                     missing: None,
                 };
                 self.entries.insert(index, entry);
@@ -340,6 +364,7 @@
         let known = found.is_ok();
         let entry = &mut self.entries[index];
         entry.revision = change.revision;
+        entry.received = now;
         match change.server {
             // A VM that keeps a missing entry doesn't know whether the server was removed; this VM does.
             Some(_) if change.missing && known && entry.server.is_none() => {}
--- a/boragerill/src/catalog.rs
+++ b/boragerill/src/catalog.rs
@@ -14,7 +14,8 @@
     rank::{
         hash_name,
         score, //
-    }, //
+    },
+    warmup::ServiceWarmup, //
 };
 
 /// Version of a configuration; a higher one replaces a lower one.
@@ -89,6 +90,8 @@
     pub health_path: CompactString,
     /// Maximum number of connections to one backend server, over all callers.
     pub connections: u32,
+    /// Warm-up of servers that start; `None` if they are as fast at once.
+    pub warmup: Option<ServiceWarmup>,
 }
 
 /// A workspace with its rate limit and keys.
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod roster;
 pub mod route;
 pub mod schema;
+pub mod send_tables;
 pub mod server_limit;
 pub mod settings;
 pub mod share;
@@ -66,6 +67,7 @@
 pub mod timer;
 mod units;
 pub mod wait_estimate;
+pub mod warmup;
 pub mod watch_health;
 pub mod watch_lease;
 
--- a/boragerill/src/server_limit.rs
+++ b/boragerill/src/server_limit.rs
@@ -1,4 +1,5 @@
-//! Limits on the requests that a backend server takes a second from all VMs together.
+//! Limits on the requests that a backend server takes a second from all VMs together, by its own statement or since it
+//! is warming up.
 //!
 //! A server states its limit in its responses, and takes it back by a response without one. Responses may arrive in
 //! another order than they were written in, so a statement carries the time in which it was made.
@@ -14,8 +15,12 @@
 };
 
 use crate::{
-    member::Incarnation,
-    rate_limiter::FleetView, //
+    member::{
+        Incarnation,
+        USAGE_TIMEOUT, //
+    },
+    rate_limiter::FleetView,
+    warmup::WarmupRate, //
 };
 
 /// Time for which the tokens of a full bucket beyond the first accrue. Both sides of a partition may spend a full bucket
@@ -44,6 +49,32 @@
 /// Time whose tokens a bucket may owe at most; earlier excess is past the windows in which servers count.
 const DEBT_TIME: Duration = Duration::from_secs(2);
 
+/// Part of the time in which a bucket of a process that is warming up accrues the tokens beyond the first, over which the
+/// VMs' turns for a token are spread.
+const WARMUP_TURN_SHARE: f64 = 0.55;
+
+/// Part of that time for which a token is left to online requests before a batch item takes it.
+const WARMUP_YIELD_SHARE: f64 = 0.4;
+
+/// Time until a request is tried again that a VM can't send since it reaches too small a part of the fleet or has just
+/// started.
+const BLOCKED_TIME: Duration = Duration::from_secs(1);
+
+/// Largest number of tokens that a VM returns between two of its reports on a process that is warming up; a greater
+/// decrease of its count means that it has begun to count anew.
+const MAX_RETURNED: u64 = 2;
+
+/// Time after the end of a warm-up for which its bucket is kept, since the VMs learn of it at different times and count
+/// from its creation.
+const WARMUP_KEEP_TIME: Duration = Duration::from_secs(10);
+
+/// The same during a warm-up, whose windows are shorter.
+const WARMUP_DEBT_TIME: Duration = Duration::from_secs(1);
+
+/// Time without a request for a token after which a VM no longer counts as waiting for it. Requests that wait ask several
+/// times as often.
+const WAITING_GAP: Duration = Duration::from_millis(100);
+
 /// Time for which statements and reports are repeated, since single messages may be lost.
 const REPEAT_TIME: Duration = Duration::from_secs(3);
 
@@ -131,6 +162,14 @@
     determined: Instant,
 }
 
+/// Token that this VM waits for, at a process that is warming up.
+#[derive(Clone, Copy, Debug)]
+struct AwaitedToken {
+    token: u64, // Requests of all VMs so far.
+    since: Instant,
+    last_asked: Instant,
+}
+
 /// Requests of one VM, as last reported.
 #[derive(Clone, Copy, Debug)]
 struct ReportedSends {
@@ -150,18 +189,47 @@
     last_sent: Option<Instant>,
     peers: Vec<ReportedSends>, // Sorted by VM.
     rank: Option<TokenRank>,
+    awaited: Option<AwaitedToken>,
+    fraction: f64, // Of the fleet that reported at the last refill during a warm-up.
+}
+
+/// Warm-up of one process.
+#[derive(Clone, Copy, Debug)]
+struct BucketWarmup {
+    rate: WarmupRate,
+    until: Instant,
+    is_reported_over: bool, // Whether its end has been returned by `take_ended_warmups`.
 }
 
-/// Last statement and token bucket of one process.
+/// Last statement, warm-up and token bucket of one process.
 #[derive(Clone, Debug)]
 struct ServerLimit {
     process: ProcessKey,
-    statement: LimitStatement,
+    statement: Option<LimitStatement>,
     changed: Instant, // When the limit last changed.
     is_new: bool,     // Whether the change hasn't been reported to the other VMs.
+    warmup: Option<BucketWarmup>,
     bucket: SendBucket,
 }
 
+/// How the bucket of a process is refilled and used at one moment.
+#[derive(Clone, Copy, Debug)]
+struct BucketTerms {
+    rate: f64, // Tokens accrued a second.
+    capacity: f64,
+    turn_spread: Duration,
+    batch_yield: Duration,
+    warmup: Option<WarmupTerms>,
+}
+
+/// Terms of a bucket of a process that is warming up.
+#[derive(Clone, Copy, Debug)]
+struct WarmupTerms {
+    fraction: f64,    // Of the fleet that reports.
+    full_rate: f64,   // Tokens accrued a second if the whole fleet reports.
+    is_blocked: bool, // Whether this VM sends nothing.
+}
+
 /// The fleet as a decision on a limit sees it; `rank` returns this VM's rank among the reachable VMs for a number.
 #[derive(Clone, Copy, Debug)]
 pub struct SendTerms<F> {
@@ -169,6 +237,8 @@
     pub view: FleetView,
     /// Rank of this VM for a number, the same at all VMs.
     pub rank: F,
+    /// Whether requests may be sent to processes that are warming up.
+    pub sends_to_warming: bool,
     /// Time of the decision.
     pub now: Instant,
 }
@@ -191,16 +261,20 @@
         let before = match self.search(process) {
             Ok(index) => {
                 let limit = &mut self.limits[index];
-                if !statement.replaces(&limit.statement) {
+                let known = limit.statement;
+                if known.is_some_and(|known| !statement.replaces(&known)) {
                     return None;
                 }
-                let before = limit.statement.requests_per_s;
-                limit.statement = statement;
+                let before = known.and_then(|known| known.requests_per_s);
+                if known.is_none() && statement.requests_per_s.is_none() {
+                    return None;
+                }
+                limit.statement = Some(statement);
                 if before != statement.requests_per_s {
                     limit.changed = at;
                     limit.is_new = true;
                 }
-                if before.is_none() {
+                if before.is_none() && !limit.is_warming(at) {
                     limit.bucket.tokens = 0.0;
                     limit.bucket.updated = at;
                 }
@@ -210,9 +284,10 @@
                 statement.requests_per_s?;
                 let limit = ServerLimit {
                     process,
-                    statement,
+                    statement: Some(statement),
                     changed: at,
                     is_new: true,
+                    warmup: None,
                     bucket: SendBucket::new(at),
                 };
                 self.limits.insert(index, limit);
@@ -230,7 +305,87 @@
     /// Returns the limit in force of a process, in requests a second.
     pub fn limit(&self, process: ProcessKey) -> Option<f64> {
         let index = self.search(process).ok()?;
-        self.limits[index].statement.requests_per_s
+        self.limits[index].stated_rate()
+    }
+
+    /// Replaces the processes that are warming up, sorted by process, and returns those that weren't before. The bucket
+    /// of such a process is empty then.
+    pub fn set_warmups(
+        &mut self,
+        warmups: &[(ProcessKey, WarmupRate, Instant)],
+        now: Instant,
+    ) -> Vec<ProcessKey> {
+        for limit in &mut self.limits {
+            let is_kept = warmups.binary_search_by_key(&limit.process, |warmup| warmup.0);
+            if let Some(warmup) = limit.warmup.as_mut().filter(|_| is_kept.is_err()) {
+                warmup.until = warmup.until.min(now);
+            }
+        }
+        let mut begun = Vec::new();
+        for &(process, rate, until) in warmups.iter().filter(|warmup| now < warmup.2) {
+            let limit = self.limit_mut(process, now);
+            if !limit.is_warming(now) {
+                limit.bucket.begin_warmup(rate.requests_per_s, now);
+                begun.push(process);
+            }
+            limit.warmup = Some(BucketWarmup {
+                rate,
+                until,
+                is_reported_over: false,
+            });
+        }
+        begun
+    }
+
+    /// Returns the entry of a process, which is made if there is none.
+    fn limit_mut(&mut self, process: ProcessKey, now: Instant) -> &mut ServerLimit {
+        let index = match self.search(process) {
+            Ok(index) => index,
+            Err(index) => {
+                let limit = ServerLimit {
+                    process,
+                    statement: None,
+                    changed: now,
+                    is_new: false,
+                    warmup: None,
+                    bucket: SendBucket::new(now),
+                };
+                self.limits.insert(index, limit);
+                index
+            }
+        };
+        &mut self.limits[index]
+    }
+
+    /// Returns whether a limit or a warm-up of a process is in force.
+    pub fn is_bound(&self, process: ProcessKey, now: Instant) -> bool {
+        let found = self.search(process);
+        let limit = found.ok().map(|index| &self.limits[index]);
+        limit.is_some_and(|limit| limit.stated_rate().is_some() || limit.is_warming(now))
+    }
+
+    /// Returns whether a process is warming up.
+    pub fn is_warming(&self, process: ProcessKey, now: Instant) -> bool {
+        let found = self.search(process);
+        found.is_ok_and(|index| self.limits[index].is_warming(now))
+    }
+
+    /// Returns the processes whose warm-ups have ended since the last call.
+    pub fn take_ended_warmups(&mut self, now: Instant) -> Vec<ProcessKey> {
+        let ended = self.limits.iter_mut().filter_map(|limit| {
+            let warmup = limit.warmup.as_mut()?;
+            let is_news = warmup.until <= now && !warmup.is_reported_over;
+            warmup.is_reported_over |= is_news;
+            is_news.then_some(limit.process)
+        });
+        ended.collect()
+    }
+
+    /// Empties the buckets of all processes that are warming up, since the tokens of the time in which this VM was
+    /// paused may have been used by other VMs.
+    pub fn empty_warming(&mut self, now: Instant) {
+        let warming = self.limits.iter_mut().filter(|limit| limit.is_warming(now));
+        warming.for_each(|limit| limit.bucket.empty(now));
     }
 
     /// Returns which requests the limit of a process admits now.
@@ -238,13 +393,13 @@
     where
         F: Fn(u64) -> usize,
     {
-        let Some((bucket, rate)) = self.bucket(process, terms.view) else {
+        let Some((bucket, bounds)) = self.bucket_for(process, terms) else {
             return SendAdmission::All;
         };
-        bucket.refill(rate, terms.now);
-        if bucket.missing(SendClass::Batch, rate, terms) <= 0.0 {
+        bucket.refill(&bounds, terms.now);
+        if bucket.missing(SendClass::Batch, &bounds, terms) <= 0.0 {
             SendAdmission::All
-        } else if bucket.missing(SendClass::Online, rate, terms) <= 0.0 {
+        } else if bucket.missing(SendClass::Online, &bounds, terms) <= 0.0 {
             SendAdmission::Online
         } else {
             SendAdmission::Nothing
@@ -256,11 +411,11 @@
     where
         F: Fn(u64) -> usize,
     {
-        let Some((bucket, rate)) = self.bucket(process, terms.view) else {
+        let Some((bucket, bounds)) = self.bucket_for(process, terms) else {
             return true;
         };
-        bucket.refill(rate, terms.now);
-        if bucket.missing(class, rate, terms) > 0.0 {
+        bucket.refill(&bounds, terms.now);
+        if bucket.missing(class, &bounds, terms) > 0.0 {
             return false;
         }
         bucket.tokens -= 1.0;
@@ -290,24 +445,40 @@
     where
         F: Fn(u64) -> usize,
     {
-        let (bucket, rate) = self.bucket(process, terms.view)?;
-        bucket.refill(rate, terms.now);
-        let missing = bucket.missing(SendClass::Online, rate, terms).max(0.0);
-        let wait = Duration::try_from_secs_f64(missing / rate);
-        Some((rate, wait.unwrap_or(Duration::MAX)))
+        let (bucket, bounds) = self.bucket_for(process, terms)?;
+        bucket.refill(&bounds, terms.now);
+        if bounds.is_blocked() {
+            return Some((bounds.rate, BLOCKED_TIME));
+        }
+        let missing = bucket.missing(SendClass::Online, &bounds, terms).max(0.0);
+        let wait = Duration::try_from_secs_f64(missing / bounds.rate);
+        Some((bounds.rate, wait.unwrap_or(Duration::MAX)))
     }
 
     /// Subtracts the requests of another VM since its last report. While two VMs were partitioned, each side was
     /// refilled by its own fraction only, so that after a partition only the excess is subtracted.
     pub fn record_sends(&mut self, report: SendReport, view: FleetView, now: Instant) {
-        let Some((bucket, rate)) = self.bucket(report.process, view) else {
+        let Ok(index) = self.search(report.process) else {
+            return;
+        };
+        let limit = &mut self.limits[index];
+        let Some(bounds) = limit.terms(view, true, now) else {
+            // A later warm-up or limit is charged only with later requests.
+            limit.bucket.replace_report(&report, false, now);
             return;
         };
-        bucket.refill(rate, now);
+        let (bucket, rate) = (&mut limit.bucket, bounds.rate);
+        bucket.refill(&bounds, now);
         let unreported = report.unreported_for.unwrap_or_default().as_secs_f64();
         let accrued = rate * unreported / view.reporting.max(1) as f64;
-        bucket.record_sends(&report, accrued, now);
-        let debt = rate * DEBT_TIME.as_secs_f64() + 1.0;
+        let is_warming = bounds.warmup.is_some();
+        let sent = bucket.replace_report(&report, is_warming, now);
+        bucket.subtract(sent, accrued, is_warming, &report);
+        let debt_time = match is_warming {
+            true => WARMUP_DEBT_TIME,
+            false => DEBT_TIME,
+        };
+        let debt = rate * debt_time.as_secs_f64() + 1.0;
         bucket.tokens = bucket.tokens.max(-debt);
     }
 
@@ -335,9 +506,9 @@
     /// Returns the last statements of the processes whose limits have changed since the last call.
     pub fn take_new_statements(&mut self) -> Vec<(ProcessKey, LimitStatement)> {
         let new = self.limits.iter_mut().filter(|limit| limit.is_new);
-        new.map(|limit| {
+        new.filter_map(|limit| {
             limit.is_new = false;
-            (limit.process, limit.statement)
+            Some((limit.process, limit.statement?))
         })
         .collect()
     }
@@ -347,7 +518,7 @@
         let limits = self.limits.iter();
         limits
             .filter(|limit| now < limit.changed + REPEAT_TIME)
-            .map(|limit| (limit.process, limit.statement))
+            .filter_map(|limit| Some((limit.process, limit.statement?)))
             .collect()
     }
 
@@ -355,26 +526,35 @@
     pub fn statements(&self) -> Vec<(ProcessKey, LimitStatement)> {
         let limits = self.limits.iter();
         limits
-            .map(|limit| (limit.process, limit.statement))
+            .filter_map(|limit| Some((limit.process, limit.statement?)))
             .collect()
     }
 
-    /// Returns whether no process has stated a limit.
+    /// Returns whether no process has stated a limit or has been warming up recently.
     pub fn is_empty(&self) -> bool {
         self.limits.is_empty()
     }
 
-    /// Removes the processes for which `is_listed` returns false.
-    pub fn retain(&mut self, is_listed: impl Fn(ProcessKey) -> bool) {
-        self.limits.retain(|limit| is_listed(limit.process));
+    /// Removes the processes for which `is_listed` returns false, and those that have neither stated a limit nor been
+    /// warming up recently.
+    pub fn retain(&mut self, is_listed: impl Fn(ProcessKey) -> bool, now: Instant) {
+        self.limits.retain(|limit| {
+            let is_kept = |warmup: BucketWarmup| now < warmup.until + WARMUP_KEEP_TIME;
+            let was_warming = limit.warmup.is_some_and(is_kept);
+            was_warming || limit.statement.is_some() && is_listed(limit.process)
+        });
     }
 
-    /// Returns the bucket of a process and the rate at which it is refilled, if a limit is in force.
-    fn bucket(&mut self, process: ProcessKey, view: FleetView) -> Option<(&mut SendBucket, f64)> {
+    /// Returns the bucket of a process and its terms, if a limit or a warm-up is in force.
+    fn bucket_for<F>(
+        &mut self,
+        process: ProcessKey,
+        terms: &SendTerms<F>,
+    ) -> Option<(&mut SendBucket, BucketTerms)> {
         let index = self.search(process).ok()?;
         let limit = &mut self.limits[index];
-        let rate = limit.statement.requests_per_s?.max(MIN_RATE);
-        Some((&mut limit.bucket, rate * view.fraction()))
+        let bounds = limit.terms(terms.view, terms.sends_to_warming, terms.now)?;
+        Some((&mut limit.bucket, bounds))
     }
 
     fn search(&self, process: ProcessKey) -> Result<usize, usize> {
@@ -383,6 +563,99 @@
     }
 }
 
+impl ServerLimit {
+    fn stated_rate(&self) -> Option<f64> {
+        self.statement?.requests_per_s
+    }
+
+    fn is_warming(&self, now: Instant) -> bool {
+        self.warmup.is_some_and(|warmup| now < warmup.until)
+    }
+
+    /// Returns the terms of the bucket, if a limit or a warm-up is in force; of both, the lower rate and capacity.
+    fn terms(&self, view: FleetView, sends_to_warming: bool, now: Instant) -> Option<BucketTerms> {
+        let stated = self
+            .stated_rate()
+            .map(|rate| BucketTerms::stated(rate.max(MIN_RATE) * view.fraction()));
+        let warmup = self.warmup.filter(|warmup| now < warmup.until);
+        let Some(warmup) = warmup else {
+            return stated;
+        };
+        let limits = stated.map_or((f64::INFINITY, f64::INFINITY), |stated| {
+            (stated.rate, stated.capacity)
+        });
+        Some(BucketTerms::warming(
+            warmup.rate,
+            limits,
+            view.fraction(),
+            sends_to_warming,
+        ))
+    }
+}
+
+impl BucketTerms {
+    /// Returns the terms of a limit that a server states.
+    fn stated(rate: f64) -> BucketTerms {
+        BucketTerms {
+            rate,
+            capacity: 1.0 + rate * CAPACITY_TIME.as_secs_f64(),
+            turn_spread: TURN_SPREAD,
+            batch_yield: BATCH_YIELD_TIME,
+            warmup: None,
+        }
+    }
+
+    /// Returns the terms of a warm-up, with a rate and a capacity of at most `limits`.
+    fn warming(
+        warmup: WarmupRate,
+        limits: (f64, f64),
+        fraction: f64,
+        sends_to_warming: bool,
+    ) -> BucketTerms {
+        let rate = (warmup.requests_per_s * fraction).min(limits.0);
+        let capacity = (warmup.capacity * fraction).min(limits.1);
+        // A token that is left to other VMs mustn't be lost by a full bucket.
+        let spare = Duration::try_from_secs_f64((capacity - 1.0) / rate).unwrap_or_default();
+        BucketTerms {
+            rate,
+            capacity,
+            turn_spread: TURN_SPREAD.min(spare.mul_f64(WARMUP_TURN_SHARE)),
+            batch_yield: BATCH_YIELD_TIME.min(spare.mul_f64(WARMUP_YIELD_SHARE)),
+            warmup: Some(WarmupTerms {
+                fraction,
+                full_rate: warmup.requests_per_s,
+                is_blocked: !sends_to_warming || capacity < 1.0,
+            }),
+        }
+    }
+
+    fn is_blocked(&self) -> bool {
+        self.warmup.is_some_and(|warmup| warmup.is_blocked)
+    }
+
+    /// Returns for how long a VM of a rank leaves a token to those before it.
+    fn turn(&self, rank: usize, reporting: usize) -> Duration {
+        if self.warmup.is_some() {
+            // At this rate the turns of many VMs would be shorter than the time in which they learn of each other's
+            // requests, so that VMs of low rank share turns.
+            let turns = bit_length(reporting.saturating_sub(1)).max(1);
+            let turn = self
+                .turn_spread
+                .mul_f64(f64::from(bit_length(rank)) / f64::from(turns));
+            return turn.min(self.turn_spread);
+        }
+        let turns = u32::try_from(reporting).unwrap_or(u32::MAX);
+        let turn = TURN_TIME.min(self.turn_spread / turns.max(1));
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        turn.saturating_mul(rank).min(self.turn_spread)
+    }
+}
+
+/// Returns the number of binary digits of a number.
+fn bit_length(number: usize) -> u32 {
+    usize::BITS - number.leading_zeros()
+}
+
 impl SendBucket {
     fn new(now: Instant) -> SendBucket {
         SendBucket {
@@ -394,44 +667,96 @@
             last_sent: None,
             peers: Vec::new(),
             rank: None,
+            awaited: None,
+            fraction: 0.0,
         }
     }
 
+    /// Empties the bucket at the beginning of a warm-up, in which tokens accrue at `rate`; a recent debt stays.
+    fn begin_warmup(&mut self, rate: f64, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
+        self.tokens += elapsed * rate;
+        self.empty(now);
+    }
+
+    /// Removes the tokens; a debt stays.
+    fn empty(&mut self, now: Instant) {
+        self.tokens = self.tokens.min(0.0);
+        self.updated = self.updated.max(now);
+    }
+
     /// Adds the tokens that have accrued since the last call.
-    fn refill(&mut self, rate: f64, now: Instant) {
+    fn refill(&mut self, terms: &BucketTerms, now: Instant) {
         let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
-        let capacity = 1.0 + rate * CAPACITY_TIME.as_secs_f64();
-        self.tokens = (self.tokens + elapsed * rate).min(capacity);
+        self.tokens = (self.tokens + elapsed * terms.rate).min(terms.capacity);
+        let Some(warmup) = terms.warmup else {
+            return;
+        };
+        // Tokens that accrued on behalf of VMs which had already become unreachable are taken back: these VMs may have
+        // used them.
+        let lost = (self.fraction - warmup.fraction).max(0.0) * warmup.full_rate;
+        self.tokens -= lost * USAGE_TIMEOUT.as_secs_f64();
+        self.fraction = warmup.fraction;
+        if warmup.is_blocked {
+            self.tokens = self.tokens.min(0.0);
+        }
     }
 
     /// Returns how many tokens are missing until this VM may send a request.
-    fn missing<F>(&mut self, class: SendClass, rate: f64, terms: &SendTerms<F>) -> f64
+    fn missing<F>(&mut self, class: SendClass, bounds: &BucketTerms, terms: &SendTerms<F>) -> f64
     where
         F: Fn(u64) -> usize,
     {
+        if bounds.is_blocked() {
+            return f64::INFINITY;
+        }
         let missing = 1.0 - self.tokens;
         if missing > 0.0 {
+            self.awaited = None;
             return missing;
         }
-        let turns = u32::try_from(terms.view.reporting).unwrap_or(u32::MAX);
-        let turn = TURN_TIME.min(TURN_SPREAD / turns.max(1));
-        let rank = u32::try_from(self.rank(terms)).unwrap_or(u32::MAX);
-        let turn = turn.saturating_mul(rank).min(TURN_SPREAD);
+        let turn = bounds.turn(self.rank(terms), terms.view.reporting);
         let wait = match class {
             SendClass::Online => turn,
-            SendClass::Batch => turn + BATCH_YIELD_TIME,
+            SendClass::Batch => turn + bounds.batch_yield,
         };
-        missing + rate * wait.as_secs_f64()
+        if bounds.warmup.is_none() {
+            return missing + bounds.rate * wait.as_secs_f64();
+        }
+        // A full bucket gives no VM its turn at once: all may have begun to ask for its tokens just now.
+        let waited = self.waited(terms.now);
+        let remaining = wait.as_secs_f64() - waited.as_secs_f64();
+        bounds.rate * remaining
+    }
+
+    /// Returns for how long this VM has waited for the present token.
+    fn waited(&mut self, now: Instant) -> Duration {
+        let token = self.token();
+        let since = self
+            .awaited
+            .filter(|awaited| awaited.token == token && now < awaited.last_asked + WAITING_GAP)
+            .map_or(now, |awaited| awaited.since);
+        self.awaited = Some(AwaitedToken {
+            token,
+            since,
+            last_asked: now,
+        });
+        now.saturating_duration_since(since)
     }
 
-    /// Returns this VM's rank for the next token, which all VMs number by the requests sent so far.
+    /// Returns the number of the next token: all VMs number them by the requests sent so far.
+    fn token(&self) -> u64 {
+        let reported = self.peers.iter().map(|peer| peer.sent);
+        reported.fold(self.sent, u64::wrapping_add)
+    }
+
+    /// Returns this VM's rank for the next token.
     fn rank<F>(&mut self, terms: &SendTerms<F>) -> usize
     where
         F: Fn(u64) -> usize,
     {
-        let reported = self.peers.iter().map(|peer| peer.sent);
-        let token = reported.fold(self.sent, u64::wrapping_add);
+        let token = self.token();
         let known = self
             .rank
             .filter(|rank| rank.token == token && terms.now < rank.determined + RANK_LIFETIME);
@@ -447,8 +772,9 @@
         rank
     }
 
-    /// Subtracts what a VM has sent since its last report beyond the tokens that it accrued for itself.
-    fn record_sends(&mut self, report: &SendReport, accrued: f64, now: Instant) {
+    /// Records a report, and returns the requests of its VM since the last one; negative if tokens were returned.
+    /// A process that is warming up has got all requests of a VM's first report meanwhile.
+    fn replace_report(&mut self, report: &SendReport, is_warming: bool, now: Instant) -> f64 {
         let reported = ReportedSends {
             vm: report.vm,
             incarnation: report.incarnation,
@@ -467,18 +793,26 @@
             }
             Err(index) => {
                 self.peers.insert(index, reported);
-                if now < self.created + ADOPTION_TIME {
+                if !is_warming && now < self.created + ADOPTION_TIME {
                     report.sent
                 } else {
                     0
                 }
             }
         };
-        let sent = report.sent as f64 - before as f64;
+        report.sent as f64 - before as f64
+    }
+
+    /// Subtracts what a VM has sent since its last report beyond the tokens that it accrued for itself.
+    fn subtract(&mut self, sent: f64, accrued: f64, is_warming: bool, report: &SendReport) {
         self.tokens -= if sent > 0.0 {
             (sent - accrued).max(0.0)
-        } else {
+        } else if !is_warming {
             sent
+        } else if sent < -(MAX_RETURNED as f64) {
+            report.sent as f64
+        } else {
+            0.0
         };
     }
 }
--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -37,6 +37,7 @@
         slots: 8,
         leaving: false,
         start: 1,
+        warmup: None,
     }
 }
 
--- a/boragerill/tests/server_limit.rs
+++ b/boragerill/tests/server_limit.rs
@@ -60,6 +60,7 @@
             size: 1,
         },
         rank: |_| 0,
+        sends_to_warming: true,
         now,
     }
 }
@@ -204,6 +205,7 @@
                     .filter(|other| score(number, **other) > own)
                     .count()
             },
+            sends_to_warming: true,
             now,
         }
     }
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -162,6 +162,8 @@
     Refused,
     /// Another server listens at the address.
     Misdirected,
+    /// The server has begun to warm up, and takes no further request now.
+    Withheld,
 }
 
 impl NotRunCause {
@@ -171,6 +173,7 @@
             NotRunCause::Unreachable => "unreachable",
             NotRunCause::Refused => "server_refused",
             NotRunCause::Misdirected => "misdirected",
+            NotRunCause::Withheld => "server_warming_up",
         }
     }
 }
@@ -232,6 +235,8 @@
                 AttemptFailure::NotRun(NotRunCause::Unreachable, _) => {
                     state.backends.record_unreachable(server, now);
                 }
+                // The server has no part in it.
+                AttemptFailure::NotRun(NotRunCause::Withheld, _) => {}
                 _ => {
                     state.backends.record_failure(server, now);
                     let lost = LostRequest::new(request, in_flight.age());
@@ -297,7 +302,12 @@
 ) -> Option<Result<(Response<Incoming>, BackendConnection), AttemptFailure>> {
     let outgoing = build_request(&state.format.names, server, request);
     let remaining = request.deadline.saturating_duration_since(Instant::now());
-    permit.record_sent();
+    if !permit.confirm_send(server) {
+        counter!("warming_requests_withheld_total").increment(1);
+        server.pool().put(connection, Instant::now());
+        let cause = CompactString::const_new("the server has begun to warm up");
+        return Some(Err(AttemptFailure::NotRun(NotRunCause::Withheld, cause)));
+    }
     connection.record_request(&request.id);
     state.limits.record_send(server, request.kind, &request.id);
     let sending = connection.sender().try_send_request(outgoing);
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -44,7 +44,8 @@
         VersionKey, //
     },
     sync::lock,
-    timer::millis, //
+    timer::millis,
+    warmup::WarmupCause, //
 };
 use compact_str::{
     format_compact,
@@ -61,7 +62,8 @@
     pool::{
         BackendConnection,
         ConnectionPool, //
-    }, //
+    },
+    server_limits::LimitRegistry, //
 };
 
 /// Time for which a server is ejected after a timeout.
@@ -96,6 +98,7 @@
     batch: AtomicU32,
     drain_announced: AtomicBool,
     misdirected: AtomicBool, // Whether another server was met at the address.
+    health_check_due: AtomicBool, // Whether it has to be asked for its remaining warm-up time.
     health: Mutex<BackendHealth>,
     lost: Mutex<Vec<LostRequest>>, // Until it is known whether the process has crashed.
 }
@@ -149,11 +152,14 @@
     /// Signals that a slot may have been freed.
     pub(crate) slot_freed: Notify,
     started: Instant,
+    limits: Arc<LimitRegistry>,
 }
 
-impl Default for BackendRegistry {
-    fn default() -> BackendRegistry {
+impl BackendRegistry {
+    /// Returns a registry without servers, whose warm-ups are recorded in `limits`.
+    pub(crate) fn new(limits: Arc<LimitRegistry>) -> BackendRegistry {
         BackendRegistry {
+            limits,
             table: Mutex::default(),
             servers: ArcSwap::default(),
             slot_reports: Mutex::default(),
@@ -169,9 +175,7 @@
             started: Instant::now(),
         }
     }
-}
 
-impl BackendRegistry {
     /// Changes the table of entries and applies the result.
     pub(crate) fn update<T>(&self, change: impl FnOnce(&mut BackendTable) -> T) -> T {
         let mut table = lock(&self.table);
@@ -182,6 +186,13 @@
             .map(|server| reuse_state(&known, server))
             .collect();
         let is_listed = table.through() > 0;
+        if is_listed {
+            let names = table
+                .servers()
+                .map(|server| (server.key(), server.id.clone()));
+            self.limits
+                .observe_servers(table.processes(), names, Instant::now());
+        }
         let drains = lock(&self.drains);
         for state in &servers {
             state.apply_drain_table(&drains);
@@ -528,6 +539,11 @@
         }
     }
 
+    /// Returns whether no connection to the server could be opened since one last failed.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        lock(&self.shared.health).unreachable
+    }
+
     /// Returns whether the server takes no new work, by its entry or by its own announcement.
     pub(crate) fn is_draining(&self) -> bool {
         self.server.leaving || self.shared.drain_announced.load(Ordering::Relaxed)
@@ -540,6 +556,11 @@
         }
     }
 
+    /// Returns whether the server has to be asked for its remaining warm-up time, once.
+    pub(crate) fn take_health_check(&self) -> bool {
+        self.shared.health_check_due.swap(false, Ordering::Relaxed)
+    }
+
     /// Returns the pool of idle connections.
     pub(crate) fn pool(&self) -> &ConnectionPool {
         &self.shared.pool
@@ -598,6 +619,16 @@
         let Ok(connection) = BackendConnection::open(state.server.address).await else {
             continue;
         };
+        // Its process may have started anew, which its entry may not tell yet.
+        registry
+            .limits
+            .begin_warmup([state.as_ref()], WarmupCause::Reconnected);
+        registry.changed.notify_one();
+        let warms_up = registry.limits.warms_up(&state.server.service);
+        state
+            .shared
+            .health_check_due
+            .store(warms_up, Ordering::Relaxed);
         let now = Instant::now();
         state.pool().put(connection, now);
         lock(&state.shared.health).unreachable = false;
--- a/fleet/src/catalog_store.rs
+++ b/fleet/src/catalog_store.rs
@@ -158,11 +158,13 @@
         }
     };
     let rates: Vec<_> = catalog.workspaces().iter().map(workspace_rate).collect();
+    let services = catalog.services().to_vec();
     let (version, routes) = (catalog.version(), catalog.routes().len());
     let before = state.catalog.version();
     if !state.catalog.apply(catalog, spec) {
         return;
     }
+    state.limits.set_services(&services);
     let now = Instant::now();
     let behind = state.fetches.behind_since(FetchedState::Catalog);
     let behind = behind.map_or_else(Default::default, |since| {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -47,6 +47,7 @@
 mod trial_wait;
 mod version_store;
 mod vm;
+mod warmup_check;
 mod watch_state;
 pub mod wire;
 
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -46,7 +46,9 @@
     },
     link_reuse::LinkChoice,
     rank::score,
-    sync::lock, //
+    sync::lock,
+    timer::millis,
+    warmup::StatedWarmup, //
 };
 use compact_str::{
     format_compact,
@@ -234,7 +236,13 @@
         let changes = table.changes_since(after);
         let records = changes.iter().map(|change| {
             let age = table.missing_age(&change.id, now).unwrap_or_default();
-            backend_record(change, age)
+            let server = change.server.as_ref();
+            let process = server.map(|server| (server.key(), server.start));
+            let warmup = process.and_then(|process| state.limits.remaining_warmup(process, now));
+            BackendRecord {
+                warmup_ms: warmup.map(|time| u32::try_from(millis(time)).unwrap_or(u32::MAX)),
+                ..backend_record(change, age)
+            }
         });
         (table.through(), records.collect(), is_full)
     });
@@ -560,6 +568,10 @@
         slots: record.slots,
         leaving: record.leaving,
         start: record.start,
+        warmup: record.warmup_ms.map(|remaining| StatedWarmup {
+            remaining: Duration::from_millis(remaining.into()),
+            is_reported: true,
+        }),
     });
     BackendChange {
         id,
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -42,7 +42,8 @@
     stream_version::VersionKey,
     sync::lock,
     timer::millis,
-    wait_estimate::WaitEstimator, //
+    wait_estimate::WaitEstimator,
+    warmup::WarmupTolerance, //
 };
 use compact_str::{
     format_compact,
@@ -86,7 +87,7 @@
     pub(crate) transfers: Mutex<TransferTable>,
     /// Backend servers in use.
     pub(crate) backends: Arc<BackendRegistry>,
-    /// Limits that backend servers state.
+    /// Limits that backend servers state, and their warm-ups.
     pub(crate) limits: Arc<LimitRegistry>,
     /// Other VMs.
     pub(crate) members: Arc<Mutex<MemberTable>>,
@@ -159,6 +160,11 @@
             slack: settings.rate_slack,
         };
         let members = Arc::new(Mutex::new(MemberTable::new(info)));
+        let warmup_tolerance = WarmupTolerance {
+            overage: settings.warmup_overage,
+            slack: settings.warmup_slack,
+        };
+        let limits = Arc::new(LimitRegistry::new(members.clone(), warmup_tolerance));
         FleetState {
             vm_hash: hash_name(&settings.vm),
             runner: format_compact!("{}.{incarnation}", settings.vm),
@@ -167,8 +173,8 @@
             catalog: CatalogStore::default(),
             fetches: FetchSources::default(),
             transfers: Mutex::default(),
-            backends: Arc::default(),
-            limits: Arc::new(LimitRegistry::new(members.clone())),
+            backends: Arc::new(BackendRegistry::new(limits.clone())),
+            limits,
             members,
             rate_limiter: Mutex::new(RateLimiter::new(first, tolerance, now)),
             timeouts: TimeoutTable::default(),
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -48,6 +48,7 @@
         FetchedState,
         FETCHED_STATES, //
     },
+    warmup_check::check_reconnected, //
     watch_state::{
         kind_name,
         WatchState, //
@@ -235,10 +236,13 @@
         }
         state.backends.prune_drain_announcements(now);
         let servers = state.backends.all();
-        state.limits.retain(|process| {
+        let is_listed = |process| {
             let mut servers = servers.iter();
             servers.any(|server| (server.key, server.server.start) == process)
-        });
+        };
+        state.limits.retain(is_listed, now);
+        state.limits.review_warmups(now);
+        check_reconnected(&state);
         let confirmed = servers_confirmed(&state, now);
         state.backends.observe_versions(confirmed, now);
         state.streams.prune(now);
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -248,7 +248,10 @@
     let name = &state.settings.vm;
     loop {
         match register_once(&state, name, &value).await {
-            Ok(()) => return,
+            Ok(()) => {
+                state.limits.record_registration();
+                return;
+            }
             Err(error) => {
                 warn!(error = error.to_string().as_str(); "registration failed");
                 sleep(REGISTER_BACKOFF).await;
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -130,6 +130,8 @@
     /// Decodes what the headers of a response, with the times of the request and of the response, state about the
     /// limit of the server.
     pub decode_limit: fn(&HeaderMap, Instant, Instant) -> Result<LimitStatement, CompactString>,
+    /// Decodes the remaining warm-up time that the headers of a response to a health check state, if any.
+    pub decode_health: fn(&HeaderMap) -> Result<Option<Duration>, CompactString>,
     /// Encodes the status of a retirement: whether the VM has drained.
     pub encode_retirement: fn(bool) -> Value,
 }
