--- a/boragerill/src/send_tables.rs
+++ b/boragerill/src/send_tables.rs
@@ -92,15 +92,17 @@
         true
     }
 
-    /// Records the warm-ups that another VM reported. They have to be applied then.
+    /// Records the warm-ups that another VM reported, and returns whether the warm-ups have to be applied then.
     pub fn record_reports(
         &mut self,
         reports: impl IntoIterator<Item = (ProcessKey, WarmupReport)>,
         now: Instant,
-    ) {
+    ) -> bool {
+        let mut is_changed = false;
         for (process, report) in reports {
-            self.warmups.record_report(process, report, now);
+            is_changed |= self.warmups.record_report(process, report, now);
         }
+        is_changed
     }
 
     /// Takes the token that a request needs now; returns `None` if the request isn't admitted.
--- a/boragerill/src/warmup.rs
+++ b/boragerill/src/warmup.rs
@@ -293,11 +293,17 @@
         }
     }
 
-    /// Records a warm-up that another VM reported. One that the VM doesn't report as its own finding has no effect if an
-    /// earlier report is known: it may be that report, prolonged by the time of its transfers.
-    pub fn record_report(&mut self, process: ProcessKey, report: WarmupReport, now: Instant) {
+    /// Records a warm-up that another VM reported, and returns whether that has changed anything. One that the VM doesn't
+    /// report as its own finding has no effect if an earlier report is known: it may be that report, prolonged by the
+    /// time of its transfers.
+    pub fn record_report(
+        &mut self,
+        process: ProcessKey,
+        report: WarmupReport,
+        now: Instant,
+    ) -> bool {
         if self.is_off() || report.until <= now {
-            return;
+            return false;
         }
         let record = self.record_mut(process);
         let has_ended = record.revision > report.revision
@@ -308,13 +314,15 @@
             .presumed
             .is_some_and(|presumed| presumed.revision >= report.revision);
         if has_ended || is_known && !report.is_own {
-            return;
+            return false;
         }
+        let before = record.presumed;
         record.extend(PresumedWarmup {
             until: report.until,
             revision: report.revision,
             cause: WarmupCause::Reported,
         });
+        record.presumed != before
     }
 
     /// Returns whether the list has a process.
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -445,6 +445,21 @@
         tokio::spawn(probe(self.clone(), state.clone()));
     }
 
+    /// Counts the processes of servers as warming up for the time of their service, and reports it to the other VMs. An
+    /// entry of a higher revision than the one known now ends the warm-up of its process if it states that there is none.
+    /// Without effect in services that don't configure a rate of servers that warm up.
+    ///
+    /// To be called before a request may be sent to a server that was unreachable, and, with
+    /// [`WarmupCause::Evacuated`], for the servers of a failure domain before they are used again after its evacuation.
+    pub(crate) fn begin_warmup<'a>(
+        &self,
+        servers: impl IntoIterator<Item = &'a BackendState>,
+        cause: WarmupCause,
+    ) {
+        self.limits.begin_warmup(servers, cause);
+        self.changed.notify_one();
+    }
+
     /// Records that a server failed a request.
     pub(crate) fn record_failure(&self, state: &BackendState, now: Instant) {
         lock(&state.shared.health)
@@ -620,10 +635,7 @@
             continue;
         };
         // Its process may have started anew, which its entry may not tell yet.
-        registry
-            .limits
-            .begin_warmup([state.as_ref()], WarmupCause::Reconnected);
-        registry.changed.notify_one();
+        registry.begin_warmup([state.as_ref()], WarmupCause::Reconnected);
         let warms_up = registry.limits.warms_up(&state.server.service);
         state
             .shared
--- a/fleet/src/server_limits.rs
+++ b/fleet/src/server_limits.rs
@@ -146,12 +146,16 @@
         }
     }
 
-    /// Returns whether nothing may be sent to a server whatever its bucket holds: a connection to it has to be opened
-    /// first, or the list has another process in its place.
-    fn withholds(&self, server: &BackendState) -> bool {
+    /// Returns whether the servers of a service warm up.
+    fn warms_up(&self, service: &str) -> bool {
         let warmups = &self.sends.warmups;
-        warmups.warms_up(hash_name(&server.server.service))
-            && (server.is_unreachable() || warmups.is_replaced(process_key(server)))
+        !warmups.is_off() && warmups.warms_up(hash_name(service))
+    }
+
+    /// Returns whether nothing may be sent to a server that warms up, whatever its bucket holds: a connection to it has
+    /// to be opened first, or the list has another process in its place.
+    fn withholds(&self, server: &BackendState) -> bool {
+        server.is_unreachable() || self.sends.warmups.is_replaced(process_key(server))
     }
 
     /// Returns the notices of limits, and of warm-ups beside them.
@@ -207,9 +211,7 @@
             let report = report(usage.warmup_ms?, usage.warmup_revision, false);
             Some(((usage.server, usage.start), report))
         });
-        let reports: Vec<_> = notices.chain(uses).collect();
-        if !reports.is_empty() {
-            self.sends.record_reports(reports, now);
+        if self.sends.record_reports(notices.chain(uses), now) {
             self.apply_warmups(now);
         }
     }
@@ -260,8 +262,7 @@
     /// server states that it isn't warming up; the other VMs learn of it. Without effect in services whose servers don't
     /// warm up.
     ///
-    /// To be called for the servers of a failure domain before its evacuation ends, and for a server before it is used
-    /// again that was unreachable.
+    /// [`BackendRegistry::begin_warmup`](crate::backends::BackendRegistry::begin_warmup) has the other VMs told at once.
     pub(crate) fn begin_warmup<'a>(
         &self,
         servers: impl IntoIterator<Item = &'a BackendState>,
@@ -382,7 +383,7 @@
         class: SendClass,
         now: Instant,
     ) -> Option<SendToken> {
-        if tables.withholds(server) {
+        if tables.warms_up(&server.server.service) && tables.withholds(server) {
             return None;
         }
         let terms = self.terms(&tables.sends.gate, now);
@@ -394,7 +395,7 @@
     fn confirm(&self, token: &mut SendToken, server: &BackendState) -> bool {
         let now = Instant::now();
         let mut tables = lock(&self.tables);
-        if tables.sends.warmups.is_off() {
+        if !tables.warms_up(&server.server.service) {
             return true;
         }
         tables.record_activity(now);
@@ -422,8 +423,11 @@
         let now = Instant::now();
         tables.record_activity(now);
         let terms = self.terms(&tables.sends.gate.clone(), now);
+        // All are servers of one service.
+        let first = servers.first();
+        let warms_up = first.is_some_and(|server| tables.warms_up(&server.server.service));
         for (server, view) in servers.iter().zip(views) {
-            view.admission = match tables.withholds(server) {
+            view.admission = match warms_up && tables.withholds(server) {
                 true => SendAdmission::Nothing,
                 false => tables.sends.limits.admission(process_key(server), &terms),
             };
