Turns for tokens of warming servers hold while VMs lack processor time

Cause: with reports that took 30 ms, 34 requests reached a server in a second, as turns were shorter than that.

Change: a VM waits for its turn from when it first saw the token, for 12 ms for each doubling of its rank, and catches up for 5 ms after it has not run for 40 ms.

--- a/boragerill/src/server_limit.rs
+++ b/boragerill/src/server_limit.rs
@@ -49,12 +49,12 @@
 /// Time whose tokens a bucket may owe at most; earlier excess is past the windows in which servers count.
 const DEBT_TIME: Duration = Duration::from_secs(2);
 
-/// Part of the time in which a bucket of a process that is warming up accrues the tokens beyond the first, over which the
-/// VMs' turns for a token are spread.
-const WARMUP_TURN_SHARE: f64 = 0.55;
+/// Time from the turn of some VMs for a token of a process that is warming up to the turn of as many again: within two
+/// or three of them also slow VMs learn of the others' requests.
+const WARMUP_TURN_TIME: Duration = Duration::from_millis(12);
 
-/// Part of that time for which a token is left to online requests before a batch item takes it.
-const WARMUP_YIELD_SHARE: f64 = 0.4;
+/// Time for which such a token is left to online requests before a batch item takes it.
+const WARMUP_YIELD_TIME: Duration = Duration::from_millis(40);
 
 /// Time until a request is tried again that a VM can't send since it reaches too small a part of the fleet or has just
 /// started.
@@ -71,9 +71,12 @@
 /// The same during a warm-up, whose windows are shorter.
 const WARMUP_DEBT_TIME: Duration = Duration::from_secs(1);
 
-/// Time without a request for a token after which a VM no longer counts as waiting for it. Requests that wait ask several
-/// times as often.
-const WAITING_GAP: Duration = Duration::from_millis(100);
+/// Longest time between two requests for a token of a process that is warming up in which a VM has learned of the others'
+/// requests. Requests that wait ask more often, unless the VM has no processor time.
+const WAITING_GAP: Duration = Duration::from_millis(40);
+
+/// Time after a longer one in which a VM processes the reports that have arrived meanwhile.
+const CATCH_UP_TIME: Duration = Duration::from_millis(5);
 
 /// Time for which statements and reports are repeated, since single messages may be lost.
 const REPEAT_TIME: Duration = Duration::from_secs(3);
@@ -167,7 +170,6 @@
 struct AwaitedToken {
     token: u64, // Requests of all VMs so far.
     since: Instant,
-    last_asked: Instant,
 }
 
 /// Requests of one VM, as last reported.
@@ -190,7 +192,8 @@
     peers: Vec<ReportedSends>, // Sorted by VM.
     rank: Option<TokenRank>,
     awaited: Option<AwaitedToken>,
-    fraction: f64, // Of the fleet that reported at the last refill during a warm-up.
+    last_asked: Option<Instant>, // When a token was last asked for during a warm-up.
+    fraction: f64,               // Of the fleet that reported at the last refill during a warm-up.
 }
 
 /// Warm-up of one process.
@@ -217,8 +220,6 @@
 struct BucketTerms {
     rate: f64, // Tokens accrued a second.
     capacity: f64,
-    turn_spread: Duration,
-    batch_yield: Duration,
     warmup: Option<WarmupTerms>,
 }
 
@@ -599,8 +600,6 @@
         BucketTerms {
             rate,
             capacity: 1.0 + rate * CAPACITY_TIME.as_secs_f64(),
-            turn_spread: TURN_SPREAD,
-            batch_yield: BATCH_YIELD_TIME,
             warmup: None,
         }
     }
@@ -614,13 +613,9 @@
     ) -> BucketTerms {
         let rate = (warmup.requests_per_s * fraction).min(limits.0);
         let capacity = (warmup.capacity * fraction).min(limits.1);
-        // A token that is left to other VMs mustn't be lost by a full bucket.
-        let spare = Duration::try_from_secs_f64((capacity - 1.0) / rate).unwrap_or_default();
         BucketTerms {
             rate,
             capacity,
-            turn_spread: TURN_SPREAD.min(spare.mul_f64(WARMUP_TURN_SHARE)),
-            batch_yield: BATCH_YIELD_TIME.min(spare.mul_f64(WARMUP_YIELD_SHARE)),
             warmup: Some(WarmupTerms {
                 fraction,
                 full_rate: warmup.requests_per_s,
@@ -632,23 +627,6 @@
     fn is_blocked(&self) -> bool {
         self.warmup.is_some_and(|warmup| warmup.is_blocked)
     }
-
-    /// Returns for how long a VM of a rank leaves a token to those before it.
-    fn turn(&self, rank: usize, reporting: usize) -> Duration {
-        if self.warmup.is_some() {
-            // At this rate the turns of many VMs would be shorter than the time in which they learn of each other's
-            // requests, so that VMs of low rank share turns.
-            let turns = bit_length(reporting.saturating_sub(1)).max(1);
-            let turn = self
-                .turn_spread
-                .mul_f64(f64::from(bit_length(rank)) / f64::from(turns));
-            return turn.min(self.turn_spread);
-        }
-        let turns = u32::try_from(reporting).unwrap_or(u32::MAX);
-        let turn = TURN_TIME.min(self.turn_spread / turns.max(1));
-        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        turn.saturating_mul(rank).min(self.turn_spread)
-    }
 }
 
 /// Returns the number of binary digits of a number.
@@ -668,6 +646,7 @@
             peers: Vec::new(),
             rank: None,
             awaited: None,
+            last_asked: None,
             fraction: 0.0,
         }
     }
@@ -712,37 +691,60 @@
             return f64::INFINITY;
         }
         let missing = 1.0 - self.tokens;
+        if bounds.warmup.is_some() {
+            return self.missing_warming(class, bounds, terms);
+        }
         if missing > 0.0 {
-            self.awaited = None;
             return missing;
         }
-        let turn = bounds.turn(self.rank(terms), terms.view.reporting);
+        let turns = u32::try_from(terms.view.reporting).unwrap_or(u32::MAX);
+        let turn = TURN_TIME.min(TURN_SPREAD / turns.max(1));
+        let rank = u32::try_from(self.rank(terms)).unwrap_or(u32::MAX);
+        let turn = turn.saturating_mul(rank).min(TURN_SPREAD);
         let wait = match class {
             SendClass::Online => turn,
-            SendClass::Batch => turn + bounds.batch_yield,
+            SendClass::Batch => turn + BATCH_YIELD_TIME,
         };
-        if bounds.warmup.is_none() {
-            return missing + bounds.rate * wait.as_secs_f64();
-        }
-        // A full bucket gives no VM its turn at once: all may have begun to ask for its tokens just now.
-        let waited = self.waited(terms.now);
-        let remaining = wait.as_secs_f64() - waited.as_secs_f64();
-        bounds.rate * remaining
+        missing + bounds.rate * wait.as_secs_f64()
     }
 
-    /// Returns for how long this VM has waited for the present token.
-    fn waited(&mut self, now: Instant) -> Duration {
+    /// The same for a process that is warming up. A full bucket gives no VM its turn at once: all may have begun to ask
+    /// for its tokens just now.
+    fn missing_warming<F>(
+        &mut self,
+        class: SendClass,
+        bounds: &BucketTerms,
+        terms: &SendTerms<F>,
+    ) -> f64
+    where
+        F: Fn(u64) -> usize,
+    {
+        let last_asked = self.last_asked.replace(terms.now);
+        let missing = 1.0 - self.tokens;
+        if missing > 0.0 {
+            self.awaited = None;
+            return missing;
+        }
+        let is_current = last_asked.is_some_and(|last| terms.now < last + WAITING_GAP);
         let token = self.token();
-        let since = self
-            .awaited
-            .filter(|awaited| awaited.token == token && now < awaited.last_asked + WAITING_GAP)
-            .map_or(now, |awaited| awaited.since);
-        self.awaited = Some(AwaitedToken {
-            token,
-            since,
-            last_asked: now,
-        });
-        now.saturating_duration_since(since)
+        let known = self.awaited.filter(|awaited| awaited.token == token);
+        let since = match known.filter(|_| is_current) {
+            Some(awaited) => awaited.since,
+            None if is_current => terms.now,
+            None => terms.now + CATCH_UP_TIME,
+        };
+        self.awaited = Some(AwaitedToken { token, since });
+        // VMs of low rank share turns: one after the other they would wait for long.
+        let turn = WARMUP_TURN_TIME * bit_length(self.rank(terms));
+        let turn = match class {
+            SendClass::Online => turn,
+            SendClass::Batch => turn + WARMUP_YIELD_TIME,
+        };
+        let end = since + turn;
+        if terms.now >= end {
+            return 0.0;
+        }
+        bounds.rate * (end - terms.now).as_secs_f64()
     }
 
     /// Returns the number of the next token: all VMs number them by the requests sent so far.
--- a/boragerill/tests/warmup.rs
+++ b/boragerill/tests/warmup.rs
@@ -71,6 +71,9 @@
     warm_at: Instant,
 }
 
+/// Length of the periods of a quota of processor time.
+const QUOTA_STEPS: u32 = 20;
+
 /// A server of the model. While it is down, connections to it fail.
 #[derive(Clone, Debug)]
 struct ModelServer {
@@ -116,13 +119,15 @@
     }
 }
 
-/// Simulated fleet, with messages that take one step.
+/// Simulated fleet, with messages that take one step unless a test states otherwise.
 struct FleetModel {
     vms: Vec<ModelVm>,
     servers: Vec<ModelServer>,
     sides: (usize, usize), // VMs below the first index, between both, and from the second index on are partitioned.
     lossy_until: Instant,
     messages: Vec<ModelMessage>,
+    awake: u32,         // Steps of each QUOTA_STEPS in which a VM runs.
+    transfer: Duration, // Time from a message's sending to its receipt.
     now: Instant,
     steps: u32,
     served: u64,
@@ -152,6 +157,8 @@
             sides: (0, 0),
             lossy_until: now,
             messages: Vec::new(),
+            awake: QUOTA_STEPS,
+            transfer: STEP,
             now,
             steps: 0,
             served: 0,
@@ -252,7 +259,9 @@
     }
 
     fn is_frozen(&self, vm: usize) -> bool {
-        self.now < self.vms[vm].frozen_until
+        let phase = score(1, vm as u64) as u32 % QUOTA_STEPS;
+        let is_throttled = (self.steps + phase) % QUOTA_STEPS >= self.awake;
+        is_throttled || self.now < self.vms[vm].frozen_until
     }
 
     fn run(&mut self, steps: u32, arrivals: impl Fn(usize, u32) -> u32) {
@@ -267,7 +276,9 @@
         self.now += STEP;
         self.steps += 1;
         self.register_servers();
-        let messages = std::mem::take(&mut self.messages);
+        let (now, transfer) = (self.now, self.transfer);
+        let arrived = |message: &mut ModelMessage| message.sent_at + transfer <= now;
+        let messages: Vec<ModelMessage> = self.messages.extract_if(.., arrived).collect();
         for vm in 0..self.vms.len() {
             let lossy = self.now < self.lossy_until;
             for message in &messages {
@@ -592,6 +603,43 @@
     assert!(used >= 0.8, "{used:.2} of the rate used");
 }
 
+/// Answers a domain that returns at once while VMs learn late of each other's requests, since they have little processor
+/// time.
+#[test]
+fn bound_holds_while_reports_of_60_vms_with_requests_waiting_take_30_ms() {
+    // arrange
+    let mut model = FleetModel::new(60, 3);
+    model.transfer = Duration::from_millis(30);
+    for server in 0..3 {
+        model.restart_server(server, 400);
+    }
+
+    // act
+    model.run(400 + 3 * STEPS_PER_S, saturated);
+
+    // assert
+    model.check();
+}
+
+/// Answers a domain that returns at once while VMs have processor time for a part of each 100 ms only.
+#[test]
+fn bound_holds_while_60_vms_with_requests_waiting_lack_processor_time() {
+    for awake in [1, 2, 4, 8, 12] {
+        // arrange
+        let mut model = FleetModel::new(60, 3);
+        model.awake = awake;
+        for server in 0..3 {
+            model.restart_server(server, 400);
+        }
+
+        // act
+        model.run(400 + 3 * STEPS_PER_S, saturated);
+
+        // assert
+        model.check();
+    }
+}
+
 /// Answers demand at few VMs: the others' turns mustn't leave the rate unused.
 #[test]
 fn one_vm_of_60_uses_the_rate_alone() {
