--- a/fleet/src/server_limits.rs
+++ b/fleet/src/server_limits.rs
@@ -495,6 +495,21 @@
         );
     }
 
+    /// Counts the refusal of a request that found all servers of its service warming up.
+    pub(crate) fn record_refusal(&self, servers: &[Arc<BackendState>]) {
+        let tables = lock(&self.tables);
+        if tables.sends.warmups.is_off() || servers.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        let mut processes = servers.iter().map(|server| process_key(server));
+        let all_warming = processes.all(|process| tables.sends.limits.is_warming(process, now));
+        drop(tables);
+        if all_warming {
+            counter!("warming_services_exhausted_total").increment(1);
+        }
+    }
+
     /// Adds recent changes of limits and warm-ups, or all of them, and this VM's recent requests to a full heartbeat.
     pub(crate) fn add_state(&self, heartbeat: &mut Heartbeat, all: bool) {
         let tables = lock(&self.tables);
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -124,6 +124,7 @@
             SlotRule::QueueOrRefuse(_) | SlotRule::HeadroomOrRefuse
         );
         if is_last || exhausted || servers.is_empty() {
+            state.limits.record_refusal(&servers);
             return Err(no_slot(history, servers.len(), &wait));
         }
         waiting.get_or_insert_with(|| WaitGuard::new(state, wait.is_overdue()));
