--- a/boragerill/tests/warmup.rs
+++ b/boragerill/tests/warmup.rs
@@ -621,19 +621,21 @@
     model.check();
 }
 
-/// Answers a domain that returns at once while VMs have processor time for a part of each 100 ms only.
+/// Answers a domain that returns at once, or demand that begins while buckets are full, when VMs have processor time for a
+/// part of each 100 ms only.
 #[test]
 fn bound_holds_while_60_vms_with_requests_waiting_lack_processor_time() {
-    for awake in [1, 2, 4, 8, 12] {
+    for (awake, idle) in [(1, 0), (2, 0), (4, 0), (8, 0), (2, 100), (4, 100), (8, 100)] {
         // arrange
         let mut model = FleetModel::new(60, 3);
         model.awake = awake;
         for server in 0..3 {
-            model.restart_server(server, 400);
+            model.restart_server(server, 200);
         }
 
         // act
-        model.run(400 + 3 * STEPS_PER_S, saturated);
+        model.run(200 + idle, |_, _| u32::from(idle == 0));
+        model.run(2 * STEPS_PER_S, saturated);
 
         // assert
         model.check();
@@ -733,8 +735,8 @@
 #[test]
 fn vms_that_were_paused_stay_within_the_bound() {
     // arrange
-    let mut model = FleetModel::new(20, 3);
-    for vm in 0..12 {
+    let mut model = FleetModel::new(60, 3);
+    for vm in 0..33 {
         model.vms[vm].frozen_until = model.now + STEP * 600;
     }
     model.run(100, saturated);
@@ -961,6 +963,42 @@
     assert_eq!(admission(100, false), nothing);
 }
 
+/// Answers VMs that become unreachable: what accrued on their behalf may have been used by them.
+#[test]
+fn tokens_that_accrued_for_lost_vms_are_taken_back() {
+    // arrange
+    let now = Instant::now();
+    let mut tables = running_tables(now);
+    tables
+        .warmups
+        .presume((1, 1), None, WarmupCause::Reconnected, now);
+    tables.apply_warmups(now);
+    let full = now + Duration::from_secs(1);
+    let terms = |reporting, step| SendTerms {
+        view: FleetView {
+            reporting,
+            size: 100,
+        },
+        rank: |_| 0,
+        sends_to_warming: true,
+        now: full + WAIT_INTERVAL * step,
+    };
+    let mut admission = |reporting, step| {
+        let terms = terms(reporting, step);
+        tables.limits.admission((1, 1), &terms)
+    };
+
+    // act
+    let before = (0..10).map(|step| admission(100, step)).last();
+    let after = (10..20).map(|step| admission(60, step)).last();
+    let later = (20..50).map(|step| admission(60, step)).last();
+
+    // assert
+    assert_eq!(before, Some(SendAdmission::All));
+    assert_eq!(after, Some(SendAdmission::Nothing));
+    assert_eq!(later, Some(SendAdmission::All));
+}
+
 /// Event in the simulated fleet.
 #[derive(Clone, Debug)]
 enum WarmupEvent {
