Soak: servers that return warming up, and a check of the bound

Change: the load 'warming' configures a warm-up, lets crashed servers and all of a failure domain return slow, and checks the requests in each second of a warm-up, whatever was done to VMs and links.

--- a/standins/src/soak/config.rs
+++ b/standins/src/soak/config.rs
@@ -1,5 +1,7 @@
 //! Configurations that the operator writes during a run.
 
+use std::time::Duration;
+
 use serde_json::{
     json,
     Value, //
@@ -23,13 +25,19 @@
 /// Route of batch jobs.
 pub(super) const BATCH_PATH: &str = "/batch/";
 
+/// Time for which a server is slow after its start.
+pub(super) const WARMUP_TIME: Duration = Duration::from_secs(3);
+
+/// Requests a second that a server takes meanwhile.
+const WARMUP_RATE: f64 = 15.0;
+
 /// Returns the path prefix of an added route.
 pub(crate) fn added_path(number: usize) -> String {
     format!("/added-{number:05}/")
 }
 
-/// Returns the configuration `version` with a number of added routes.
-pub(crate) fn config(version: u64, added: usize) -> Value {
+/// Returns the configuration `version` with a number of added routes; `warms_up` tells whether servers that start are slow.
+pub(crate) fn config(version: u64, added: usize, warms_up: bool) -> Value {
     let mut routes = vec![
         route("resumable", RESUMABLE_PATH, true),
         route("single", SINGLE_PATH, false),
@@ -39,10 +47,17 @@
         let name = format!("r-{number:05}");
         routes.push(route(&name, &added_path(number), true));
     }
+    let mut service = json!({
+        "name": SERVICE, "health_path": "/health", "max_connections": 500, "protocol": "h1", "tls": false,
+    });
+    if warms_up {
+        service["cold_start_s"] = json!(WARMUP_TIME.as_secs_f64());
+        service["cold_per_s"] = json!(WARMUP_RATE);
+    }
     json!({
         "version": version,
         "routes": routes,
-        "services": [{"name": SERVICE, "health_path": "/health", "max_connections": 500, "protocol": "h1", "tls": false}],
+        "services": [service],
         "limits": {
             "max_header_bytes": 16384,
             "max_body_bytes": 4_194_304,
--- a/standins/src/soak/load.rs
+++ b/standins/src/soak/load.rs
@@ -47,6 +47,8 @@
     pub has_releases: bool,
     /// Share of the servers that a release replaces by one at the same address, without an announcement.
     pub in_place: f64,
+    /// Whether servers that start are slow and take few requests.
+    pub warms_up: bool,
     /// Share of the streams without length or chunks, which end with their connection.
     pub unframed: f64,
     /// Share of the other streams that break off, are followed by a reset or by a second response.
@@ -71,6 +73,7 @@
             job_limit: Duration::from_secs(30),
             has_releases: false,
             in_place: 0.0,
+            warms_up: false,
             unframed: 0.0,
             garbled: 0.0,
         }
@@ -78,6 +81,15 @@
 }
 
 impl SoakLoad {
+    /// Returns a load of short streams at servers that are slow after their start.
+    pub fn warming() -> SoakLoad {
+        SoakLoad {
+            last_event: 2,
+            warms_up: true,
+            ..SoakLoad::default()
+        }
+    }
+
     /// Returns a load that rises and falls in steps, with items long enough to be preempted by its crests.
     pub fn stepped() -> SoakLoad {
         let step = |factor, millis| LoadStep {
--- a/standins/src/soak/oracle.rs
+++ b/standins/src/soak/oracle.rs
@@ -13,7 +13,8 @@
     config::{
         added_path,
         RESUMABLE_PATH,
-        SINGLE_PATH, //
+        SINGLE_PATH,
+        WARMUP_TIME, //
     },
     events::{
         BreachKind,
@@ -37,6 +38,12 @@
 /// Time after the acknowledgement of its end within which items of a job may still reach servers.
 const CANCEL_TIME: Duration = Duration::from_secs(3);
 
+/// Length of the windows in which requests to servers that are warming up are counted.
+const WARMUP_WINDOW: Duration = Duration::from_secs(1);
+
+/// Most requests in such a window: 1.5 times the rate of 15 a second, and 5.
+const WARMUP_BOUND: usize = 27;
+
 /// Number of violations of a rule that are described.
 const MAX_DESCRIBED: usize = 6;
 
@@ -79,6 +86,31 @@
     pub(crate) arrivals: Vec<ServerArrival>,
 }
 
+/// Warm-up of a server.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerWarmup {
+    /// Id of the server.
+    pub(crate) server: String,
+    /// Time at which the store acknowledged the entry that states it.
+    pub(crate) begun: Instant,
+    /// Times of all requests that the server received.
+    pub(crate) arrivals: Vec<Instant>,
+}
+
+impl ServerWarmup {
+    /// Returns the largest number of requests in a second of the warm-up.
+    pub(crate) fn busiest_window(&self) -> usize {
+        let warmup = self.begun..self.begun + WARMUP_TIME;
+        let arrivals = self.arrivals.iter().filter(|at| warmup.contains(*at));
+        let counted: Vec<Instant> = arrivals.copied().collect();
+        let in_window = |start: &Instant| {
+            let window = *start..*start + WARMUP_WINDOW;
+            counted.iter().filter(|at| window.contains(*at)).count()
+        };
+        counted.iter().map(in_window).max().unwrap_or(0)
+    }
+}
+
 /// What was seen during a run.
 pub(crate) struct RunRecord<'a> {
     /// Start of the run.
@@ -101,6 +133,8 @@
     pub(crate) arrivals: &'a [ServerArrival],
     /// Runs at all servers.
     pub(crate) runs: &'a ServerRuns,
+    /// Warm-ups of servers.
+    pub(crate) warmups: &'a [ServerWarmup],
 }
 
 /// Violations of the rules, as descriptions.
@@ -154,6 +188,7 @@
         self.check_regressions(&mut report);
         self.check_drains(&mut report);
         self.check_jobs(&mut report);
+        self.check_warmups(&mut report);
         report
     }
 
@@ -330,6 +365,21 @@
         }
     }
 
+    /// Checks that no server that was warming up got too many requests, whatever was done to VMs and links.
+    fn check_warmups(&self, report: &mut RuleReport) {
+        for warmup in self.warmups {
+            let busiest = warmup.busiest_window();
+            if busiest > WARMUP_BOUND {
+                let begun = (warmup.begun - self.start).as_secs_f64();
+                let server = &warmup.server;
+                report.add(
+                    "WARMUP",
+                    format!("{server} from {begun:.3}: {busiest} requests in a second"),
+                );
+            }
+        }
+    }
+
     fn check_drains(&self, report: &mut RuleReport) {
         let mut senders: Vec<&ClientRecord> = self.requests.iter().collect();
         senders.sort_by(|one, other| one.id.cmp(&other.id));
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -9,6 +9,7 @@
 };
 
 use super::{
+    fleet::DOMAINS,
     release::make_releases,
     trouble::{
         make_troubles,
@@ -126,6 +127,8 @@
     pub(crate) has_releases: bool,
     /// Share of the servers that a release replaces at the same address.
     pub(crate) in_place: f64,
+    /// Whether the servers of a failure domain crash and are back at once.
+    pub(crate) crashes_domain: bool,
     /// Seed.
     pub(crate) seed: u64,
 }
@@ -207,6 +210,14 @@
         };
         at(&mut plan, random.random_range(2.0..length - 4.0), action);
     }
+    if terms.crashes_domain {
+        let seconds = random.random_range(2.0..length - 6.0);
+        let lasts = Duration::from_secs_f64(random.random_range(0.5..2.0));
+        let domain = random.random_range(0..DOMAINS);
+        for server in (quarter..terms.servers).filter(|server| server % DOMAINS == domain) {
+            at(&mut plan, seconds, SoakAction::Crash { server, lasts });
+        }
+    }
     if random.random_bool(0.5) {
         let after = Duration::from_secs_f64(random.random_range(0.5..8.0));
         at(&mut plan, 0.0, SoakAction::CutWatches { after });
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -63,7 +63,8 @@
         ConfigChange,
         RuleBounds,
         RunRecord,
-        ServerLeave, //
+        ServerLeave,
+        ServerWarmup, //
     },
     plan::{
         make_plan,
@@ -111,6 +112,12 @@
 /// Length from which on a time in which this process didn't run counts as an outage of the store.
 const MIN_STALL: Duration = Duration::from_millis(300);
 
+/// Interval at which a server that is warming up writes its entry.
+const ENTRY_INTERVAL: Duration = Duration::from_millis(1200);
+
+/// Time from the last of these entries to the end of the warm-up.
+const LAST_INTERVAL: Duration = Duration::from_millis(600);
+
 /// Time from the end of the load to the end of the run.
 const DRAIN_TIME: Duration = Duration::from_secs(3);
 
@@ -172,6 +179,17 @@
             ..SoakOptions::default()
         }
     }
+
+    /// Returns options of a load at servers that are slow after their start: enough requests to exceed their rate.
+    pub fn warming() -> SoakOptions {
+        SoakOptions {
+            servers: 6,
+            rate: 25.0,
+            routes: 300,
+            load: SoakLoad::warming(),
+            ..SoakOptions::default()
+        }
+    }
 }
 
 /// Everything that runs.
@@ -221,6 +239,7 @@
         relays: options.relays,
         has_releases: options.load.has_releases,
         in_place: options.load.in_place,
+        crashes_domain: options.load.warms_up,
         seed: options.seed,
     });
     for (at, action) in plan {
@@ -243,7 +262,7 @@
 /// Starts store, servers and VMs, and waits until the VMs are ready.
 async fn start(options: &SoakOptions, folder: &std::path::Path) -> io::Result<SoakRun> {
     let store = StandardStore::start().await;
-    store.write("config", "main", config(1, 0));
+    store.write("config", "main", config(1, 0, options.load.warms_up));
     let load = Arc::new(options.load.clone());
     let terms = ServerTerms {
         load: load.clone(),
@@ -427,7 +446,13 @@
                 sleep(lasts).await;
                 leaving.crash(FOREVER);
             }
-            SoakAction::Crash { server, lasts } => self.server(server).crash(lasts),
+            SoakAction::Crash { server, lasts } => {
+                self.server(server).crash(lasts);
+                if self.terms.load.warms_up {
+                    sleep(lasts).await;
+                    self.warm_up(server).await;
+                }
+            }
             SoakAction::StoreOutage { lasts } => {
                 let outage = begin_fault(&mut lock(&self.outages));
                 self.store
@@ -463,6 +488,45 @@
         }
     }
 
+    /// Lets a server that has started again write its entry, as servers do, until it is warm.
+    async fn warm_up(&self, server: usize) {
+        let started = self.server(server);
+        started.begin_warmup();
+        for (sequence, pause) in [(2, ENTRY_INTERVAL), (3, ENTRY_INTERVAL), (4, LAST_INTERVAL)] {
+            if !self.write_ready(server, sequence) {
+                return;
+            }
+            sleep(pause).await;
+        }
+        self.write_ready(server, 5);
+    }
+
+    /// Writes the entry of a server that doesn't leave; returns false if it does.
+    fn write_ready(&self, server: usize, sequence: u64) -> bool {
+        let leaves = lock(&self.leaves);
+        if leaves.iter().any(|leave| leave.0 == server) {
+            return false;
+        }
+        let entry = self.server(server).entry("ready", sequence);
+        self.store.write("servers", &self.server(server).id, entry);
+        true
+    }
+
+    /// Returns the servers that were warming up, with the begins of their warm-ups and what they received.
+    fn warmups(&self) -> Vec<ServerWarmup> {
+        let servers = lock(&self.servers);
+        let warmups = servers.iter().flat_map(|server| {
+            let begins = lock(&server.warmups).clone();
+            let arrivals = lock(&server.arrivals).clone();
+            begins.into_iter().map(move |begun| ServerWarmup {
+                server: server.id.clone(),
+                begun,
+                arrivals: arrivals.iter().map(|arrival| arrival.at).collect(),
+            })
+        });
+        warmups.collect()
+    }
+
     /// Disturbs links for the length of a trouble.
     async fn disturb_links(&self, trouble: LinkTrouble) {
         let count = lock(&self.vms).len();
@@ -564,7 +628,11 @@
         let (version, added) = last.map_or((1, 0), |last| (last.version, last.added));
         // Versions increase in uneven steps.
         let (version, added) = (version + 1 + version % 3, added + count);
-        self.store.write("config", "main", config(version, added));
+        self.store.write(
+            "config",
+            "main",
+            config(version, added, self.terms.load.warms_up),
+        );
         configs.push(ConfigChange {
             version,
             acknowledged: Instant::now(),
@@ -641,6 +709,7 @@
             jobs: &self.jobs.records(),
             arrivals: &self.item_arrivals(),
             runs: &self.terms.runs,
+            warmups: &self.warmups(),
         };
         let complete = requests
             .iter()
@@ -674,6 +743,12 @@
                 runs.len()
             );
         }
+        if !record.warmups.is_empty() {
+            let busiest = record.warmups.iter().map(ServerWarmup::busiest_window);
+            let busiest = busiest.max().unwrap_or(0);
+            let count = record.warmups.len();
+            println!("{count} warm-ups, at most {busiest} requests in a second of one");
+        }
         for vm in &ended {
             println!("front-{vm:02} ended by itself");
         }
--- a/standins/src/soak/servers.rs
+++ b/standins/src/soak/servers.rs
@@ -42,7 +42,10 @@
 };
 
 use super::{
-    config::SERVICE,
+    config::{
+        SERVICE,
+        WARMUP_TIME, //
+    },
     events::{
         event_text,
         ServerRun,
@@ -86,10 +89,23 @@
     pub(crate) id: String,
     /// Requests that it received.
     pub(crate) arrivals: Arc<Mutex<Vec<ServerArrival>>>,
+    /// When its warm-ups began.
+    pub(crate) warmups: WarmupTimes,
     server: StandardServer,
     version: String,
     domain: String,
-    start: u128,
+    start: Mutex<u128>,
+}
+
+/// Times at which the warm-ups of a server began.
+pub(crate) type WarmupTimes = Arc<Mutex<Vec<Instant>>>;
+
+/// Returns the remaining time of the last warm-up, in milliseconds.
+fn remaining_ms(warmups: &WarmupTimes) -> u64 {
+    let last = lock(warmups).last().copied();
+    let remaining = last.map(|begun| WARMUP_TIME.saturating_sub(begun.elapsed()));
+    let remaining = remaining.unwrap_or_default().as_millis();
+    u64::try_from(remaining).unwrap_or(u64::MAX)
 }
 
 impl SoakServer {
@@ -101,30 +117,34 @@
         terms: &ServerTerms,
     ) -> SoakServer {
         let arrivals: Arc<Mutex<Vec<ServerArrival>>> = Arc::default();
-        let script = terms.script(&id, version, &arrivals);
+        let warmups = WarmupTimes::default();
+        let script = terms.script(&id, version, (&arrivals, &warmups));
         SoakServer {
             id,
             arrivals,
+            warmups,
             server: StandardServer::start(script).await,
             version: version.to_owned(),
             domain,
-            start: unix_millis(),
+            start: Mutex::new(unix_millis()),
         }
     }
 
     /// Ends the server without an announcement, and starts another one at its address at once.
     pub(crate) fn succeed(&self, id: String, version: &str, terms: &ServerTerms) -> SoakServer {
         let arrivals: Arc<Mutex<Vec<ServerArrival>>> = Arc::default();
+        let warmups = WarmupTimes::default();
         self.server.crash(Duration::ZERO);
         self.server
-            .set_script(terms.script(&id, version, &arrivals));
+            .set_script(terms.script(&id, version, (&arrivals, &warmups)));
         SoakServer {
             id,
             arrivals,
+            warmups,
             server: self.server.clone(),
             version: version.to_owned(),
             domain: self.domain.clone(),
-            start: unix_millis(),
+            start: Mutex::new(unix_millis()),
         }
     }
 
@@ -137,12 +157,18 @@
             "version": self.version,
             "slots": SLOTS,
             "state": state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": remaining_ms(&self.warmups),
             "sequence": sequence,
-            "born": u64::try_from(self.start).unwrap_or(u64::MAX),
+            "born": u64::try_from(*lock(&self.start)).unwrap_or(u64::MAX),
         })
     }
 
+    /// Begins the warm-up of a new process.
+    pub(crate) fn begin_warmup(&self) {
+        *lock(&self.start) = unix_millis();
+        lock(&self.warmups).push(Instant::now());
+    }
+
     /// Closes all connections and the listener, and starts again after a time.
     pub(crate) fn crash(&self, downtime: Duration) {
         self.server.crash(downtime);
@@ -197,11 +223,16 @@
         &self,
         id: &str,
         version: &str,
-        arrivals: &Arc<Mutex<Vec<ServerArrival>>>,
+        (arrivals, warmups): (&Arc<Mutex<Vec<ServerArrival>>>, &WarmupTimes),
     ) -> impl Fn(&ReceivedRequest) -> Vec<ResponseStep> + Send + Sync + 'static {
-        let (terms, arrivals) = (self.clone(), arrivals.clone());
+        let (terms, arrivals, warmups) = (self.clone(), arrivals.clone(), warmups.clone());
         let (id, version) = (id.to_owned(), version.to_owned());
         move |request| {
+            if request.line.starts_with("GET /health") {
+                let remaining = remaining_ms(&warmups);
+                let extra = format!("Cold-Ms: {remaining}\r\nContent-Length: 0\r\n");
+                return vec![ResponseStep::Write(head("200 OK", &extra))];
+            }
             let expected = request.header("expected-instance");
             if expected.is_some_and(|expected| expected != id) {
                 return rejection("421 Misdirected Request");
--- a/standins/src/soak_main.rs
+++ b/standins/src/soak_main.rs
@@ -16,7 +16,7 @@
 Runs VM processes under load and disturbs them by a seeded plan; exits with 1 if a rule was broken.
 
     soak --program FILE [--vms N] [--servers N] [--seconds N] [--seed N] [--rate N] [--busy N] [--routes N] [--share X]
-         [--relays none|store|all] [--load plain|stepped] [--in-place X] [--unframed X] [--garbled X]
+         [--relays none|store|all] [--load plain|stepped|warming] [--in-place X] [--unframed X] [--garbled X]
          [--keep DIR]
 
   --program FILE   the program of a VM
@@ -31,7 +31,8 @@
   --relays LINKS   links that relays stand on and that are disturbed: none, those between VMs and the store, or also
                    those between VMs (all), which needs a program with the setting `advertised_address`
   --load KIND      plain; or stepped: a rate that rises and falls, long items that are preempted by its crests, and
-                   releases of all servers while VMs restart, with other numbers of VMs (8) and requests (6) by default
+                   releases of all servers while VMs restart, with other numbers of VMs (8) and requests (6) by default;
+                   or warming: short streams at servers that are slow after their start, with 6 servers and 25 requests
   --in-place X     share of the servers that a release replaces at the same address, without an announcement (0)
   --unframed X     share of the streams without length or chunks (0)
   --garbled X      share of the other streams that are malformed at their end or break off (0)
@@ -134,6 +135,7 @@
     match text {
         "plain" => Ok(SoakOptions::default()),
         "stepped" => Ok(SoakOptions::stepped()),
+        "warming" => Ok(SoakOptions::warming()),
         _ => Err(format!("no kind of load: {text}")),
     }
 }
