--- a/boragerill/tests/warmup.rs
+++ b/boragerill/tests/warmup.rs
@@ -26,6 +26,7 @@
         ServiceWarmup,
         StatedWarmup,
         WarmupCause,
+        WarmupGate,
         WarmupReport,
         WarmupTolerance, //
     }, //
@@ -923,6 +924,35 @@
     assert!(tables.is_off());
 }
 
+/// Guards against a VM that spends the rate of a fleet that it hasn't met yet.
+#[test]
+fn vm_without_others_sends_only_once_it_has_known_for_two_seconds_that_it_is_alone() {
+    // arrange
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let view = |size| FleetView { reporting: 1, size };
+    let mut gate = WarmupGate::new(start);
+
+    // act
+    gate.observe_fleet(1, false, at(5000));
+    let unread_list = gate.is_open(view(1), at(9000));
+    gate.observe_fleet(1, true, at(9000));
+    gate.observe_fleet(1, true, at(10_000));
+    let soon = gate.is_open(view(1), at(10_999));
+    let later = gate.is_open(view(1), at(11_000));
+    gate.observe_fleet(2, true, at(12_000));
+    gate.observe_fleet(1, true, at(13_000));
+    let alone_again = gate.is_open(view(1), at(14_000));
+    let with_others = [at(999), at(1000)].map(|now| gate.is_open(view(2), now));
+
+    // assert
+    assert_eq!(
+        [unread_list, soon, later, alone_again],
+        [false, false, true, false]
+    );
+    assert_eq!(with_others, [false, true]);
+}
+
 /// Interval at which a request that waits asks for a token.
 const WAIT_INTERVAL: Duration = Duration::from_millis(10);
 
