--- a/boragerill/tests/warmup.rs
+++ b/boragerill/tests/warmup.rs
@@ -278,8 +278,11 @@
         self.steps += 1;
         self.register_servers();
         let (now, transfer) = (self.now, self.transfer);
-        let arrived = |message: &mut ModelMessage| message.sent_at + transfer <= now;
-        let messages: Vec<ModelMessage> = self.messages.extract_if(.., arrived).collect();
+        let arrived = |message: &ModelMessage| message.sent_at + transfer <= now;
+        let sent = std::mem::take(&mut self.messages).into_iter();
+        let (messages, in_transfer): (Vec<ModelMessage>, Vec<ModelMessage>) =
+            sent.partition(arrived);
+        self.messages = in_transfer;
         for vm in 0..self.vms.len() {
             let lossy = self.now < self.lossy_until;
             for message in &messages {
