--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -49,6 +49,7 @@
         FetchedState,
         FETCHED_STATES, //
     },
+    warmup_check::check_reconnected, //
     watch_state::{
         kind_name,
         WatchState, //
@@ -257,8 +258,10 @@
             let mut servers = servers.iter();
             servers.any(|server| (server.key, server.server.start) == process)
         };
-        state.limits.retain(is_listed);
+        state.limits.retain(is_listed, now);
         state.load.retain(is_listed);
+        state.limits.review_warmups(now);
+        check_reconnected(&state);
         let confirmed = servers_confirmed(&state, now);
         state.backends.observe_versions(confirmed, now);
         state.streams.prune(now);
