Evacuation of failure domains

Cause: an operator had no means to keep traffic away from the servers of a failure domain without draining each of them. Change: entries of kind evacuations are watched and fetched like the other states, if the setting enables them. Every choice of a server and the send itself exclude servers of evacuated domains; a VM without a current list sends nothing; requests whose servers are all evacuated are refused at once. Runs in the domain are completed. The kind costs half a call a second for the whole fleet.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod config;
 pub mod drain;
 pub mod error;
+pub mod evacuation;
 pub mod feed;
 pub mod frame;
 pub mod headroom;
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -286,12 +286,23 @@
 
     /// Returns how many reachable VMs that watch the store rank before this VM for a task.
     pub fn watchers_before(&self, task: u64, now: Instant) -> usize {
+        self.selected_watchers_before(task, |_| true, now)
+    }
+
+    /// Returns how many of the reachable VMs that watch the store, and that `is_selected` admits by the hash of their
+    /// names, rank before this VM for a task.
+    pub fn selected_watchers_before(
+        &self,
+        task: u64,
+        is_selected: impl Fn(u64) -> bool,
+        now: Instant,
+    ) -> usize {
         let own = score(task, hash_name(&self.own.vm));
         let watchers = self
             .reachable(now)
             .filter(|member| member.info.follows && !member.info.leaving);
         watchers
-            .filter(|member| score(task, member.hash) > own)
+            .filter(|member| score(task, member.hash) > own && is_selected(member.hash))
             .count()
     }
 
--- a/boragerill/src/refusal.rs
+++ b/boragerill/src/refusal.rs
@@ -44,6 +44,10 @@
     ConfigMissing,
     /// The service has no backend server that accepts new requests.
     ServerUnavailable,
+    /// The failure domains of all servers of the service are evacuated.
+    DomainsEvacuated,
+    /// This VM doesn't know yet which failure domains are evacuated.
+    EvacuationsMissing,
     /// All servers are full, and the request can't run in time.
     CapacityShort,
     /// It is unknown which version of the servers began the stream; the caller has to begin it anew.
@@ -183,6 +187,8 @@
             RefusalReason::ConfigStale => ("config_stale", 503),
             RefusalReason::ConfigMissing => ("config_missing", 503),
             RefusalReason::ServerUnavailable => ("server_unavailable", 503),
+            RefusalReason::DomainsEvacuated => ("domains_evacuated", 503),
+            RefusalReason::EvacuationsMissing => ("evacuations_missing", 503),
             RefusalReason::CapacityShort => ("capacity_short", 503),
             RefusalReason::VersionUnknown => ("version_unknown", 503),
             RefusalReason::VersionUnavailable => ("version_unavailable", 503),
--- a/boragerill/src/watch_lease.rs
+++ b/boragerill/src/watch_lease.rs
@@ -23,13 +23,21 @@
 /// store compacts its history; the next call detects this.
 const FIRST_WATCHER_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Interval between the ends of the first watcher's calls of a kind that changes rarely and whose changes may take longer
+/// to arrive.
+const RARE_KIND_INTERVAL: Duration = Duration::from_millis(2000);
+
+/// Time between the end of a call of a rare kind and that of the first kind.
+const RARE_KIND_OFFSET: Duration = Duration::from_millis(170);
+
 /// Longest wait of one call of all watchers but the first.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Lease of one VM.
 #[derive(Clone, Debug)]
 pub struct WatchLease {
-    kinds: Vec<KindLease>, // By kind.
+    kinds: Vec<KindLease>, // By kind; rare kinds come last.
+    rare_kinds: usize,
     response_time: Duration,
 }
 
@@ -46,10 +54,18 @@
     pub fn new(kinds: usize) -> WatchLease {
         WatchLease {
             kinds: vec![KindLease::default(); kinds],
+            rare_kinds: 0,
             response_time: RESPONSE_TIME,
         }
     }
 
+    /// Returns the lease with one more kind, which changes rarely.
+    pub fn with_rare_kind(mut self) -> WatchLease {
+        self.kinds.push(KindLease::default());
+        self.rare_kinds += 1;
+        self
+    }
+
     /// Records that a call that waits for `wait` begins, and returns when its response is overdue.
     pub fn begin_call(&mut self, kind: usize, wait: Duration, now: Instant) -> Instant {
         let due = now + wait + self.response_time;
@@ -90,15 +106,22 @@
         if !is_first {
             return WATCH_TIMEOUT;
         }
-        let kinds = u32::try_from(self.kinds.len().max(1)).unwrap_or(u32::MAX);
+        let regular = self.kinds.len() - self.rare_kinds;
+        let kinds = u32::try_from(regular.max(1)).unwrap_or(u32::MAX);
         let step = FIRST_WATCHER_INTERVAL / kinds;
-        let offset = step * u32::try_from(kind).unwrap_or_default();
-        let interval = FIRST_WATCHER_INTERVAL.as_nanos();
-        let phase = (elapsed + FIRST_WATCHER_INTERVAL - offset).as_nanos() % interval;
-        let until_end = Duration::from_nanos(u64::try_from(interval - phase).unwrap_or_default());
+        let (interval, offset) = match kind < regular {
+            true => {
+                let offset = step * u32::try_from(kind).unwrap_or_default();
+                (FIRST_WATCHER_INTERVAL, offset)
+            }
+            false => (RARE_KIND_INTERVAL, RARE_KIND_OFFSET),
+        };
+        let phase = (elapsed + interval - offset).as_nanos() % interval.as_nanos();
+        let until_end = interval.as_nanos() - phase;
+        let until_end = Duration::from_nanos(u64::try_from(until_end).unwrap_or_default());
         // A call that would end at once waits for the next turn.
         match until_end < step {
-            true => until_end + FIRST_WATCHER_INTERVAL,
+            true => until_end + interval,
             false => until_end,
         }
     }
--- a/boragerill/tests/watch_lease.rs
+++ b/boragerill/tests/watch_lease.rs
@@ -17,6 +17,10 @@
 /// and of another VM's call, changes still arrive within 2 s.
 const LAPSE_TIME: Duration = Duration::from_millis(1000);
 
+/// As [`LAPSE_TIME`] for a rare kind: the longest wait of its calls and the time of a response. Half of the bound of 5 s for
+/// evacuations remains for the next call, a heartbeat and a fetch by the other VMs.
+const RARE_LAPSE_TIME: Duration = Duration::from_millis(2700);
+
 /// One watcher whose calls the store answers at once, in steps of a millisecond, until it falls silent.
 struct WatcherModel {
     lease: WatchLease,
@@ -195,3 +199,50 @@
     // assert
     assert!(due <= begin + milliseconds(300) + LAPSE_TIME);
 }
+
+// Guards against calls to the store, the largest cost of a deployment: the kind of evacuations, whose bound is 5 s, needs
+// no call each second.
+#[test]
+fn first_watcher_calls_for_a_rare_kind_every_other_second() {
+    // arrange
+    let start = Instant::now();
+    let mut lease = WatchLease::new(KINDS).with_rare_kind();
+    let mut time = Duration::from_millis(700);
+    let mut waits = Vec::new();
+
+    // act
+    for _ in 0..10 {
+        let wait = lease.wait(KINDS, true, time);
+        lease.begin_call(KINDS, wait, start + time);
+        time += wait;
+        lease.end_call(KINDS, true, start + time);
+        waits.push(wait);
+    }
+
+    // assert
+    assert!(waits[0] <= milliseconds(2400), "{:?}", waits[0]);
+    assert!(waits[1..].iter().all(|wait| *wait == milliseconds(2000)));
+}
+
+// Guards against requests to an evacuated domain: a VM vouched for its list although the store, or the connection of this
+// kind, had fallen silent.
+#[test]
+fn lease_needs_answers_for_a_rare_kind_too() {
+    // arrange
+    let now = Instant::now();
+    let mut lease = WatchLease::new(KINDS).with_rare_kind();
+    for kind in 0..KINDS {
+        lease.end_call(kind, true, now);
+        lease.begin_call(kind, milliseconds(60_000), now);
+    }
+
+    // act
+    let before = lease.is_valid(now);
+    lease.end_call(KINDS, true, now);
+    let answered = lease.is_valid(now);
+    lease.begin_call(KINDS, lease.wait(KINDS, true, Duration::ZERO), now);
+    let silent = lease.is_valid(now + RARE_LAPSE_TIME);
+
+    // assert
+    assert!(!before && answered && !silent);
+}
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -181,6 +181,11 @@
                 .retry_after(SHUTDOWN_RETRY),
         );
     }
+    if !state.evacuations.is_known() {
+        let detail = "no list of evacuated failure domains received yet";
+        let refused = RefusalResponse::not_run(RefusalReason::EvacuationsMissing, detail);
+        return Err(refused.retry_after(CONFIG_RETRY));
+    }
     if caller.id.is_empty() {
         let field = state.format.names.request_id.as_str();
         return Err(RefusalResponse::not_run(
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -162,6 +162,8 @@
     Refused,
     /// Another server listens at the address.
     Misdirected,
+    /// The failure domain of the server is evacuated, or it isn't known whether it is.
+    Evacuated,
 }
 
 impl NotRunCause {
@@ -171,6 +173,7 @@
             NotRunCause::Unreachable => "unreachable",
             NotRunCause::Refused => "server_refused",
             NotRunCause::Misdirected => "misdirected",
+            NotRunCause::Evacuated => "evacuated",
         }
     }
 }
@@ -232,6 +235,7 @@
                 AttemptFailure::NotRun(NotRunCause::Unreachable, _) => {
                     state.backends.record_unreachable(server, now);
                 }
+                AttemptFailure::NotRun(NotRunCause::Evacuated, _) => {}
                 _ => {
                     state.backends.record_failure(server, now);
                     let lost = LostRequest::new(request, in_flight.age());
@@ -295,6 +299,12 @@
     mut connection: BackendConnection,
     permit: &mut SendPermit,
 ) -> Option<Result<(Response<Incoming>, BackendConnection), AttemptFailure>> {
+    // The evacuation may have begun while the connection was opened.
+    if server.is_evacuated() || state.is_sending_held(Instant::now()) {
+        counter!("evacuated_sends_prevented_total").increment(1);
+        let cause = CompactString::const_new("failure domain evacuated");
+        return Some(Err(AttemptFailure::NotRun(NotRunCause::Evacuated, cause)));
+    }
     let outgoing = build_request(&state.format.names, server, request);
     let remaining = request.deadline.saturating_duration_since(Instant::now());
     permit.record_sent();
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -95,6 +95,7 @@
     online: AtomicU32,
     batch: AtomicU32,
     drain_announced: AtomicBool,
+    evacuated: AtomicBool,   // Whether its failure domain is evacuated.
     misdirected: AtomicBool, // Whether another server was met at the address.
     health: Mutex<BackendHealth>,
     lost: Mutex<Vec<LostRequest>>, // Until it is known whether the process has crashed.
@@ -137,6 +138,7 @@
     servers: ArcSwap<Vec<Arc<BackendState>>>, // Sorted by id.
     slot_reports: Mutex<SlotTable>,
     demands: Mutex<DemandTable>,
+    evacuated: Mutex<Vec<CompactString>>, // Names of the evacuated failure domains, sorted.
     own_demands: Mutex<Vec<SlotDemand>>,
     reachability: Mutex<ReachabilityTable>,
     drains: Mutex<DrainTable>,
@@ -158,6 +160,7 @@
             servers: ArcSwap::default(),
             slot_reports: Mutex::default(),
             demands: Mutex::default(),
+            evacuated: Mutex::default(),
             own_demands: Mutex::default(),
             reachability: Mutex::default(),
             drains: Mutex::default(),
@@ -183,11 +186,13 @@
             .collect();
         let is_listed = table.through() > 0;
         let drains = lock(&self.drains);
+        let evacuated = lock(&self.evacuated);
         for state in &servers {
             state.apply_drain_table(&drains);
+            state.apply_evacuations(&evacuated);
         }
         self.servers.store(Arc::new(servers));
-        drop(drains);
+        drop((drains, evacuated));
         if is_listed {
             self.observe_listed(None, Instant::now());
         }
@@ -262,7 +267,7 @@
     pub(crate) fn has_server(&self, version: VersionKey) -> bool {
         let servers = self.servers.load();
         let mut servers = servers.iter();
-        servers.any(|state| state.version == version && !state.is_draining())
+        servers.any(|state| state.version == version && state.takes_work())
     }
 
     /// Returns whether a server of a version and service takes new requests.
@@ -270,7 +275,7 @@
         let servers = self.servers.load();
         let mut servers = servers.iter();
         servers.any(|state| {
-            state.version == version && state.server.service == service && !state.is_draining()
+            state.version == version && state.server.service == service && state.takes_work()
         })
     }
 
@@ -306,6 +311,26 @@
         (selected, views)
     }
 
+    /// Replaces the names of the evacuated failure domains by those that `read` returns, sorted. Of two calls at once, the
+    /// one that reads the newer list takes effect last.
+    pub(crate) fn update_evacuated(&self, read: impl FnOnce() -> Vec<CompactString>) {
+        let mut evacuated = lock(&self.evacuated);
+        *evacuated = read();
+        for state in self.servers.load().iter() {
+            state.apply_evacuations(&evacuated);
+        }
+        drop(evacuated);
+        // Requests that wait for a slot choose again, or are refused.
+        self.slot_freed.notify_waiters();
+    }
+
+    /// Returns whether any server is registered in a failure domain.
+    pub(crate) fn has_domain(&self, domain: &str) -> bool {
+        let servers = self.servers.load();
+        let mut servers = servers.iter();
+        servers.any(|state| state.server.domain == domain)
+    }
+
     /// Records that a server's process announced that it is draining, and reports new announcements to other
     /// VMs.
     pub(crate) fn record_drain_announcement(&self, announcement: DrainAnnouncement) {
@@ -505,7 +530,7 @@
             },
             slots: state.server.slots,
             local: state.server.domain == domain,
-            leaving: state.is_draining() || state.shared.misdirected.load(Ordering::Relaxed),
+            leaving: !state.takes_work() || state.shared.misdirected.load(Ordering::Relaxed),
             ejected: timed_out
                 || health.unreachable
                 || health.failures.is_ejected(self.age_ms(now)),
@@ -533,6 +558,23 @@
         self.server.leaving || self.shared.drain_announced.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the failure domain of the server is evacuated. Requests that run there are completed, but nothing
+    /// new is sent.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.shared.evacuated.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the server may get new requests.
+    pub(crate) fn takes_work(&self) -> bool {
+        !self.is_draining() && !self.is_evacuated()
+    }
+
+    /// Records whether the server's failure domain is among the evacuated ones, which are sorted.
+    fn apply_evacuations(&self, evacuated: &[CompactString]) {
+        let is_evacuated = evacuated.binary_search(&self.server.domain).is_ok();
+        self.shared.evacuated.store(is_evacuated, Ordering::Relaxed);
+    }
+
     /// Marks the server as draining if the table holds an announcement of its process.
     fn apply_drain_table(&self, table: &DrainTable) {
         if table.find(self.key, self.server.start).is_some() {
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -72,6 +72,7 @@
     catalog: CatalogVersion,
     backends: Revision,
     cancellations: Revision,
+    evacuations: Revision,
 }
 
 /// Builds the heartbeats of this VM.
@@ -198,6 +199,7 @@
             catalog: self.state.catalog.version(),
             backends: self.state.backends.read(|table| table.through()),
             cancellations: lock(&self.state.cancellations).through(),
+            evacuations: self.state.evacuations.through(),
         }
     }
 
@@ -231,6 +233,12 @@
             backends: numbers.backends,
             ends: numbers.cancellations,
             demands: demands.into_iter().map(service_demand).collect(),
+            evacuations: self
+                .state
+                .settings
+                .evacuations
+                .then_some(numbers.evacuations),
+            evacuated: self.state.evacuations.hashes(),
             watches: Some(lock(&self.state.members).own().follows),
             ..Default::default()
         }
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -303,6 +303,19 @@
             };
             record_number(state, stated);
         }
+        if !state.settings.evacuations {
+            return;
+        }
+        state.evacuations.record_heartbeat(heartbeat);
+        if let Some(number) = heartbeat.evacuations {
+            let stated = StatedNumber {
+                vm,
+                watches,
+                kind: FetchedState::Evacuations,
+                number,
+            };
+            record_number(state, stated);
+        }
     }
 }
 
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod commit;
 mod crash_watch;
 mod dispatch;
+mod evacuations;
 mod handover;
 mod head_timer;
 mod heartbeat;
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -15,13 +15,15 @@
     },
     backend::{
         BackendChange,
-        BackendServer, //
+        BackendServer,
+        Revision, //
     },
     cancellation::JobCancellation,
     error::{
         ServeError,
         Step, //
     },
+    evacuation::DomainEvacuation,
     frame::FrameLink,
     generated::messages::{
         envelope::Body,
@@ -31,6 +33,7 @@
         CancelledJob,
         CatalogRequest,
         CatalogResponse,
+        EvacuatedDomain,
         ItemBodyRequest,
         ItemBodyResponse,
         JobAck,
@@ -67,6 +70,7 @@
         apply_catalog_text,
         unpack, //
     },
+    evacuations::apply_changes,
     handover,
     job_reads,
     jobs,
@@ -238,12 +242,15 @@
         });
         (table.through(), records.collect(), is_full)
     });
+    let (evacuations_through, evacuations) = newer_evacuations(state, request);
     let cancellations = lock(&state.cancellations);
     let ends = cancellations.since(request.ends_after);
     BackendChangesResponse {
         backends_through: through,
         backends,
         backends_full: is_full,
+        evacuations_through,
+        evacuations,
         ends_through: cancellations.through(),
         ends: ends
             .map(|cancellation| CancelledJob {
@@ -254,6 +261,25 @@
     }
 }
 
+/// Returns the list of evacuated failure domains if it is newer than the one of the requesting VM.
+fn newer_evacuations(
+    state: &FleetState,
+    request: &BackendChangesRequest,
+) -> (Option<Revision>, Vec<EvacuatedDomain>) {
+    let (through, entries) = state.evacuations.list();
+    let is_newer = request
+        .evacuations_after
+        .is_some_and(|after| after < through);
+    if !is_newer {
+        return (None, Vec::new());
+    }
+    let domains = entries.into_iter().map(|entry| EvacuatedDomain {
+        domain: entry.domain.to_string(),
+        revision: entry.revision,
+    });
+    (Some(through), domains.collect())
+}
+
 async fn job_results_response(
     state: &Arc<FleetState>,
     request: JobResultsRequest,
@@ -473,6 +499,10 @@
         backends_after: through,
         ends_after: lock(&state.cancellations).through(),
         backends_digest: Some(digest),
+        evacuations_after: state
+            .settings
+            .evacuations
+            .then(|| state.evacuations.through()),
     });
     let Body::BackendAnswer(response) = request_newer(state, vm, body, limit, choice).await? else {
         return Err(unexpected_message(state, vm));
@@ -507,6 +537,18 @@
         job: job.id.into(),
     });
     jobs::apply_cancellations(state, cancelled.collect(), response.ends_through, &source);
+    if let Some(through) = response
+        .evacuations_through
+        .filter(|_| state.settings.evacuations)
+    {
+        let entries = response.evacuations.into_iter();
+        let entries = entries.map(|entry| DomainEvacuation {
+            domain: entry.domain.into(),
+            revision: entry.revision,
+        });
+        let changes = state.evacuations.replace(entries.collect(), through);
+        apply_changes(state, changes, &source);
+    }
     record_own_revisions(state);
     Ok(FetchOutcome::Received)
 }
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -40,7 +40,11 @@
     },
 };
 use compact_str::format_compact;
-use tokio::time::timeout;
+use metrics::counter;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 
 use crate::{
     admission::AdmittedRequest,
@@ -64,6 +68,9 @@
 /// Requests that may wait in the queue of the server on which a stream is resumed.
 const RESUME_QUEUE: u32 = 2;
 
+/// Retry delay for callers while all servers of a service are in evacuated failure domains.
+const EVACUATED_RETRY: Duration = Duration::from_millis(1000);
+
 /// Longest wait for a freed slot before the servers are checked again.
 const SLOT_POLL: Duration = Duration::from_millis(10);
 
@@ -103,10 +110,16 @@
     loop {
         let slot_freed = state.backends.slot_freed.notified();
         let now = Instant::now();
+        if state.is_sending_held(now) {
+            // The list of evacuated domains is confirmed, or the hold ends, within half a second.
+            sleep(SLOT_POLL).await;
+            continue;
+        }
         let (servers, views) = request_views(state, request, &history.tried, now);
         if request.version.is_some() && views.iter().all(|view| view.leaving) {
             return Err(version_unavailable(history));
         }
+        refuse_evacuated(state, &servers, history)?;
         let wait = wait_state(state, request, (&servers, &views), waiting.as_ref(), now);
         let rule = wait.rule();
         if let Some(index) = choose_server(&views, request, history, rule) {
@@ -304,6 +317,29 @@
     permitted.filter(|_| fits)
 }
 
+/// Refuses a request whose service has servers in evacuated failure domains only.
+fn refuse_evacuated(
+    state: &FleetState,
+    servers: &[Arc<BackendState>],
+    history: &RunHistory,
+) -> Result<(), RefusalResponse> {
+    let is_evacuated = |server: &Arc<BackendState>| server.is_evacuated();
+    if servers.is_empty() || !servers.iter().all(is_evacuated) {
+        return Ok(());
+    }
+    counter!("requests_all_evacuated_total").increment(1);
+    if history.runs > 0 {
+        return Err(final_refusal(history, false));
+    }
+    let count = state.evacuations.list().1.len();
+    let detail = format_compact!(
+        "all {} servers are in {count} evacuated failure domains",
+        servers.len()
+    );
+    let refused = RefusalResponse::not_run(RefusalReason::DomainsEvacuated, detail);
+    Err(refused.retry_after(EVACUATED_RETRY))
+}
+
 /// Returns the refusal for a stream of whose version no server takes requests.
 fn version_unavailable(history: &RunHistory) -> RefusalResponse {
     if history.runs > 0 {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -57,6 +57,7 @@
         BackendState, //
     },
     catalog_store::CatalogStore,
+    evacuations::EvacuationRegistry,
     jobs::JobRegistry,
     links::PeerLinks,
     quarantine::QuarantineRegistry,
@@ -86,6 +87,8 @@
     pub(crate) transfers: Mutex<TransferTable>,
     /// Backend servers in use.
     pub(crate) backends: Arc<BackendRegistry>,
+    /// Evacuated failure domains.
+    pub(crate) evacuations: EvacuationRegistry,
     /// Limits that backend servers state.
     pub(crate) limits: Arc<LimitRegistry>,
     /// Other VMs.
@@ -168,6 +171,7 @@
             fetches: FetchSources::default(),
             transfers: Mutex::default(),
             backends: Arc::default(),
+            evacuations: EvacuationRegistry::new(settings.evacuations, now),
             limits: Arc::new(LimitRegistry::new(members.clone())),
             members,
             rate_limiter: Mutex::new(RateLimiter::new(first, tolerance, now)),
@@ -201,6 +205,7 @@
         let domain = &self.settings.domain;
         let (servers, mut views) = self.backends.views(service, version, domain, now);
         self.limits.apply(&servers, &mut views);
+        self.apply_evacuations(&servers, &mut views, now);
         (servers, views)
     }
 
--- a/fleet/src/state_fetch.rs
+++ b/fleet/src/state_fetch.rs
@@ -77,6 +77,8 @@
     Backends,
     /// Cancelled jobs, numbered by the store's revision.
     Cancellations,
+    /// Evacuated failure domains, numbered by the store's revision; only if the settings enable them.
+    Evacuations,
 }
 
 impl FetchedState {
@@ -86,17 +88,30 @@
             FetchedState::Catalog => "catalog",
             FetchedState::Backends => "backends",
             FetchedState::Cancellations => "cancellations",
+            FetchedState::Evacuations => "evacuations",
         }
     }
 }
 
 /// All kinds of state that VMs fetch from each other, which are those that are watched at the store.
-pub(crate) const FETCHED_STATES: [FetchedState; 3] = [
+const FETCHED_STATES: [FetchedState; 4] = [
     FetchedState::Catalog,
     FetchedState::Backends,
     FetchedState::Cancellations,
+    FetchedState::Evacuations,
 ];
 
+/// Number of the kinds of state that all VMs fetch; the settings enable the others.
+pub(crate) const REGULAR_STATES: usize = 3;
+
+/// Returns the kinds of state that this VM fetches and watches.
+pub(crate) fn fetched_states(state: &FleetState) -> &'static [FetchedState] {
+    match state.settings.evacuations {
+        true => &FETCHED_STATES,
+        false => &FETCHED_STATES[..REGULAR_STATES],
+    }
+}
+
 /// VMs that have a newer state of one kind.
 #[derive(Debug, Default)]
 struct StateSources {
@@ -132,6 +147,11 @@
         *lock(&self.of(kind).confirmed) = Some(Instant::now());
     }
 
+    /// Returns when the own state was last known to be the newest one; `None` if it never was.
+    pub(crate) fn confirmed_at(&self, kind: FetchedState) -> Option<Instant> {
+        *lock(&self.of(kind).confirmed)
+    }
+
     /// Returns how long ago the own state was last known to be the newest one; `None` if it never was.
     pub(crate) fn unconfirmed_for(&self, kind: FetchedState) -> Option<Duration> {
         let confirmed = *lock(&self.of(kind).confirmed);
@@ -206,7 +226,7 @@
 
 /// Logs states that have just become unconfirmed or confirmed, and sets their metrics.
 pub(crate) fn report_confirmations(state: &FleetState) {
-    for kind in FETCHED_STATES {
+    for &kind in fetched_states(state) {
         let Some(unconfirmed) = state.fetches.unconfirmed_for(kind) else {
             continue;
         };
@@ -222,7 +242,7 @@
 
 /// Fetches newer states of all kinds until the process ends.
 pub(crate) fn start(state: &Arc<FleetState>) {
-    for kind in FETCHED_STATES {
+    for &kind in fetched_states(state) {
         tokio::spawn(keep_current(state.clone(), kind));
     }
 }
@@ -283,7 +303,7 @@
     // The changes of servers are small, so that every VM may fetch them from any other one.
     let rank = match kind {
         FetchedState::Catalog => members.own_domain_rank(hash_name("fetch"), now),
-        FetchedState::Backends | FetchedState::Cancellations => 0,
+        FetchedState::Backends | FetchedState::Cancellations | FetchedState::Evacuations => 0,
     };
     let terms = FetchTerms {
         vm: state.vm_hash,
@@ -301,7 +321,7 @@
 ) -> Result<FetchOutcome, ServeError> {
     match kind {
         FetchedState::Catalog => peers::fetch_catalog(state, vm, CATALOG_TIMEOUT, choice).await,
-        FetchedState::Backends | FetchedState::Cancellations => {
+        FetchedState::Backends | FetchedState::Cancellations | FetchedState::Evacuations => {
             peers::fetch_changes(state, vm, CHANGES_TIMEOUT, choice).await
         }
     }
@@ -340,5 +360,6 @@
         FetchedState::Catalog => state.catalog.version(),
         FetchedState::Backends => state.backends.read(|table| table.through()),
         FetchedState::Cancellations => lock(&state.cancellations).through(),
+        FetchedState::Evacuations => state.evacuations.through(),
     }
 }
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -19,6 +19,10 @@
         ServeError,
         Step, //
     },
+    evacuation::{
+        DomainEvacuation,
+        EvacuationEntry, //
+    },
     rank::hash_name,
     sync::lock,
     timer::millis,
@@ -37,16 +41,17 @@
 
 use crate::{
     catalog_store::apply_catalog,
+    evacuations::apply_changes,
     jobs::{
         apply_cancellations,
         stop_cancelled_jobs, //
     },
     state::FleetState,
     state_fetch::{
+        fetched_states,
         report_confirmations,
         servers_confirmed,
-        FetchedState,
-        FETCHED_STATES, //
+        FetchedState, //
     },
     watch_state::{
         kind_name,
@@ -80,8 +85,8 @@
 
 /// Watches all kinds until the process ends.
 pub(crate) fn start(state: &Arc<FleetState>) {
-    let watch_state = Arc::new(WatchState::default());
-    for kind in FETCHED_STATES {
+    let watch_state = Arc::new(WatchState::new(state));
+    for &kind in fetched_states(state) {
         tokio::spawn(watch_kind(state.clone(), watch_state.clone(), kind));
     }
 }
@@ -167,7 +172,10 @@
     if state.catalog.version() == 0 || state.backends.read(|table| table.through()) == 0 {
         return false;
     }
-    watchers_before(state) >= WATCHERS && !is_behind(state, kind)
+    if kind == FetchedState::Evacuations && !state.evacuations.is_known() {
+        return false;
+    }
+    watchers_of(state, kind) >= WATCHERS && !is_behind(state, kind)
 }
 
 /// Returns whether other VMs haven't sent a newer state that they have stated for long.
@@ -191,7 +199,7 @@
 /// Returns whether calls of a kind have to end soon, since no VM of higher rank watches, or other VMs don't send what
 /// they state.
 fn needs_short_calls(state: &FleetState, kind: FetchedState) -> bool {
-    watchers_before(state) == 0 || is_behind(state, kind)
+    watchers_of(state, kind) == 0 || is_behind(state, kind)
 }
 
 /// Returns whether this VM ranks first among the VMs that watch the store.
@@ -200,6 +208,16 @@
     follows && watchers_before(state) == 0
 }
 
+/// Returns how many VMs of higher rank watch a kind. VMs of earlier builds don't watch all kinds.
+fn watchers_of(state: &FleetState, kind: FetchedState) -> usize {
+    if kind != FetchedState::Evacuations {
+        return watchers_before(state);
+    }
+    let follows = |vm| state.evacuations.is_follower(vm);
+    let members = lock(&state.members);
+    members.selected_watchers_before(hash_name("follow"), follows, Instant::now())
+}
+
 fn watchers_before(state: &FleetState) -> usize {
     lock(&state.members).watchers_before(hash_name("follow"), Instant::now())
 }
@@ -247,6 +265,7 @@
         state.jobs.remove_expired(retention, now);
         stop_cancelled_jobs(&state);
         report_confirmations(&state);
+        state.evacuations.tick(now);
     }
 }
 
@@ -287,10 +306,10 @@
 /// Waits until a call that waits for long has to be replaced by one that is answered at once: a VM of higher rank watches
 /// no more, maybe since the store has fallen silent, or other VMs don't send what they state.
 async fn wait_for_doubt(state: &FleetState, kind: FetchedState) {
-    let mut before = watchers_before(state);
+    let mut before = watchers_of(state, kind);
     loop {
         sleep(WATCHER_CHECK_INTERVAL).await;
-        let now = watchers_before(state);
+        let now = watchers_of(state, kind);
         if now < before || is_behind(state, kind) {
             return;
         }
@@ -317,6 +336,7 @@
             apply_cancellations(state, cancelled.collect(), through, "store");
             record_own_revisions(state);
         }
+        FetchedState::Evacuations => apply_evacuations(state, objects, through, is_listing),
     }
     state.backends.changed.notify_one();
 }
@@ -366,7 +386,33 @@
     record_own_revisions(state);
 }
 
-/// Records up to which revisions this VM knows the backend servers and cancellations.
+fn apply_evacuations(
+    state: &FleetState,
+    objects: Vec<PlatformObject>,
+    through: Revision,
+    is_listing: bool,
+) {
+    let entries = objects.into_iter().map(|object| EvacuationEntry {
+        domain: object.name,
+        revision: object.version,
+        removed: object.deleted,
+    });
+    let changes = match is_listing {
+        true => {
+            let present = entries.filter(|entry| !entry.removed);
+            let present = present.map(|entry| DomainEvacuation {
+                domain: entry.domain,
+                revision: entry.revision,
+            });
+            state.evacuations.replace(present.collect(), through)
+        }
+        false => state.evacuations.apply(entries.collect(), through),
+    };
+    apply_changes(state, changes, "store");
+    record_own_revisions(state);
+}
+
+/// Records up to which revisions this VM knows the backend servers, cancellations and evacuations.
 pub(crate) fn record_own_revisions(state: &FleetState) {
     let through = state.backends.read(|table| table.through());
     state.fetches.record_own(FetchedState::Backends, through);
@@ -374,6 +420,8 @@
     state
         .fetches
         .record_own(FetchedState::Cancellations, through);
+    let through = state.evacuations.through();
+    state.fetches.record_own(FetchedState::Evacuations, through);
 }
 
 /// Logs changes of backend servers and their source.
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -293,10 +293,14 @@
         .map(|_| ())
 }
 
-/// Sets the VM ready once it has a configuration and the list of backend servers.
+/// Sets the VM ready once it has a configuration, the list of backend servers, and that of the evacuated failure domains if
+/// it follows them.
 async fn watch_readiness(state: Arc<FleetState>) {
     let started = Instant::now();
-    while state.catalog.version() == 0 || state.backends.read(|table| table.through()) == 0 {
+    while state.catalog.version() == 0
+        || state.backends.read(|table| table.through()) == 0
+        || !state.evacuations.is_known()
+    {
         sleep(READINESS_CHECK_INTERVAL).await;
     }
     info!(after_ms = millis(started.elapsed()); "ready to serve");
--- a/fleet/src/watch_state.rs
+++ b/fleet/src/watch_state.rs
@@ -26,7 +26,7 @@
     state::FleetState,
     state_fetch::{
         FetchedState,
-        FETCHED_STATES, //
+        REGULAR_STATES, //
     },
 };
 
@@ -37,16 +37,20 @@
     started: Instant,
 }
 
-impl Default for WatchState {
-    fn default() -> WatchState {
+impl WatchState {
+    /// Creates the state of a VM that hasn't called the store yet.
+    pub(crate) fn new(state: &FleetState) -> WatchState {
+        let lease = WatchLease::new(REGULAR_STATES);
+        let lease = match state.settings.evacuations {
+            true => lease.with_rare_kind(),
+            false => lease,
+        };
         WatchState {
-            lease: Mutex::new(WatchLease::new(FETCHED_STATES.len())),
+            lease: Mutex::new(lease),
             started: Instant::now(),
         }
     }
-}
 
-impl WatchState {
     /// Returns for how long the next call of a kind waits for changes.
     pub(crate) fn wait(&self, kind: FetchedState, is_short: bool) -> Duration {
         lock(&self.lease).wait(kind as usize, is_short, self.started.elapsed())
@@ -107,5 +111,6 @@
         FetchedState::Catalog => state.format.kinds.catalog,
         FetchedState::Backends => state.format.kinds.backends,
         FetchedState::Cancellations => CANCELLATION_KIND,
+        FetchedState::Evacuations => state.format.kinds.evacuations,
     }
 }
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -106,6 +106,8 @@
     pub catalog_name: &'static str,
     /// Kind of the backend servers' entries.
     pub backends: &'static str,
+    /// Kind of the entries of failure domains that are evacuated; the entries are named after them.
+    pub evacuations: &'static str,
     /// Kind of the orders to drain and retire a VM.
     pub retirements: &'static str,
 }
