Data residency of routes and workspaces

Cause: requests of a route or workspace could run in any region. Change: allowed_regions of routes and workspaces restrict servers, takeover, handover and relayed calls to the store. Views of servers and the send itself respect the rule. A request that no allowed server takes is refused at once. Without any list no check is made.

--- a/boragerill/src/catalog.rs
+++ b/boragerill/src/catalog.rs
@@ -14,7 +14,8 @@
     rank::{
         hash_name,
         score, //
-    }, //
+    },
+    residency::ResidencyRule, //
 };
 
 /// Version of a configuration; a higher one replaces a lower one.
@@ -78,6 +79,8 @@
     pub open: bool,
     /// Services that share the route's requests, with their weights.
     pub services: Vec<(CompactString, u32)>,
+    /// Regions that requests may be sent to, sorted; empty without a restriction.
+    pub allowed_regions: Vec<CompactString>,
 }
 
 /// A service and the properties that all of its backend servers share.
@@ -106,6 +109,8 @@
     pub priority: Option<u32>,
     /// Hashes of the valid keys.
     pub keys: Vec<KeyHash>,
+    /// Regions that requests may be sent to, sorted; empty without a restriction.
+    pub allowed_regions: Vec<CompactString>,
 }
 
 /// Size and time limits for callers' connections and requests.
@@ -156,12 +161,18 @@
     workspaces: Vec<CatalogWorkspace>, // Sorted by name.
     keys: Vec<(KeyHash, usize)>,       // Sorted by hash; the index refers to `workspaces`.
     limits: CallerLimits,
+    is_restricted: bool, // Whether any route or workspace allows some regions only.
 }
 
 impl Catalog {
     /// Builds a catalog from its parts.
     pub fn new(parts: CatalogParts) -> Catalog {
+        let mut restricted = parts.routes.iter().map(|route| &route.allowed_regions);
+        let mut workspaces = parts.workspaces.iter().map(|entry| &entry.allowed_regions);
+        let is_restricted = restricted.any(|regions| !regions.is_empty())
+            || workspaces.any(|regions| !regions.is_empty());
         let mut catalog = Catalog {
+            is_restricted,
             version: parts.version,
             routes: parts.routes.into_iter().map(Arc::new).collect(),
             services: parts.services,
@@ -187,6 +198,24 @@
         self.version
     }
 
+    /// Returns whether any route or workspace allows some regions only.
+    pub fn is_restricted(&self) -> bool {
+        self.is_restricted
+    }
+
+    /// Returns the rule for requests of a route and a workspace.
+    pub fn residency(
+        &self,
+        route: &CatalogRoute,
+        workspace: Option<&CatalogWorkspace>,
+    ) -> ResidencyRule {
+        if !self.is_restricted {
+            return ResidencyRule::default();
+        }
+        let workspace = workspace.map_or(&[][..], |entry| &entry.allowed_regions);
+        ResidencyRule::new(&route.allowed_regions, workspace)
+    }
+
     /// Returns the limits for callers.
     pub fn limits(&self) -> &CallerLimits {
         &self.limits
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod rate_limiter;
 pub mod reachability;
 pub mod refusal;
+pub mod residency;
 pub mod response_end;
 pub mod retry;
 pub mod roster;
--- a/boragerill/src/refusal.rs
+++ b/boragerill/src/refusal.rs
@@ -44,6 +44,8 @@
     ConfigMissing,
     /// The service has no backend server that accepts new requests.
     ServerUnavailable,
+    /// No server in a region that the route and the workspace allow takes requests.
+    RegionUnavailable,
     /// The failure domains of all servers of the service are evacuated.
     DomainsEvacuated,
     /// This VM doesn't know yet which failure domains are evacuated.
@@ -187,6 +189,7 @@
             RefusalReason::ConfigStale => ("config_stale", 503),
             RefusalReason::ConfigMissing => ("config_missing", 503),
             RefusalReason::ServerUnavailable => ("server_unavailable", 503),
+            RefusalReason::RegionUnavailable => ("region_unavailable", 503),
             RefusalReason::DomainsEvacuated => ("domains_evacuated", 503),
             RefusalReason::EvacuationsMissing => ("evacuations_missing", 503),
             RefusalReason::CapacityShort => ("capacity_short", 503),
--- a/boragerill/tests/catalog.rs
+++ b/boragerill/tests/catalog.rs
@@ -24,6 +24,7 @@
         priority: 0,
         open: false,
         services: vec![("desk".into(), 1)],
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -35,6 +36,7 @@
         burst: 0.0,
         priority: None,
         keys: keys.iter().map(|key| hash_key(key)).collect(),
+        allowed_regions: Vec::new(),
     }
 }
 
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -23,6 +23,7 @@
         RefusalResponse,
         RunState, //
     },
+    residency::ResidencyRule,
     stream_version::VersionKey,
     sync::lock,
     timer::millis, //
@@ -208,7 +209,9 @@
         return jobs::submit(state, &caller, (route.as_ref(), terms), name, body).await;
     }
     check_protocol(parts.version, &route.kind)?;
+    let residency = catalog.residency(route, workspace);
     let mut request = admit(state, caller, route, workspace, body)?;
+    request.outgoing.residency = residency;
     pin_version(state, &mut request).await?;
     let workspace = workspace.filter(|workspace| workspace.rate > 0.0);
     if let Some(workspace) = workspace {
@@ -393,6 +396,7 @@
             repeatable: route.is_repeatable(),
             kind: RequestClass::Online,
             prompt,
+            residency: ResidencyRule::default(),
         },
         route: route.clone(),
     })
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -11,6 +11,7 @@
 use boragerill::{
     drain::DrainAnnouncement,
     prompt::PromptParts,
+    residency::ResidencyRule,
     response_end::BodyFraming,
     stream::EventId,
     timer::millis, //
@@ -116,6 +117,8 @@
     pub(crate) kind: RequestClass,
     /// Parts of the prompt.
     pub(crate) prompt: PromptParts,
+    /// Regions that it may be sent to.
+    pub(crate) residency: ResidencyRule,
 }
 
 impl OutgoingRequest {
@@ -164,6 +167,8 @@
     Misdirected,
     /// The failure domain of the server is evacuated, or it isn't known whether it is.
     Evacuated,
+    /// The server isn't in an allowed region.
+    Restricted,
 }
 
 impl NotRunCause {
@@ -174,6 +179,7 @@
             NotRunCause::Refused => "server_refused",
             NotRunCause::Misdirected => "misdirected",
             NotRunCause::Evacuated => "evacuated",
+            NotRunCause::Restricted => "restricted",
         }
     }
 }
@@ -235,7 +241,7 @@
                 AttemptFailure::NotRun(NotRunCause::Unreachable, _) => {
                     state.backends.record_unreachable(server, now);
                 }
-                AttemptFailure::NotRun(NotRunCause::Evacuated, _) => {}
+                AttemptFailure::NotRun(NotRunCause::Evacuated | NotRunCause::Restricted, _) => {}
                 _ => {
                     state.backends.record_failure(server, now);
                     let lost = LostRequest::new(request, in_flight.age());
@@ -299,6 +305,13 @@
     mut connection: BackendConnection,
     permit: &mut SendPermit,
 ) -> Option<Result<(Response<Incoming>, BackendConnection), AttemptFailure>> {
+    // Views of servers exclude such a server already; this holds whichever way it was chosen.
+    let domain = &server.server.domain;
+    if !state.regions.admits_domain(&request.residency, domain) {
+        counter!("restricted_sends_prevented_total").increment(1);
+        let cause = CompactString::const_new("server not in an allowed region");
+        return Some(Err(AttemptFailure::NotRun(NotRunCause::Restricted, cause)));
+    }
     // The evacuation may have begun while the connection was opened.
     if server.is_evacuated() || state.is_sending_held(Instant::now()) {
         counter!("evacuated_sends_prevented_total").increment(1);
--- a/fleet/src/handover.rs
+++ b/fleet/src/handover.rs
@@ -53,9 +53,14 @@
 
 async fn hand_over(state: &Arc<FleetState>, entry: &Arc<JobEntry>) {
     let now = Instant::now();
+    let Some(rule) = state.job_residency(&entry.manifest) else {
+        return;
+    };
     let target = {
         let members = lock(&state.members);
-        let candidates = members.reachable(now).filter(|member| !member.info.leaving);
+        let candidates = members.reachable(now).filter(|member| {
+            !member.info.leaving && state.regions.admits_domain(&rule, &member.info.domain)
+        });
         let duty = hash_name(&entry.id);
         let best = candidates.max_by_key(|member| boragerill::rank::score(duty, member.hash));
         best.map(|member| member.hash)
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -21,6 +21,7 @@
         RunNumber, //
     },
     prompt::PromptParts,
+    residency::ResidencyRule,
     response_end::ProcessState,
     slot::free_slots,
     stream::{
@@ -221,7 +222,10 @@
     /// Returns whether another server has a free slot that no other item of this VM has left the server for lately.
     fn may_move(&self, now: Instant) -> bool {
         let service = &self.server.server.service;
-        let (_, mut views) = self.state.server_views(service, None, now);
+        let Some(rule) = self.state.job_residency(&self.entry.manifest) else {
+            return false;
+        };
+        let (_, mut views) = self.state.server_views(service, None, &rule, now);
         views.retain(|view| view.key != self.server.key);
         let free = free_slots(&views, 0);
         self.state.backends.admit_move(self.server, free, now)
@@ -423,6 +427,7 @@
     route: &CatalogRoute,
     index: usize,
     last: Option<u64>,
+    residency: ResidencyRule,
 ) -> OutgoingRequest {
     let names = &state.format.names;
     let item = &entry.items[index];
@@ -464,5 +469,6 @@
         repeatable: true,
         kind: RequestClass::Batch,
         prompt: item_prompt(names, &entry.manifest.workspace, item),
+        residency,
     }
 }
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -28,6 +28,7 @@
         TrialTerms, //
     },
     rank::hash_name,
+    residency::ResidencyRule,
     slot::{
         choose_batch_server,
         free_slots,
@@ -217,13 +218,16 @@
             let Some(route) = catalog.find_route(&entry.manifest.host, &entry.manifest.path) else {
                 continue;
             };
+            let workspace = catalog.find_workspace(&entry.manifest.workspace);
+            let residency = catalog.residency(route, workspace);
             for index in startable_items(state, entry, priority, now) {
                 let service = route.choose_service(&entry.items[index].id);
                 let Some(service) = service.filter(|name| hash_name(name) == demand.service) else {
                     continue;
                 };
                 let remaining = allowed.get_or_insert_with(|| {
-                    let (_, views) = state.server_views(service, None, now);
+                    let all = ResidencyRule::default();
+                    let (_, views) = state.server_views(service, None, &all, now);
                     let free = free_slots(&views, RESERVED_SLOTS);
                     state
                         .backends
@@ -233,11 +237,13 @@
                 if version.is_some_and(|version| full_versions.contains(&version)) {
                     continue;
                 }
-                let (servers, views) = state.server_views(service, version, now);
+                let (servers, views) = state.server_views(service, version, &residency, now);
                 let chosen =
                     choose_batch_server(&views, &[], RESERVED_SLOTS).filter(|_| *remaining > 0);
                 let Some(chosen) = chosen else {
                     match version {
+                        // Others may start at servers in other regions.
+                        _ if residency.is_restricted() => {}
                         Some(version) if *remaining > 0 => full_versions.push(version),
                         _ => return,
                     }
@@ -251,7 +257,8 @@
                     continue;
                 }
                 *remaining -= 1;
-                self.start(state, entry, route, index, permitted, priority.time_left);
+                let job_due = priority.time_left;
+                self.start(state, entry, (route, &residency), index, permitted, job_due);
             }
         }
     }
@@ -282,7 +289,7 @@
         self: &Arc<Self>,
         state: &Arc<FleetState>,
         entry: &Arc<JobEntry>,
-        route: &Arc<CatalogRoute>,
+        (route, residency): (&Arc<CatalogRoute>, &ResidencyRule),
         index: usize,
         permitted: PermittedServer,
         job_due: Duration,
@@ -304,7 +311,7 @@
             output_bytes,
             preempt: Some(preempt),
         });
-        let outgoing = item_request(state, entry, route, index, started.last);
+        let outgoing = item_request(state, entry, route, index, started.last, residency.clone());
         // Counts the request at the server until the task counts it itself, so that the next choice includes it.
         let flight = state.backends.track_request(&server, RequestClass::Batch);
         let (runner, state, entry) = (self.clone(), state.clone(), entry.clone());
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -373,9 +373,16 @@
 fn store_relays(state: &FleetState) -> Vec<CompactString> {
     let now = Instant::now();
     let draw: u64 = rand::random();
+    // Calls and responses may carry bodies that other regions must not get.
+    let is_restricted = state
+        .catalog
+        .load()
+        .is_some_and(|catalog| catalog.is_restricted());
+    let may_relay = |domain: &str| !is_restricted || state.regions.is_own_region(domain);
     let members = lock(&state.members);
     let mut relays: Vec<_> = members
         .reachable(now)
+        .filter(|member| may_relay(&member.info.domain))
         .map(|member| {
             let order = (!member.info.follows, score(draw, member.hash));
             (order, member.info.address.clone())
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -22,6 +22,7 @@
         RefusalReason,
         RefusalResponse, //
     },
+    residency::ResidencyRule,
     slot::{
         choose_batch_server,
         choose_online_server,
@@ -68,7 +69,7 @@
 /// Requests that may wait in the queue of the server on which a stream is resumed.
 const RESUME_QUEUE: u32 = 2;
 
-/// Retry delay for callers while all servers of a service are in evacuated failure domains.
+/// Retry delay for callers while all servers of a service are in evacuated failure domains or regions that aren't allowed.
 const EVACUATED_RETRY: Duration = Duration::from_millis(1000);
 
 /// Longest wait for a freed slot before the servers are checked again.
@@ -116,6 +117,7 @@
             continue;
         }
         let (servers, views) = request_views(state, request, &history.tried, now);
+        refuse_restricted(request, &views, history)?;
         if request.version.is_some() && views.iter().all(|view| view.leaving) {
             return Err(version_unavailable(history));
         }
@@ -233,7 +235,8 @@
     tried: &[u32],
     now: Instant,
 ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
-    let (mut servers, mut views) = state.server_views(&request.service, request.version, now);
+    let rule = &request.outgoing.residency;
+    let (mut servers, mut views) = state.server_views(&request.service, request.version, rule, now);
     if begins_resumable(request) {
         keep_settled(state, (&mut servers, &mut views), tried);
     }
@@ -288,11 +291,11 @@
 /// Chooses a server of the version that began a stream for a stream that moves, not one of `tried`.
 pub(crate) fn choose_resume_server(
     state: &FleetState,
-    (service, version): (&str, VersionKey),
+    (service, version, residency): (&str, VersionKey, &ResidencyRule),
     tried: &[u32],
     demand: ServerDemand,
 ) -> Option<PermittedServer> {
-    let (servers, views) = state.server_views(service, Some(version), Instant::now());
+    let (servers, views) = state.server_views(service, Some(version), residency, Instant::now());
     choose_for_stream(state, (&servers, &views), tried, demand)
 }
 
@@ -340,6 +343,24 @@
     Err(refused.retry_after(EVACUATED_RETRY))
 }
 
+/// Refuses a request that may be sent to some regions only, if no server there takes requests.
+fn refuse_restricted(
+    request: &AdmittedRequest,
+    views: &[SlotView],
+    history: &RunHistory,
+) -> Result<(), RefusalResponse> {
+    let is_restricted = request.outgoing.residency.is_restricted();
+    if !is_restricted || views.iter().any(|view| !view.leaving) {
+        return Ok(());
+    }
+    if history.runs > 0 {
+        return Err(final_refusal(history, false));
+    }
+    let detail = "no server in an allowed region takes requests";
+    let refused = RefusalResponse::not_run(RefusalReason::RegionUnavailable, detail);
+    Err(refused.retry_after(EVACUATED_RETRY))
+}
+
 /// Returns the refusal for a stream of whose version no server takes requests.
 fn version_unavailable(history: &RunHistory) -> RefusalResponse {
     if history.runs > 0 {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -22,6 +22,7 @@
 use boragerill::{
     cancellation::CancellationTable,
     catalog::CatalogWorkspace,
+    job::JobManifest,
     member::{
         Incarnation,
         MemberInfo,
@@ -35,6 +36,10 @@
         RateTolerance,
         WorkspaceRate, //
     },
+    residency::{
+        RegionTable,
+        ResidencyRule, //
+    },
     settings::VmSettings,
     slot::SlotView,
     slot_wait::TimeoutTable,
@@ -89,6 +94,8 @@
     pub(crate) backends: Arc<BackendRegistry>,
     /// Evacuated failure domains.
     pub(crate) evacuations: EvacuationRegistry,
+    /// Regions of this VM and of the failure domains.
+    pub(crate) regions: RegionTable,
     /// Limits that backend servers state.
     pub(crate) limits: Arc<LimitRegistry>,
     /// Other VMs.
@@ -171,6 +178,7 @@
             fetches: FetchSources::default(),
             transfers: Mutex::default(),
             backends: Arc::default(),
+            regions: region_table(&settings),
             evacuations: EvacuationRegistry::new(settings.evacuations, now),
             limits: Arc::new(LimitRegistry::new(members.clone())),
             members,
@@ -200,15 +208,39 @@
         &self,
         service: &str,
         version: Option<VersionKey>,
+        residency: &ResidencyRule,
         now: Instant,
     ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
         let domain = &self.settings.domain;
         let (servers, mut views) = self.backends.views(service, version, domain, now);
         self.limits.apply(&servers, &mut views);
+        if residency.is_restricted() {
+            for (server, view) in servers.iter().zip(&mut views) {
+                view.leaving |= !self.regions.admits_domain(residency, &server.server.domain);
+            }
+        }
         self.apply_evacuations(&servers, &mut views, now);
         (servers, views)
     }
 
+    /// Returns the regions that the items of a job may be sent to; `None` without a configuration, or without the job's
+    /// route while any restriction is configured.
+    pub(crate) fn job_residency(&self, manifest: &JobManifest) -> Option<ResidencyRule> {
+        let catalog = self.catalog.load()?;
+        if !catalog.is_restricted() {
+            return Some(ResidencyRule::default());
+        }
+        let route = catalog.find_route(&manifest.host, &manifest.path)?;
+        let workspace = catalog.find_workspace(&manifest.workspace);
+        Some(catalog.residency(route, workspace))
+    }
+
+    /// Returns whether this VM may run a job, whose bodies it then holds.
+    pub(crate) fn may_run_job(&self, manifest: &JobManifest) -> bool {
+        let rule = self.job_residency(manifest);
+        rule.is_some_and(|rule| !rule.is_restricted() || self.regions.admits_own(&rule))
+    }
+
     /// Returns whether a job is known to be cancelled.
     pub(crate) fn is_cancelled(&self, job: &str) -> bool {
         lock(&self.cancellations).contains(job)
@@ -273,6 +305,12 @@
     }
 }
 
+fn region_table(settings: &VmSettings) -> RegionTable {
+    let domains = settings.domain_regions.iter();
+    let domains = domains.map(|(domain, region)| (domain.into(), region.into()));
+    RegionTable::new(&settings.region, &settings.domain, domains.collect())
+}
+
 /// Returns the rate and burst of a workspace.
 pub(crate) fn workspace_rate(workspace: &CatalogWorkspace) -> WorkspaceRate {
     WorkspaceRate {
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -454,7 +454,8 @@
     /// back to a server that ran it before.
     fn choose_next_server(&self) -> Option<PermittedServer> {
         let choose = |excluded: &[u32], demand| {
-            let service = (self.service.as_str(), self.version);
+            let residency = &self.outgoing.residency;
+            let service = (self.service.as_str(), self.version, residency);
             choose_resume_server(&self.state, service, excluded, demand)
         };
         let refused: Vec<u32> = self.refused.iter().map(|refused| refused.0).collect();
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -12,7 +12,10 @@
 };
 
 use boragerill::{
-    error::ServeError,
+    error::{
+        ServeError,
+        Step, //
+    },
     job::{
         JobCheckpoint,
         JobProgress,
@@ -250,6 +253,11 @@
     submitted: Instant,
 ) -> Result<Option<Arc<JobEntry>>, ServeError> {
     let manifest = load_manifest(state, id).await?;
+    if !state.may_run_job(&manifest) {
+        counter!("restricted_jobs_declined_total").increment(1);
+        let cause = "this VM is not in an allowed region".into();
+        return Err(ServeError::Rejected(Step::PlatformRead, id.into(), cause));
+    }
     let chunks = load_results(state, id).await?;
     let listed: usize = chunks.iter().map(|chunk| chunk.results.len()).sum();
     let is_finished = listed >= manifest.items;
