--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -72,6 +72,7 @@
     catalog: CatalogVersion,
     backends: Revision,
     cancellations: Revision,
+    evacuations: Revision,
 }
 
 /// Builds the heartbeats of this VM.
@@ -199,6 +200,7 @@
             catalog: self.state.catalog.version(),
             backends: self.state.backends.read(|table| table.through()),
             cancellations: lock(&self.state.cancellations).through(),
+            evacuations: self.state.evacuations.through(),
         }
     }
 
@@ -232,6 +234,12 @@
             backends: numbers.backends,
             ends: numbers.cancellations,
             demands: demands.into_iter().map(service_demand).collect(),
+            evacuations: self
+                .state
+                .settings
+                .evacuations
+                .then_some(numbers.evacuations),
+            evacuated: self.state.evacuations.hashes(),
             watches: Some(lock(&self.state.members).own().follows),
             ..Default::default()
         }
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -15,13 +15,15 @@
     },
     backend::{
         BackendChange,
-        BackendServer, //
+        BackendServer,
+        Revision, //
     },
     cancellation::JobCancellation,
     error::{
         ServeError,
         Step, //
     },
+    evacuation::DomainEvacuation,
     frame::FrameLink,
     generated::messages::{
         envelope::Body,
@@ -31,6 +33,7 @@
         CancelledJob,
         CatalogRequest,
         CatalogResponse,
+        EvacuatedDomain,
         ItemBodyRequest,
         ItemBodyResponse,
         JobAck,
@@ -69,6 +72,7 @@
         apply_catalog_text,
         unpack, //
     },
+    evacuations::apply_changes,
     handover,
     job_reads,
     jobs,
@@ -246,12 +250,15 @@
         });
         (table.through(), records.collect(), is_full)
     });
+    let (evacuations_through, evacuations) = newer_evacuations(state, request);
     let cancellations = lock(&state.cancellations);
     let ends = cancellations.since(request.ends_after);
     BackendChangesResponse {
         backends_through: through,
         backends,
         backends_full: is_full,
+        evacuations_through,
+        evacuations,
         ends_through: cancellations.through(),
         ends: ends
             .map(|cancellation| CancelledJob {
@@ -262,6 +269,25 @@
     }
 }
 
+/// Returns the list of evacuated failure domains if it is newer than the one of the requesting VM.
+fn newer_evacuations(
+    state: &FleetState,
+    request: &BackendChangesRequest,
+) -> (Option<Revision>, Vec<EvacuatedDomain>) {
+    let (through, entries) = state.evacuations.list();
+    let is_newer = request
+        .evacuations_after
+        .is_some_and(|after| after < through);
+    if !is_newer {
+        return (None, Vec::new());
+    }
+    let domains = entries.into_iter().map(|entry| EvacuatedDomain {
+        domain: entry.domain.to_string(),
+        revision: entry.revision,
+    });
+    (Some(through), domains.collect())
+}
+
 async fn job_results_response(
     state: &Arc<FleetState>,
     request: JobResultsRequest,
@@ -355,9 +381,16 @@
 fn store_relays(state: &FleetState) -> Vec<CompactString> {
     let now = Instant::now();
     let draw: u64 = rand::random();
+    // Calls and responses may carry bodies that other regions must not get.
+    let is_restricted = state
+        .catalog
+        .load()
+        .is_some_and(|catalog| catalog.is_restricted());
+    let may_relay = |domain: &str| !is_restricted || state.regions.is_own_region(domain);
     let members = lock(&state.members);
     let mut relays: Vec<_> = members
         .reachable(now)
+        .filter(|member| may_relay(&member.info.domain))
         .map(|member| {
             let order = (!member.info.follows, score(draw, member.hash));
             (order, member.info.address.clone())
@@ -481,6 +514,10 @@
         backends_after: through,
         ends_after: lock(&state.cancellations).through(),
         backends_digest: Some(digest),
+        evacuations_after: state
+            .settings
+            .evacuations
+            .then(|| state.evacuations.through()),
     });
     let Body::BackendAnswer(response) = request_newer(state, vm, body, limit, choice).await? else {
         return Err(unexpected_message(state, vm));
@@ -515,6 +552,18 @@
         job: job.id.into(),
     });
     jobs::apply_cancellations(state, cancelled.collect(), response.ends_through, &source);
+    if let Some(through) = response
+        .evacuations_through
+        .filter(|_| state.settings.evacuations)
+    {
+        let entries = response.evacuations.into_iter();
+        let entries = entries.map(|entry| DomainEvacuation {
+            domain: entry.domain.into(),
+            revision: entry.revision,
+        });
+        let changes = state.evacuations.replace(entries.collect(), through);
+        apply_changes(state, changes, &source);
+    }
     record_own_revisions(state);
     Ok(FetchOutcome::Received)
 }
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -27,6 +27,7 @@
         RefusalReason,
         RefusalResponse, //
     },
+    residency::ResidencyRule,
     slot::{
         choose_batch_server,
         choose_online_server,
@@ -46,7 +47,10 @@
 };
 use compact_str::format_compact;
 use metrics::counter;
-use tokio::time::timeout;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 
 use crate::{
     admission::AdmittedRequest,
@@ -71,6 +75,9 @@
 /// Requests that may wait in the queue of the server on which a stream is resumed.
 const RESUME_QUEUE: u32 = 2;
 
+/// Retry delay for callers while all servers of a service are in evacuated failure domains or regions that aren't allowed.
+const EVACUATED_RETRY: Duration = Duration::from_millis(1000);
+
 /// Longest wait for a freed slot before the servers are checked again.
 const SLOT_POLL: Duration = Duration::from_millis(10);
 
@@ -110,13 +117,20 @@
     loop {
         let slot_freed = state.backends.slot_freed.notified();
         let now = Instant::now();
+        if state.is_sending_held(now) {
+            // The list of evacuated domains is confirmed, or the hold ends, within half a second.
+            sleep(SLOT_POLL).await;
+            continue;
+        }
         let (servers, views) = request_views(state, request, &history.tried, now);
+        refuse_restricted(request, &views, history)?;
         if request.version.is_none() {
             state.load.record_demand(&request.service, &views, now);
         }
         if request.version.is_some() && views.iter().all(|view| view.leaving) {
             return Err(version_unavailable(history));
         }
+        refuse_evacuated(state, &servers, history)?;
         let wait = wait_state(state, request, (&servers, &views), waiting.as_ref(), now);
         let rule = wait.rule();
         if let Some(index) = choose_server(&views, request, history, rule) {
@@ -273,7 +287,8 @@
     tried: &[u32],
     now: Instant,
 ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
-    let (mut servers, mut views) = state.server_views(&request.service, request.version, now);
+    let rule = &request.outgoing.residency;
+    let (mut servers, mut views) = state.server_views(&request.service, request.version, rule, now);
     if state.load.is_active() {
         let cost = RequestCost::of(&state.format.names, &request.route.name, &request.outgoing);
         let selected = (servers.as_slice(), views.as_mut_slice());
@@ -335,11 +350,11 @@
 /// Chooses a server of the version that began a stream for a stream that moves, not one of `tried`.
 pub(crate) fn choose_resume_server(
     state: &FleetState,
-    (service, version): (&str, VersionKey),
+    (service, version, residency): (&str, VersionKey, &ResidencyRule),
     tried: &[u32],
     demand: ServerDemand,
 ) -> Option<PermittedServer> {
-    let (servers, views) = state.server_views(service, Some(version), Instant::now());
+    let (servers, views) = state.server_views(service, Some(version), residency, Instant::now());
     choose_for_stream(state, (&servers, &views), tried, demand)
 }
 
@@ -364,6 +379,47 @@
     permitted.filter(|_| fits)
 }
 
+/// Refuses a request whose service has servers in evacuated failure domains only.
+fn refuse_evacuated(
+    state: &FleetState,
+    servers: &[Arc<BackendState>],
+    history: &RunHistory,
+) -> Result<(), RefusalResponse> {
+    let is_evacuated = |server: &Arc<BackendState>| server.is_evacuated();
+    if servers.is_empty() || !servers.iter().all(is_evacuated) {
+        return Ok(());
+    }
+    counter!("requests_all_evacuated_total").increment(1);
+    if history.runs > 0 {
+        return Err(final_refusal(history, false));
+    }
+    let count = state.evacuations.list().1.len();
+    let detail = format_compact!(
+        "all {} servers are in {count} evacuated failure domains",
+        servers.len()
+    );
+    let refused = RefusalResponse::not_run(RefusalReason::DomainsEvacuated, detail);
+    Err(refused.retry_after(EVACUATED_RETRY))
+}
+
+/// Refuses a request that may be sent to some regions only, if no server there takes requests.
+fn refuse_restricted(
+    request: &AdmittedRequest,
+    views: &[SlotView],
+    history: &RunHistory,
+) -> Result<(), RefusalResponse> {
+    let is_restricted = request.outgoing.residency.is_restricted();
+    if !is_restricted || views.iter().any(|view| !view.leaving) {
+        return Ok(());
+    }
+    if history.runs > 0 {
+        return Err(final_refusal(history, false));
+    }
+    let detail = "no server in an allowed region takes requests";
+    let refused = RefusalResponse::not_run(RefusalReason::RegionUnavailable, detail);
+    Err(refused.retry_after(EVACUATED_RETRY))
+}
+
 /// Returns the refusal for a stream of whose version no server takes requests.
 fn version_unavailable(history: &RunHistory) -> RefusalResponse {
     if history.runs > 0 {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -22,6 +22,7 @@
 use boragerill::{
     cancellation::CancellationTable,
     catalog::CatalogWorkspace,
+    job::JobManifest,
     member::{
         Incarnation,
         MemberInfo,
@@ -35,6 +36,10 @@
         RateTolerance,
         WorkspaceRate, //
     },
+    residency::{
+        RegionTable,
+        ResidencyRule, //
+    },
     settings::VmSettings,
     slot::SlotView,
     slot_wait::TimeoutTable,
@@ -58,6 +63,7 @@
         BackendState, //
     },
     catalog_store::CatalogStore,
+    evacuations::EvacuationRegistry,
     jobs::JobRegistry,
     links::PeerLinks,
     quarantine::QuarantineRegistry,
@@ -88,6 +94,10 @@
     pub(crate) transfers: Mutex<TransferTable>,
     /// Backend servers in use.
     pub(crate) backends: Arc<BackendRegistry>,
+    /// Evacuated failure domains.
+    pub(crate) evacuations: EvacuationRegistry,
+    /// Regions of this VM and of the failure domains.
+    pub(crate) regions: RegionTable,
     /// Limits that backend servers state, and their warm-ups.
     pub(crate) limits: Arc<LimitRegistry>,
     /// Load of backend servers and cost of requests.
@@ -176,6 +186,8 @@
             catalog: CatalogStore::default(),
             fetches: FetchSources::default(),
             transfers: Mutex::default(),
+            regions: region_table(&settings),
+            evacuations: EvacuationRegistry::new(settings.evacuations, now),
             load: LoadRegistry::default(),
             backends: Arc::new(BackendRegistry::new(limits.clone())),
             limits,
@@ -207,15 +219,40 @@
         &self,
         service: &str,
         version: Option<VersionKey>,
+        residency: &ResidencyRule,
         now: Instant,
     ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
         let domain = &self.settings.domain;
         let (servers, mut views) = self.backends.views(service, version, domain, now);
         self.limits.apply(&servers, &mut views);
         self.load.apply(service, (&servers, &mut views), None, now);
+        if residency.is_restricted() {
+            for (server, view) in servers.iter().zip(&mut views) {
+                view.leaving |= !self.regions.admits_domain(residency, &server.server.domain);
+            }
+        }
+        self.apply_evacuations(&servers, &mut views, now);
         (servers, views)
     }
 
+    /// Returns the regions that the items of a job may be sent to; `None` without a configuration, or without the job's
+    /// route while any restriction is configured.
+    pub(crate) fn job_residency(&self, manifest: &JobManifest) -> Option<ResidencyRule> {
+        let catalog = self.catalog.load()?;
+        if !catalog.is_restricted() {
+            return Some(ResidencyRule::default());
+        }
+        let route = catalog.find_route(&manifest.host, &manifest.path)?;
+        let workspace = catalog.find_workspace(&manifest.workspace);
+        Some(catalog.residency(route, workspace))
+    }
+
+    /// Returns whether this VM may run a job, whose bodies it then holds.
+    pub(crate) fn may_run_job(&self, manifest: &JobManifest) -> bool {
+        let rule = self.job_residency(manifest);
+        rule.is_some_and(|rule| !rule.is_restricted() || self.regions.admits_own(&rule))
+    }
+
     /// Returns whether a job is known to be cancelled.
     pub(crate) fn is_cancelled(&self, job: &str) -> bool {
         lock(&self.cancellations).contains(job)
@@ -280,6 +317,12 @@
     }
 }
 
+fn region_table(settings: &VmSettings) -> RegionTable {
+    let domains = settings.domain_regions.iter();
+    let domains = domains.map(|(domain, region)| (domain.into(), region.into()));
+    RegionTable::new(&settings.region, &settings.domain, domains.collect())
+}
+
 /// Returns the rate and burst of a workspace.
 pub(crate) fn workspace_rate(workspace: &CatalogWorkspace) -> WorkspaceRate {
     WorkspaceRate {
