Cells of servers, near and distant heartbeats, lists of VMs to one VM at a time

Cause: every heartbeat, list of VMs and usage of slots went to all VMs, and every VM used every server. Timeouts follow the stated period.

--- a/boragerill/src/job_directory.rs
+++ b/boragerill/src/job_directory.rs
@@ -37,6 +37,9 @@
 /// Time within which a reachable VM reports every job that it runs.
 const JOB_REPORT_PERIOD: Duration = Duration::from_millis(2500);
 
+/// Time within which a reachable VM of another cell reports every job that it runs: three complete lists of jobs.
+const DISTANT_REPORT_PERIOD: Duration = Duration::from_millis(6500);
+
 /// Delay per rank before a VM takes a job over, so that VMs of higher rank can do so first.
 const RANK_WAIT: Duration = Duration::from_millis(400);
 
@@ -259,9 +262,11 @@
         if runner.is_reachable(now) {
             // A VM that became reachable again reports its jobs within `JOB_REPORT_PERIOD`.
             let since = self.refreshed.max(runner.since);
-            return now
-                .saturating_duration_since(since)
-                .saturating_sub(JOB_REPORT_PERIOD);
+            let period = match runner.period {
+                None => JOB_REPORT_PERIOD,
+                Some(_) => DISTANT_REPORT_PERIOD,
+            };
+            return now.saturating_duration_since(since).saturating_sub(period);
         }
         let last_heartbeat = runner.last_heartbeat.unwrap_or(self.refreshed);
         now.saturating_duration_since(last_heartbeat)
--- a/boragerill/src/rate_limiter.rs
+++ b/boragerill/src/rate_limiter.rs
@@ -55,6 +55,15 @@
 /// Fraction of the tolerance that may be spent after a restart of the whole fleet.
 const RESTART_PART: f64 = 0.15;
 
+/// Fraction of the tolerance that may be spent on requests that VMs of other cells report with a delay.
+const DELAY_PART: f64 = 0.35;
+
+/// How many times its rate a workspace sends at most, as far as requests may be reported with a delay.
+const EXPECTED_OVERLOAD: f64 = 4.0;
+
+/// Fraction of the usable burst below which each request is reported to all VMs at once.
+const URGENT_PART: f64 = 0.5;
+
 /// Least usable fraction of a burst, however small the tolerance is.
 const MIN_BURST_PART: f64 = 0.5;
 
@@ -73,6 +82,16 @@
         let each = (tolerated + limit.burst - accrued_twice) / 2.0;
         each.clamp(limit.burst * MIN_BURST_PART, limit.burst)
     }
+
+    /// Returns how long a request may stay unknown to VMs of other cells while `tokens` are left. Within this time a
+    /// workspace that sends [`EXPECTED_OVERLOAD`] times its rate takes no more than these tokens, those that accrue, and a
+    /// part of the tolerance.
+    fn report_delay(self, limit: &WorkspaceRate, tokens: f64, longest: Duration) -> Duration {
+        let spare = tokens + self.excess(limit) * DELAY_PART;
+        let delay = spare / (limit.rate * (EXPECTED_OVERLOAD - 1.0));
+        let delay = Duration::try_from_secs_f64(delay.max(0.0)).unwrap_or(longest);
+        delay.saturating_sub(PROPAGATION_TIME).min(longest)
+    }
 }
 
 /// Reachability of the fleet as seen by the deciding VM.
@@ -142,6 +161,7 @@
     changed: bool,
     last_used: Option<Instant>,
     unreported: Vec<Instant>, // Requests within the last `PROPAGATION_TIME`, oldest first.
+    report_due: Option<Instant>, // When VMs of other cells have to know of the requests.
     peers: Vec<ReportedUsage>, // Sorted by VM.
 }
 
@@ -152,6 +172,7 @@
     started: Instant,
     initial: f64,
     tolerance: RateTolerance,
+    longest_delay: Duration, // Of reports to VMs of other cells; zero if there are none.
 }
 
 /// Time for which usage is reported again, since single reports may be lost.
@@ -171,6 +192,27 @@
             buckets: Vec::new(),
             started: now,
             initial: initial.unwrap_or(f64::INFINITY),
+            longest_delay: Duration::ZERO,
+        }
+    }
+
+    /// Sets the longest time for which requests may stay unknown to VMs of other cells; zero if there are no other cells.
+    pub fn set_report_delay(&mut self, longest: Duration) {
+        self.longest_delay = longest;
+    }
+
+    /// Returns when VMs of other cells have to be told the usage; `None` if it is unchanged.
+    pub fn report_due(&self) -> Option<Instant> {
+        self.buckets
+            .iter()
+            .filter_map(|bucket| bucket.report_due)
+            .min()
+    }
+
+    /// Records that VMs of other cells are told the usage.
+    pub fn record_distant_report(&mut self) {
+        for bucket in &mut self.buckets {
+            bucket.report_due = None;
         }
     }
 
@@ -185,7 +227,19 @@
         let bucket = &mut self.buckets[index];
         bucket.limit = limit;
         bucket.refill(burst, view, now);
-        bucket.take(view, now)
+        let decision = bucket.take(view, now);
+        if decision == RateDecision::Granted && !self.longest_delay.is_zero() {
+            let is_urgent = bucket.tokens < burst * view.fraction() * URGENT_PART;
+            let delay = match is_urgent {
+                true => Duration::ZERO,
+                false => self
+                    .tolerance
+                    .report_delay(&limit, bucket.tokens, self.longest_delay),
+            };
+            let due = now + delay;
+            bucket.report_due = Some(bucket.report_due.map_or(due, |before| before.min(due)));
+        }
+        decision
     }
 
     /// Returns the token of a request that didn't run.
@@ -323,6 +377,7 @@
                     changed: false,
                     last_used: None,
                     unreported: Vec::new(),
+                    report_due: None,
                     peers: Vec::new(),
                 };
                 self.buckets.insert(index, bucket);
--- a/boragerill/src/server_limit.rs
+++ b/boragerill/src/server_limit.rs
@@ -297,6 +297,17 @@
         Some((rate, wait.unwrap_or(Duration::MAX)))
     }
 
+    /// Empties the bucket of a process to which other VMs have sent the requests until now. Their first reports include
+    /// requests from before.
+    pub fn restart_bucket(&mut self, process: ProcessKey, now: Instant) {
+        if let Ok(index) = self.search(process) {
+            let bucket = &mut self.limits[index].bucket;
+            bucket.tokens = bucket.tokens.min(0.0);
+            bucket.updated = now;
+            bucket.created = now;
+        }
+    }
+
     /// Subtracts the requests of another VM since its last report. While two VMs were partitioned, each side was
     /// refilled by its own fraction only, so that after a partition only the excess is subtracted.
     pub fn record_sends(&mut self, report: SendReport, view: FleetView, now: Instant) {
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -22,6 +22,10 @@
         BackendServer,
         BackendTable, //
     },
+    cell::{
+        choose_fallback,
+        CellMap, //
+    },
     drain::{
         DrainAnnouncement,
         DrainTable, //
@@ -135,6 +139,8 @@
 pub(crate) struct BackendRegistry {
     table: Mutex<BackendTable>,
     servers: ArcSwap<Vec<Arc<BackendState>>>, // Sorted by id.
+    cell: ArcSwap<CellMap>,
+    cell_servers: ArcSwap<Vec<Arc<BackendState>>>, // Sorted by id.
     slot_reports: Mutex<SlotTable>,
     demands: Mutex<DemandTable>,
     own_demands: Mutex<Vec<SlotDemand>>,
@@ -156,6 +162,8 @@
         BackendRegistry {
             table: Mutex::default(),
             servers: ArcSwap::default(),
+            cell: ArcSwap::default(),
+            cell_servers: ArcSwap::default(),
             slot_reports: Mutex::default(),
             demands: Mutex::default(),
             own_demands: Mutex::default(),
@@ -188,6 +196,7 @@
         }
         self.servers.store(Arc::new(servers));
         drop(drains);
+        self.select_cell_servers();
         if is_listed {
             self.observe_listed(None, Instant::now());
         }
@@ -195,6 +204,63 @@
         result
     }
 
+    /// Returns the division of the fleet into cells.
+    pub(crate) fn cell(&self) -> Arc<CellMap> {
+        self.cell.load_full()
+    }
+
+    /// Replaces the division of the fleet into cells.
+    pub(crate) fn set_cell(&self, map: CellMap) {
+        // `update` selects the servers under the same lock.
+        let _table = lock(&self.table);
+        self.cell.store(Arc::new(map));
+        self.select_cell_servers();
+    }
+
+    fn select_cell_servers(&self) {
+        let cell = self.cell.load();
+        let all = self.servers.load_full();
+        let selected = match cell.is_divided() {
+            false => all,
+            true => {
+                let selected = all.iter().filter(|state| cell.has_server(state.key));
+                Arc::new(selected.cloned().collect())
+            }
+        };
+        self.cell_servers.store(selected);
+    }
+
+    /// Returns a random server of another cell that takes requests, and a view of it. `is_usable` tells whether the server
+    /// may be used.
+    pub(crate) fn fallback_view(
+        &self,
+        (service, version): (&str, Option<VersionKey>),
+        domain: &str,
+        is_usable: impl Fn(&BackendState) -> bool,
+        now: Instant,
+    ) -> Option<(Arc<BackendState>, SlotView)> {
+        let cell = self.cell.load();
+        if !cell.is_divided() {
+            return None;
+        }
+        let servers = self.servers.load();
+        let reports = lock(&self.slot_reports);
+        let position = choose_fallback(servers.len(), rand::random(), |position| {
+            let state = &servers[position];
+            let fits = state.server.service == service
+                && version.is_none_or(|version| state.version == version)
+                && !cell.has_server(state.key)
+                && is_usable(state);
+            let view = fits.then(|| self.view(state, domain, &reports, now));
+            view.is_some_and(|view| {
+                !view.leaving && !view.ejected && view.used.total() < view.slots
+            })
+        })?;
+        let state = servers[position].clone();
+        let view = self.view(&state, domain, &reports, now);
+        Some((state, view))
+    }
+
     /// Records the versions of the registered servers, if they are known yet. Their list was last confirmed at `confirmed`.
     pub(crate) fn observe_versions(&self, confirmed: Option<Instant>, now: Instant) {
         if self.read(BackendTable::through) > 0 {
@@ -284,7 +350,8 @@
         self.servers.load_full()
     }
 
-    /// Returns the servers of a service, of one version if it is given, and a view of the load and health of each.
+    /// Returns the servers of a service in the own cell, of one version if it is given, and a view of the load and health
+    /// of each.
     pub(crate) fn views(
         &self,
         service: &str,
@@ -292,7 +359,7 @@
         domain: &str,
         now: Instant,
     ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
-        let servers = self.servers.load();
+        let servers = self.cell_servers.load();
         let selected = servers
             .iter()
             .filter(|state| state.server.service == service)
@@ -417,7 +484,7 @@
         if !lock(&self.reachability).record_unreachable(domain, state.key, now) {
             return;
         }
-        for other in self.servers.load().iter() {
+        for other in self.cell_servers.load().iter() {
             if other.server.domain == *domain {
                 self.eject(other);
             }
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -9,12 +9,16 @@
         Arc,
         Mutex, //
     },
-    time::Instant,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use boragerill::{
     backend::Revision,
     catalog::CatalogVersion,
+    cell::CellMap,
     drain::DrainAnnouncement,
     generated::messages::{
         DrainNotice,
@@ -25,8 +29,17 @@
         ServiceDemand,
         WorkspaceUsage, //
     },
+    heartbeat_pace::{
+        distant_full_interval,
+        distant_period,
+        DistantChanges,
+        NEAR_PERIOD, //
+    },
     job_directory::JobRecord,
-    member::MemberInfo,
+    member::{
+        FleetMember,
+        MemberInfo, //
+    },
     slot::{
         SlotDemand,
         SlotUsage, //
@@ -48,9 +61,6 @@
 /// Number of full heartbeats that a process starts with.
 const INITIAL_FULL_HEARTBEATS: u64 = 3;
 
-/// Number of full heartbeats from one that also lists all known VMs and the usage of all workspaces to the next.
-const COMPLETE_HEARTBEAT_INTERVAL: u64 = 4;
-
 /// Largest number of jobs without a runner that a heartbeat announces, so that it fits into a datagram.
 const MAX_UNREPORTED_JOBS: usize = 64;
 
@@ -74,12 +84,23 @@
     cancellations: Revision,
 }
 
+/// What was last told to the VMs of other cells.
+#[derive(Debug, Default)]
+struct DistantState {
+    changes: DistantChanges,
+    heartbeats: u64,
+    due: Option<Instant>, // When the next heartbeat is sent.
+    catalog: CatalogVersion,
+    info: MemberInfo,
+}
+
 /// Builds the heartbeats of this VM.
 pub(crate) struct HeartbeatBuilder {
     state: Arc<FleetState>,
     sequence: AtomicU64,
     heartbeats: AtomicU64,
     reported: Mutex<ReportedState>,
+    distant: Mutex<DistantState>,
 }
 
 impl HeartbeatBuilder {
@@ -90,6 +111,7 @@
             sequence: AtomicU64::new(1),
             heartbeats: AtomicU64::new(0),
             reported: Mutex::default(),
+            distant: Mutex::default(),
         }
     }
 
@@ -99,22 +121,105 @@
         if number >= INITIAL_FULL_HEARTBEATS && number % FULL_HEARTBEAT_INTERVAL != 0 {
             return self.changes().unwrap_or_else(|| self.minimal_heartbeat());
         }
-        let mut heartbeat = self.report_all();
-        if number / FULL_HEARTBEAT_INTERVAL % COMPLETE_HEARTBEAT_INTERVAL == 0 {
-            heartbeat.members = self.known_members();
-            heartbeat.uses = workspace_usage(lock(&self.state.rate_limiter).usage());
-        }
-        heartbeat
+        self.report_all()
     }
 
-    /// Returns a heartbeat with the complete state, for all other VMs.
+    /// Returns a heartbeat with the complete state, for all other VMs of the cell.
     fn report_all(&self) -> Heartbeat {
+        // VMs of other cells get the changes that the complete state contains.
+        let changes = match self.state.backends.cell().is_divided() {
+            true => self.collect_changes(),
+            false => None,
+        };
         let state = self.complete_state();
-        let heartbeat = self.encode_full(&state);
+        let heartbeat = Heartbeat {
+            streams: changes.map_or_else(Vec::new, |changes| changes.streams),
+            ..self.encode_full(&state)
+        };
         *lock(&self.reported) = state;
         heartbeat
     }
 
+    /// Returns a heartbeat with the complete state and the usage of all workspaces, for VMs that join or are reachable
+    /// again.
+    pub(crate) fn answer(&self) -> Heartbeat {
+        let mut heartbeat = Heartbeat {
+            uses: workspace_usage(lock(&self.state.rate_limiter).usage()),
+            ..self.full_heartbeat()
+        };
+        self.state.limits.add_state(&mut heartbeat, true);
+        heartbeat
+    }
+
+    /// Returns when the next heartbeat to VMs of other cells is due; `None` if there are none.
+    pub(crate) fn distant_due(&self, now: Instant) -> Option<Instant> {
+        if !self.state.backends.cell().is_divided() {
+            return None;
+        }
+        let info = lock(&self.state.members).own().clone();
+        let report_due = lock(&self.state.rate_limiter).report_due();
+        let distant = lock(&self.distant);
+        let is_urgent = distant.changes.is_urgent()
+            || distant.catalog != self.state.catalog.version()
+            || distant.info != info;
+        if is_urgent {
+            return Some(now);
+        }
+        let due = distant.due.unwrap_or(now);
+        Some(report_due.map_or(due, |report_due| report_due.min(due)))
+    }
+
+    /// Has the next heartbeat to VMs of other cells be sent at once, with the complete state.
+    pub(crate) fn restart_distant(&self) {
+        let mut distant = lock(&self.distant);
+        distant.heartbeats = 0;
+        distant.due = None;
+    }
+
+    /// Returns the next heartbeat to VMs of other cells, without usage of servers.
+    pub(crate) fn distant_heartbeat(&self, now: Instant) -> Heartbeat {
+        let info = lock(&self.state.members).own().clone();
+        let period = self.distant_period(info.follows);
+        lock(&self.state.rate_limiter).record_distant_report();
+        let full = {
+            let mut distant = lock(&self.distant);
+            let number = distant.heartbeats;
+            distant.heartbeats += 1;
+            // Urgent heartbeats in between don't delay the next one, which VMs expect after a period.
+            distant.due = Some(now + period);
+            number % distant_full_interval(period) == 0 || distant.info != info
+        };
+        let mut heartbeat = match full {
+            true => self.full_heartbeat(),
+            false => self.minimal_heartbeat(),
+        };
+        self.address_distant(&mut heartbeat);
+        let mut distant = lock(&self.distant);
+        distant.catalog = heartbeat.catalog;
+        distant.info = info;
+        distant.changes.tell(&mut heartbeat);
+        heartbeat
+    }
+
+    /// Removes from a heartbeat what only VMs of the own cell need, and states the period of heartbeats to the others.
+    pub(crate) fn address_distant(&self, heartbeat: &mut Heartbeat) {
+        let watches = lock(&self.state.members).own().follows;
+        let period = self.distant_period(watches);
+        heartbeat.places = Vec::new();
+        heartbeat.demands = Vec::new();
+        heartbeat.limit_uses = Vec::new();
+        heartbeat.distant_period_ms = u32::try_from(millis(period)).ok();
+    }
+
+    /// Returns the period of heartbeats to VMs of other cells. The others need those of VMs that watch the store as often
+    /// as within a cell: they confirm states, and another VM has to begin to watch when one of them is lost.
+    fn distant_period(&self, watches: bool) -> Duration {
+        match watches {
+            true => NEAR_PERIOD,
+            false => distant_period(lock(&self.state.members).members().len() + 1),
+        }
+    }
+
     /// Returns a heartbeat with the complete state, for one VM; the others receive changes as before.
     pub(crate) fn full_heartbeat(&self) -> Heartbeat {
         self.encode_full(&self.complete_state())
@@ -141,6 +246,8 @@
             jobs: state.jobs.clone(),
             unreported_jobs: state.unreported_jobs.clone(),
             leaving: state.announcements.iter().map(drain_notice).collect(),
+            cells: stated_cells(&self.state.backends.cell()),
+            members_digest: Some(lock(&self.state.members).digest()),
             ..self.minimal_heartbeat()
         };
         add_news(&mut heartbeat, &self.state.quarantine.repeated_news());
@@ -155,6 +262,12 @@
         if lock(&self.reported).info != info {
             return Some(self.report_all());
         }
+        self.collect_changes()
+    }
+
+    /// Returns a heartbeat with the changes since the last one; `None` when nothing changed.
+    fn collect_changes(&self) -> Option<Heartbeat> {
+        let watches = lock(&self.state.members).own().follows;
         let places = self.changed_slot_usage();
         let jobs = self.changed_jobs();
         let unreported_jobs = self.new_unreported_jobs();
@@ -166,7 +279,7 @@
         let mut heartbeat = Heartbeat::default();
         let limits = self.state.limits.add_changes(&mut heartbeat);
         let streams = self.state.streams.add_new(&mut heartbeat, &self.state);
-        let is_newer = self.has_newer_state(info.follows);
+        let is_newer = self.has_newer_state(watches);
         let same = places.is_empty() && jobs.is_empty() && uses.is_empty() && leaving.is_empty();
         if same
             && !is_newer
@@ -190,6 +303,9 @@
             ..self.minimal_heartbeat()
         };
         add_news(&mut heartbeat, &news);
+        if self.state.backends.cell().is_divided() {
+            lock(&self.distant).changes.add(&heartbeat);
+        }
         Some(heartbeat)
     }
 
@@ -214,9 +330,10 @@
 
     /// Returns the entries of all known VMs.
     pub(crate) fn known_members(&self) -> Vec<MemberEntry> {
+        let now = Instant::now();
         let members = lock(&self.state.members);
         let known = members.members().iter();
-        known.map(|member| member_entry(&member.info)).collect()
+        known.map(|member| listed_entry(member, now)).collect()
     }
 
     /// Returns a heartbeat with only the fields that every heartbeat carries.
@@ -358,9 +475,24 @@
         incarnation: info.incarnation,
         leaving: info.leaving,
         follows: info.follows,
+        heard_age_ms: None,
     }
 }
 
+fn listed_entry(member: &FleetMember, now: Instant) -> MemberEntry {
+    let age = millis(member.heard_age(now));
+    MemberEntry {
+        heard_age_ms: Some(u32::try_from(age).unwrap_or(u32::MAX)),
+        ..member_entry(&member.info)
+    }
+}
+
+/// Returns the number of cells as heartbeats state it.
+fn stated_cells(cell: &CellMap) -> Option<u32> {
+    let count = u32::try_from(cell.count).unwrap_or(u32::MAX);
+    cell.is_divided().then_some(count)
+}
+
 fn server_usage(&(key, used): &(u32, SlotUsage)) -> ServerUsage {
     ServerUsage {
         server: key,
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -1,7 +1,10 @@
 //! Applies the heartbeats of other VMs to the tables of this one.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex, //
+    },
     time::{
         Duration,
         Instant, //
@@ -25,7 +28,10 @@
         HeartbeatOutcome,
         MemberInfo, //
     },
-    rate_limiter::UsageReport,
+    rate_limiter::{
+        FleetView,
+        UsageReport, //
+    },
     slot::{
         SlotDemand,
         SlotUsage, //
@@ -54,26 +60,55 @@
 /// Applies received heartbeats to the state of the process.
 pub(crate) struct HeartbeatReceiver {
     state: Arc<FleetState>,
+    returned: Mutex<Vec<u64>>, // VMs that have become reachable and need this VM's complete state.
+}
+
+/// What the sender of a heartbeat needs from this VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum SenderNeed {
+    /// Nothing.
+    Nothing,
+    /// The list of VMs.
+    List,
 }
 
 impl HeartbeatReceiver {
     /// Creates a receiver.
     pub(crate) fn new(state: Arc<FleetState>) -> HeartbeatReceiver {
-        HeartbeatReceiver { state }
+        HeartbeatReceiver {
+            state,
+            returned: Mutex::default(),
+        }
+    }
+
+    /// Returns the VMs that have become reachable since the last call.
+    pub(crate) fn take_returned(&self) -> Vec<u64> {
+        std::mem::take(&mut lock(&self.returned))
     }
 
-    /// Applies a heartbeat, and returns whether its sender needs a full heartbeat at once: it asks to join,
-    /// or it was unreachable or unknown until now.
-    pub(crate) fn handle(&self, heartbeat: &Heartbeat) -> bool {
+    /// Applies a heartbeat, and returns what its sender needs: the list of VMs if it asks to join, or if it knows other
+    /// VMs than this one.
+    pub(crate) fn handle(&self, heartbeat: &Heartbeat) -> SenderNeed {
         let now = Instant::now();
         if heartbeat.sender == self.state.vm_hash {
-            return false;
+            return SenderNeed::Nothing;
         }
+        let joins = match heartbeat.joins {
+            true => SenderNeed::List,
+            false => SenderNeed::Nothing,
+        };
         let Some(silence) = self.record_sender(heartbeat, now) else {
-            return heartbeat.joins;
+            return joins;
         };
         self.add_members(heartbeat, now);
-        self.record_slot_usage(heartbeat, now);
+        let period = heartbeat.distant_period_ms;
+        let period = period.map(|period| Duration::from_millis(period.into()));
+        let has_left = lock(&self.state.members).record_period(heartbeat.sender, period);
+        match period {
+            None => self.record_slot_usage(heartbeat, now),
+            Some(_) if has_left => self.forget_slot_usage(heartbeat.sender, now),
+            Some(_) => {}
+        }
         let unreported_for = silence.filter(|time| !time.is_zero());
         self.record_workspace_usage(heartbeat, unreported_for, now);
         self.state
@@ -93,7 +128,38 @@
         }
         self.state.quarantine.record_news(read_news(heartbeat, now));
         self.record_numbers(heartbeat);
-        heartbeat.joins || silence.is_some()
+        if silence.is_some() {
+            lock(&self.returned).push(heartbeat.sender);
+            self.state.backends.changed.notify_one();
+        }
+        match heartbeat.joins {
+            true => SenderNeed::List,
+            false => self.compare_lists(heartbeat, now),
+        }
+    }
+
+    /// Returns whether the sender of a full heartbeat needs this VM's list, since it knows other VMs. The VM that has more
+    /// isn't known, so that both send theirs.
+    fn compare_lists(&self, heartbeat: &Heartbeat, now: Instant) -> SenderNeed {
+        if !heartbeat.full {
+            return SenderNeed::Nothing;
+        }
+        let digest = {
+            let mut members = lock(&self.state.members);
+            let cells = heartbeat
+                .cells
+                .and_then(|cells| usize::try_from(cells).ok());
+            let is_legacy = heartbeat.members_digest.is_none();
+            members.record_cells(heartbeat.sender, cells, is_legacy);
+            members.digest()
+        };
+        let is_other = heartbeat
+            .members_digest
+            .is_some_and(|other| other != digest);
+        match is_other && lock(&self.state.cells.lists).admit(now) {
+            true => SenderNeed::List,
+            false => SenderNeed::Nothing,
+        }
     }
 
     /// Removes VMs that left or were unreachable for long, and logs those that have just become unreachable.
@@ -168,9 +234,14 @@
     }
 
     fn add_members(&self, heartbeat: &Heartbeat, now: Instant) {
+        if heartbeat.members.is_empty() {
+            return;
+        }
+        self.state.cells.record_list();
         let mut members = lock(&self.state.members);
         for entry in &heartbeat.members {
-            members.add_member(member_info(entry), now);
+            let age = entry.heard_age_ms.unwrap_or_default();
+            members.add_listed(member_info(entry), Duration::from_millis(age.into()), now);
         }
     }
 
@@ -209,6 +280,13 @@
         }
     }
 
+    /// Forgets the usage and demands of a VM that belongs to another cell now.
+    fn forget_slot_usage(&self, vm: u64, now: Instant) {
+        let backends = &self.state.backends;
+        backends.record_demands(vm, Vec::new(), now);
+        backends.update_slot_reports(|table| table.remove_vm(vm));
+    }
+
     fn record_workspace_usage(
         &self,
         heartbeat: &Heartbeat,
@@ -218,7 +296,14 @@
         if heartbeat.uses.is_empty() {
             return;
         }
-        let view = self.state.fleet_view(now);
+        // Only the usage of VMs that were unreachable depends on the size of the fleet.
+        let view = match unreported_for {
+            Some(_) => self.state.fleet_view(now),
+            None => FleetView {
+                reporting: 1,
+                size: 1,
+            },
+        };
         let mut rate_limiter = lock(&self.state.rate_limiter);
         for usage in &heartbeat.uses {
             let report = UsageReport {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod backends;
 mod caller;
 mod catalog_store;
+mod cells;
 mod checkpoint;
 mod commit;
 mod crash_watch;
--- a/fleet/src/server_limits.rs
+++ b/fleet/src/server_limits.rs
@@ -250,18 +250,36 @@
     fn terms(&self, now: Instant) -> SendTerms<impl Fn(u64) -> usize + '_> {
         SendTerms {
             view: self.view(now),
-            rank: move |number| lock(&self.members).own_rank(number, now),
+            rank: move |number| lock(&self.members).own_cell_rank(number, now),
             now,
         }
     }
 
+    /// Returns how many VMs of the cell report their requests: only these send requests to limited servers of the cell.
     fn view(&self, now: Instant) -> FleetView {
         let members = lock(&self.members);
         FleetView {
-            reporting: members.reporting_size(now),
-            size: members.fleet_size(),
+            reporting: members.cell_reporting_size(now),
+            size: members.cell_size(),
         }
     }
+
+    /// Empties the buckets of servers that have just come to this VM's cell.
+    pub(crate) fn restart_buckets<'a>(&self, servers: impl Iterator<Item = &'a Arc<BackendState>>) {
+        let mut table = lock(&self.table);
+        if table.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        for server in servers {
+            table.restart_bucket(process_key(server), now);
+        }
+    }
+
+    /// Returns whether a server has stated a limit that is in force.
+    pub(crate) fn is_limited(&self, server: &BackendState) -> bool {
+        lock(&self.table).limit(process_key(server)).is_some()
+    }
 }
 
 /// Returns the key of a server's process.
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -17,6 +17,7 @@
 
 use boragerill::{
     catalog::RouteKind,
+    cell::is_cell_full,
     rank::hash_name,
     refusal::{
         RefusalReason,
@@ -171,7 +172,7 @@
 /// that they free.
 fn own_share(state: &FleetState, views: &[SlotView], now: Instant) -> u32 {
     let running: u32 = views.iter().map(|view| view.used.online).sum();
-    let vms = lock(&state.members).reachable_size(now);
+    let vms = lock(&state.members).cell_reachable_size(now);
     running.div_ceil(u32::try_from(vms).unwrap_or(u32::MAX).max(1))
 }
 
@@ -224,9 +225,27 @@
     if begins_resumable(request) {
         keep_settled(state, (&mut servers, &mut views), tried);
     }
+    let demand = (request.service.as_str(), request.version);
+    add_other_cell(state, demand, (&mut servers, &mut views), tried);
     (servers, views)
 }
 
+/// Adds a server of another cell if no server of the own cell takes the request now. A request that such a server has
+/// rejected waits for the own cell, since the others may be as full.
+fn add_other_cell(
+    state: &FleetState,
+    demand: (&str, Option<VersionKey>),
+    (servers, views): (&mut Vec<Arc<BackendState>>, &mut Vec<SlotView>),
+    tried: &[u32],
+) {
+    let cell = state.backends.cell();
+    let has_left = tried.iter().any(|&key| !cell.has_server(key));
+    let is_available = views.iter().any(|view| !view.leaving && !view.ejected);
+    if cell.is_divided() && is_cell_full(views, tried) && !(has_left && is_available) {
+        state.add_fallback(demand, (servers, views), tried, Instant::now());
+    }
+}
+
 /// Returns whether a request begins a stream that its caller may take up again at any VM.
 fn begins_resumable(request: &AdmittedRequest) -> bool {
     let is_stream = matches!(request.route.kind, RouteKind::Stream(_));
@@ -279,7 +298,13 @@
     tried: &[u32],
     demand: ServerDemand,
 ) -> Option<PermittedServer> {
-    let (servers, views) = state.server_views(service, Some(version), Instant::now());
+    let (mut servers, mut views) = state.server_views(service, Some(version), Instant::now());
+    add_other_cell(
+        state,
+        (service, Some(version)),
+        (&mut servers, &mut views),
+        tried,
+    );
     choose_for_stream(state, (&servers, &views), tried, demand)
 }
 
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -49,6 +49,7 @@
     CompactString, //
 };
 use log::info;
+use metrics::counter;
 use tokio::sync::watch;
 
 use crate::{
@@ -57,6 +58,7 @@
         BackendState, //
     },
     catalog_store::CatalogStore,
+    cells::CellRegistry,
     jobs::JobRegistry,
     links::PeerLinks,
     quarantine::QuarantineRegistry,
@@ -88,6 +90,8 @@
     pub(crate) backends: Arc<BackendRegistry>,
     /// Limits that backend servers state.
     pub(crate) limits: Arc<LimitRegistry>,
+    /// Division of the fleet into cells.
+    pub(crate) cells: CellRegistry,
     /// Other VMs.
     pub(crate) members: Arc<Mutex<MemberTable>>,
     /// Token buckets for the rates of workspaces.
@@ -169,6 +173,7 @@
             transfers: Mutex::default(),
             backends: Arc::default(),
             limits: Arc::new(LimitRegistry::new(members.clone())),
+            cells: CellRegistry::default(),
             members,
             rate_limiter: Mutex::new(RateLimiter::new(first, tolerance, now)),
             timeouts: TimeoutTable::default(),
@@ -191,7 +196,8 @@
         }
     }
 
-    /// Returns the servers of a service, of one version if it is given, and a view of the load, health and limit of each.
+    /// Returns the servers of a service in the own cell, of one version if it is given, and a view of the load, health and
+    /// limit of each. If none of them takes requests, a server of another cell is added.
     pub(crate) fn server_views(
         &self,
         service: &str,
@@ -201,9 +207,31 @@
         let domain = &self.settings.domain;
         let (servers, mut views) = self.backends.views(service, version, domain, now);
         self.limits.apply(&servers, &mut views);
+        let mut servers = servers;
+        if views.iter().all(|view| view.leaving) {
+            self.add_fallback((service, version), (&mut servers, &mut views), &[], now);
+        }
         (servers, views)
     }
 
+    /// Adds a random server of another cell that isn't one of `tried` and has no limit, if there is one.
+    pub(crate) fn add_fallback(
+        &self,
+        demand: (&str, Option<VersionKey>),
+        (servers, views): (&mut Vec<Arc<BackendState>>, &mut Vec<SlotView>),
+        tried: &[u32],
+        now: Instant,
+    ) {
+        let is_usable =
+            |server: &BackendState| !tried.contains(&server.key) && !self.limits.is_limited(server);
+        let domain = &self.settings.domain;
+        if let Some((server, view)) = self.backends.fallback_view(demand, domain, is_usable, now) {
+            counter!("servers_of_other_cells_considered_total").increment(1);
+            servers.push(server);
+            views.push(view);
+        }
+    }
+
     /// Returns whether a job is known to be cancelled.
     pub(crate) fn is_cancelled(&self, job: &str) -> bool {
         lock(&self.cancellations).contains(job)
