First state of VMs in large fleets, lists to VMs that join, guards held too long

Cause: full heartbeats were built while the table of members, and answers while the rate limiter, was locked, which hung the process. After a restart of all VMs each asked the store for all servers, and each seed sent its list to all at once. Change: locks end before. In fleets of 80 VMs and more eight VMs ask the store at once and the others after 0.8 s; 30 lists in 0.2 s go to VMs that join.

--- a/boragerill/src/heartbeat_pace.rs
+++ b/boragerill/src/heartbeat_pace.rs
@@ -34,6 +34,12 @@
 /// Shortest time between two lists that a VM sends since another VM knows other VMs, after a change and otherwise.
 const LIST_INTERVALS: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(4));
 
+/// Interval in which the lists for VMs that join are counted.
+const JOIN_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Largest number of lists for VMs that join within that interval: 0.5 MB at 300 VMs.
+const MAX_JOIN_LISTS: u32 = 30;
+
 /// Returns the period of distant heartbeats in a fleet of `vms` VMs.
 pub fn distant_period(vms: usize) -> Duration {
     let period = PERIOD_PER_VM * u32::try_from(vms).unwrap_or(u32::MAX);
@@ -202,6 +208,7 @@
 pub struct ListPace {
     sent: Option<Instant>,
     changed: Option<Instant>,
+    joins: Option<(Instant, u32)>, // Start of the present interval, and lists sent to VMs that join within it.
 }
 
 impl ListPace {
@@ -210,6 +217,17 @@
         self.changed = Some(now);
     }
 
+    /// Returns whether a VM that joins may be sent the list now, and counts it as sent. The VM asks again otherwise.
+    pub fn admit_join(&mut self, now: Instant) -> bool {
+        let (start, sent) = self
+            .joins
+            .filter(|(start, _)| now < *start + JOIN_INTERVAL)
+            .unwrap_or((now, 0));
+        let admitted = sent < MAX_JOIN_LISTS;
+        self.joins = Some((start, sent + u32::from(admitted)));
+        admitted
+    }
+
     /// Returns whether a list may be sent now, and counts it as sent.
     pub fn admit(&mut self, now: Instant) -> bool {
         let (short, long) = LIST_INTERVALS;
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -415,6 +415,15 @@
             .count()
     }
 
+    /// Returns this VM's rank for a task among all known VMs, reachable or not.
+    pub fn own_known_rank(&self, task: u64) -> usize {
+        let own = score(task, hash_name(&self.own.vm));
+        let before = self.members.iter();
+        before
+            .filter(|member| score(task, member.hash) > own)
+            .count()
+    }
+
     /// Returns this VM's rank for a task among the reachable VMs of its cell that aren't shutting down.
     pub fn own_cell_rank(&self, task: u64, now: Instant) -> usize {
         let own = score(task, hash_name(&self.own.vm));
--- a/boragerill/src/state_fetch.rs
+++ b/boragerill/src/state_fetch.rs
@@ -42,6 +42,28 @@
 /// Time after which a transfer counts as finished, unless the receiver's heartbeat shows it before.
 const TRANSFER_TIME: Duration = Duration::from_millis(400);
 
+/// Least number of VMs of a fleet whose VMs don't all ask the store for their first state.
+const MIN_SPREAD_VMS: usize = 80;
+
+/// Number of VMs of a large fleet that ask the store for their first state at once.
+const FIRST_CALLERS: usize = 8;
+
+/// Time within which the others get their first state from these.
+const FIRST_FETCH_TIME: Duration = Duration::from_millis(800);
+
+/// Time over which the calls of the others are spread if they don't.
+const FIRST_CALL_SPREAD: Duration = Duration::from_millis(1000);
+
+/// Returns how long a VM without any state waits for other VMs to send theirs before it asks the store. `rank` is its rank
+/// among the `vms` known VMs, reachable or not. The store would otherwise send all servers to all VMs after a restart of
+/// the whole fleet.
+pub fn first_call_delay(rank: usize, vms: usize) -> Duration {
+    if vms < MIN_SPREAD_VMS || rank < FIRST_CALLERS {
+        return Duration::ZERO;
+    }
+    FIRST_FETCH_TIME + FIRST_CALL_SPREAD.mul_f64((rank as f64 / vms as f64).min(1.0))
+}
+
 /// A VM that has a newer state than this one.
 #[derive(Clone, Copy, Debug)]
 struct StateSource {
--- a/boragerill/tests/heartbeat_pace.rs
+++ b/boragerill/tests/heartbeat_pace.rs
@@ -268,6 +268,22 @@
     assert_eq!(sent, (1, 15));
 }
 
+/// Guards against a seed that sends 300 lists at once after a restart of all VMs.
+#[test]
+fn few_lists_are_sent_to_vms_that_join_at_once() {
+    // arrange
+    let now = Instant::now();
+    let mut pace = ListPace::default();
+
+    // act
+    let at_once = (0..300).filter(|_| pace.admit_join(now)).count();
+    let later = pace.admit_join(now + Duration::from_millis(200));
+
+    // assert
+    assert_eq!(at_once, 30);
+    assert!(later);
+}
+
 /// Guards against counters that don't add up to the bytes that were sent.
 #[test]
 fn bytes_by_content_add_up() {
--- a/boragerill/tests/state_fetch.rs
+++ b/boragerill/tests/state_fetch.rs
@@ -7,6 +7,7 @@
 };
 
 use boragerill::state_fetch::{
+    first_call_delay,
     FetchStep,
     FetchTerms,
     SourceTable,
@@ -392,3 +393,23 @@
     // assert: a tenth of the VMs
     assert!(model.crossing < 30, "{}", model.crossing);
 }
+
+/// Guards against 300 VMs that all ask the store for all servers after they were killed at once.
+#[test]
+fn few_vms_of_a_large_fleet_ask_the_store_for_their_first_state_at_once() {
+    // arrange
+    let sizes = [10, 79, 300];
+
+    // act
+    let at_once = sizes.map(|vms| {
+        let ranks = 0..vms;
+        ranks
+            .filter(|&rank| first_call_delay(rank, vms).is_zero())
+            .count()
+    });
+    let longest = first_call_delay(299, 300);
+
+    // assert
+    assert_eq!(at_once, [10, 79, 8]);
+    assert!(longest < Duration::from_secs(2));
+}
--- a/fleet/src/cells.rs
+++ b/fleet/src/cells.rs
@@ -50,12 +50,24 @@
     /// When lists of VMs are sent.
     pub(crate) lists: Mutex<ListPace>,
     has_list: AtomicBool,
+    knows_fleet: AtomicBool,
 }
 
 impl CellRegistry {
     /// Records that another VM has sent a list of VMs.
     pub(crate) fn record_list(&self) {
         self.has_list.store(true, Ordering::Relaxed);
+        self.record_registrations();
+    }
+
+    /// Records that the registrations of all VMs were read from the store.
+    pub(crate) fn record_registrations(&self) {
+        self.knows_fleet.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether this VM knows the fleet, from another VM or from the store.
+    pub(crate) fn knows_fleet(&self) -> bool {
+        self.knows_fleet.load(Ordering::Relaxed)
     }
 
     /// Returns whether another VM has sent a list of VMs.
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -90,7 +90,7 @@
     changes: DistantChanges,
     heartbeats: u64,
     due: Option<Instant>, // When the next heartbeat is sent.
-    catalog: CatalogVersion,
+    numbers: StateNumbers,
     info: MemberInfo,
 }
 
@@ -143,10 +143,8 @@
     /// Returns a heartbeat with the complete state and the usage of all workspaces, for VMs that join or are reachable
     /// again.
     pub(crate) fn answer(&self) -> Heartbeat {
-        let mut heartbeat = Heartbeat {
-            uses: workspace_usage(lock(&self.state.rate_limiter).usage()),
-            ..self.full_heartbeat()
-        };
+        let mut heartbeat = self.full_heartbeat();
+        heartbeat.uses = workspace_usage(lock(&self.state.rate_limiter).usage());
         self.state.limits.add_state(&mut heartbeat, true);
         heartbeat
     }
@@ -160,7 +158,8 @@
         let report_due = lock(&self.state.rate_limiter).report_due();
         let distant = lock(&self.distant);
         let is_urgent = distant.changes.is_urgent()
-            || distant.catalog != self.state.catalog.version()
+            || distant.numbers.catalog != self.state.catalog.version()
+            || distant.numbers.backends == 0 && self.numbers().backends > 0
             || distant.info != info;
         if is_urgent {
             return Some(now);
@@ -195,7 +194,8 @@
         };
         self.address_distant(&mut heartbeat);
         let mut distant = lock(&self.distant);
-        distant.catalog = heartbeat.catalog;
+        distant.numbers.catalog = heartbeat.catalog;
+        distant.numbers.backends = heartbeat.backends;
         distant.info = info;
         distant.changes.tell(&mut heartbeat);
         heartbeat
@@ -238,6 +238,7 @@
     }
 
     fn encode_full(&self, state: &ReportedState) -> Heartbeat {
+        let members_digest = lock(&self.state.members).digest();
         let mut heartbeat = Heartbeat {
             member: Some(member_entry(&state.info)),
             full: true,
@@ -247,7 +248,7 @@
             unreported_jobs: state.unreported_jobs.clone(),
             leaving: state.announcements.iter().map(drain_notice).collect(),
             cells: stated_cells(&self.state.backends.cell()),
-            members_digest: Some(lock(&self.state.members).digest()),
+            members_digest: Some(members_digest),
             ..self.minimal_heartbeat()
         };
         add_news(&mut heartbeat, &self.state.quarantine.repeated_news());
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -93,7 +93,8 @@
         if heartbeat.sender == self.state.vm_hash {
             return SenderNeed::Nothing;
         }
-        let joins = match heartbeat.joins {
+        let admits_join = heartbeat.joins && lock(&self.state.cells.lists).admit_join(now);
+        let joins = match admits_join {
             true => SenderNeed::List,
             false => SenderNeed::Nothing,
         };
@@ -133,7 +134,7 @@
             self.state.backends.changed.notify_one();
         }
         match heartbeat.joins {
-            true => SenderNeed::List,
+            true => joins,
             false => self.compare_lists(heartbeat, now),
         }
     }
--- a/fleet/src/store_watch.rs
+++ b/fleet/src/store_watch.rs
@@ -20,6 +20,7 @@
         Step, //
     },
     rank::hash_name,
+    state_fetch::first_call_delay,
     sync::lock,
     timer::millis,
     watch_health::{
@@ -72,6 +73,12 @@
 /// Delay per rank before a VM replaces unreachable watchers, which may be reachable again by then.
 const TURN_WAIT: Duration = Duration::from_millis(50);
 
+/// Longest wait of a VM that starts until it knows how many VMs there are.
+const FLEET_WAIT: Duration = Duration::from_millis(150);
+
+/// Interval of the checks whether a VM that starts has got its first state from another one.
+const FIRST_STATE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Interval of the checks for expired backend servers, connections and jobs.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -180,7 +187,7 @@
 /// is still needed. A VM without a configuration doesn't wait.
 async fn wait_for_turn(state: &FleetState, kind: FetchedState) -> bool {
     if state.catalog.version() == 0 {
-        return true;
+        return wait_for_first_state(state, kind).await;
     }
     let rank = lock(&state.members).own_rank(hash_name("follow"), Instant::now());
     let turn = rank.saturating_sub(WATCHERS - 1);
@@ -188,6 +195,27 @@
     !is_covered(state, kind)
 }
 
+/// Gives the other VMs of a large fleet time to send this VM its first state, and returns whether the store has to be asked.
+async fn wait_for_first_state(state: &FleetState, kind: FetchedState) -> bool {
+    let started = Instant::now();
+    let has_seeds = !state.seeds().is_empty();
+    while has_seeds && !state.cells.knows_fleet() && started.elapsed() < FLEET_WAIT {
+        sleep(FIRST_STATE_CHECK_INTERVAL).await;
+    }
+    let delay = {
+        let members = lock(&state.members);
+        let rank = members.own_known_rank(hash_name("first"));
+        first_call_delay(rank, members.members().len() + 1)
+    };
+    while started.elapsed() < delay {
+        if state.catalog.version() > 0 && state.backends.read(|table| table.through()) > 0 {
+            return !is_covered(state, kind);
+        }
+        sleep(FIRST_STATE_CHECK_INTERVAL).await;
+    }
+    true
+}
+
 /// Returns whether calls of a kind have to end soon, since no VM of higher rank watches, or other VMs don't send what
 /// they state.
 fn needs_short_calls(state: &FleetState, kind: FetchedState) -> bool {
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -280,6 +280,7 @@
         };
         lock(&state.members).add_member(info, now);
     }
+    state.cells.record_registrations();
     let own = known.iter().find(|object| object.name == name);
     let expected = match own {
         Some(object) if object.spec == *value => return Ok(()),
