--- a/fleet/src/heartbeat.rs
+++ b/fleet/src/heartbeat.rs
@@ -174,8 +174,14 @@
 
     /// Sends join requests to the seeds while no other VM is reachable or none has sent the list of VMs.
     pub(crate) async fn join(&self) {
+        let mut rejoin = Instant::now() + LIST_PERIOD;
         loop {
-            let is_alone = lock(&self.state.members).reachable_size(Instant::now()) == 1;
+            let now = Instant::now();
+            if now >= rejoin {
+                rejoin = now + LIST_PERIOD;
+                self.rejoin(now).await;
+            }
+            let is_alone = lock(&self.state.members).reachable_size(now) == 1;
             if is_alone || !self.state.cells.has_list() {
                 let mut heartbeat = self.builder.full_heartbeat();
                 let mut seeds = self.seed_addresses();
@@ -194,6 +200,21 @@
         }
     }
 
+    /// Sends a join request to a random seed that isn't reachable. VMs that joined through different seeds while these were
+    /// cut off from each other would otherwise form two fleets.
+    async fn rejoin(&self, now: Instant) {
+        let reachable = self.addresses(|member| member.is_reachable(now));
+        let mut seeds = self.seed_addresses();
+        seeds.retain(|seed| !reachable.contains(seed));
+        if let Some(&seed) = seeds.get(rand::random_range(0..seeds.len().max(1))) {
+            let heartbeat = Heartbeat {
+                joins: true,
+                ..self.builder.full_heartbeat()
+            };
+            self.send_all(&heartbeat, vec![seed]).await;
+        }
+    }
+
     /// Receives heartbeats.
     pub(crate) async fn receive_heartbeats(&self) {
         let mut buffer = vec![0; DATAGRAM_BYTES];
