Pause before servers of other cells after one rejected a request

Cause: when all cells are full, each request would be rejected once more by a server of another cell. Change: a VM that was rejected pauses such requests for 50 ms, up to 2 s; counters of both outcomes.

--- a/boragerill/src/cell.rs
+++ b/boragerill/src/cell.rs
@@ -3,6 +3,11 @@
 //! All VMs divide the fleet alike, from the VMs and servers that they know. Each failure domain is divided into parts of
 //! equal size, so that each cell has VMs and servers of all domains.
 
+use std::time::{
+    Duration,
+    Instant, //
+};
+
 use crate::{
     rank::hash_name,
     server_limit::SendAdmission,
@@ -19,6 +24,10 @@
 /// VMs that come and go change nothing.
 const SHRINK_MARGIN: usize = 10;
 
+/// Pauses of requests to servers of other cells after one was rejected: the first one, which doubles with each further
+/// rejection, and the longest one.
+const FALLBACK_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
+
 /// Returns the number of cells of a fleet with `vms` VMs. `stated` are the numbers that this VM and others use now; where
 /// the size allows two numbers, all VMs use the greater one if any of them does.
 pub fn cell_count(vms: usize, stated: impl IntoIterator<Item = usize>) -> usize {
@@ -152,6 +161,33 @@
     })
 }
 
+/// Pace of requests to servers of other cells while the own cell is full. When all cells are full, nearly all of these would
+/// be rejected.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FallbackPace {
+    pause: Duration,
+    until: Option<Instant>,
+}
+
+impl FallbackPace {
+    /// Returns whether a request may be sent to a server of another cell.
+    pub fn admits(&self, now: Instant) -> bool {
+        self.until.is_none_or(|until| now >= until)
+    }
+
+    /// Records whether a server of another cell took a request.
+    pub fn record(&mut self, is_accepted: bool, now: Instant) {
+        let (first, longest) = FALLBACK_PAUSES;
+        if is_accepted {
+            *self = FallbackPace::default();
+        } else if self.admits(now) {
+            // Further rejections of requests that were sent before the pause began don't extend it.
+            self.pause = (self.pause * 2).clamp(first, longest);
+            self.until = Some(now + self.pause);
+        }
+    }
+}
+
 /// Returns the first of `candidates` servers, in an order that begins at a random position, that `is_usable` accepts.
 pub fn choose_fallback(
     candidates: usize,
--- a/boragerill/tests/cell.rs
+++ b/boragerill/tests/cell.rs
@@ -1,6 +1,11 @@
 //! Cells of fleets of 10, 80, 300 and 1,000 VMs. The load that they answer: 300 VMs, each of which would use 3,000 servers
 //! and tell 299 others of each request.
 
+use std::time::{
+    Duration,
+    Instant, //
+};
+
 use boragerill::{
     cell::{
         cell_count,
@@ -10,7 +15,8 @@
         vm_cells,
         CellMap,
         CellServer,
-        CellVm, //
+        CellVm,
+        FallbackPace, //
     },
     rank::hash_name,
     server_limit::SendAdmission,
@@ -234,3 +240,26 @@
     assert_eq!(chosen, expected);
     assert_eq!(none, [None, None]);
 }
+
+/// Guards against rejections at servers of other cells while all cells are full: 300 VMs with 3.3 requests a second each.
+#[test]
+fn requests_to_other_cells_become_rare_while_these_reject_them() {
+    // arrange
+    let start = Instant::now();
+    let mut pace = FallbackPace::default();
+
+    // act
+    let mut sent = 0;
+    for step in 0..100 {
+        let now = start + Duration::from_millis(300) * step;
+        if pace.admits(now) {
+            sent += 1;
+            pace.record(false, now);
+        }
+    }
+    pace.record(true, start);
+
+    // assert: one in 2 s after the first ones
+    assert!(sent <= 22, "{sent}");
+    assert!(pace.admits(start));
+}
--- a/fleet/src/cells.rs
+++ b/fleet/src/cells.rs
@@ -20,7 +20,8 @@
         cell_count,
         CellMap,
         CellServer,
-        CellVm, //
+        CellVm,
+        FallbackPace, //
     },
     heartbeat_pace::{
         distant_period,
@@ -29,7 +30,10 @@
     sync::lock, //
 };
 use log::info;
-use metrics::gauge;
+use metrics::{
+    counter,
+    gauge, //
+};
 
 use crate::{
     backends::BackendState,
@@ -49,11 +53,27 @@
     inputs: Mutex<DivisionInputs>,
     /// When lists of VMs are sent.
     pub(crate) lists: Mutex<ListPace>,
+    fallback: Mutex<FallbackPace>,
     has_list: AtomicBool,
     knows_fleet: AtomicBool,
 }
 
 impl CellRegistry {
+    /// Returns whether a request may be sent to a server of another cell while the own cell is full.
+    pub(crate) fn admits_fallback(&self, now: Instant) -> bool {
+        lock(&self.fallback).admits(now)
+    }
+
+    /// Records whether a server of another cell took a request.
+    pub(crate) fn record_fallback(&self, is_accepted: bool) {
+        let outcome = match is_accepted {
+            true => "accepted",
+            false => "rejected",
+        };
+        counter!("requests_to_other_cells_total", "outcome" => outcome).increment(1);
+        lock(&self.fallback).record(is_accepted, Instant::now());
+    }
+
     /// Records that another VM has sent a list of VMs.
     pub(crate) fn record_list(&self) {
         self.has_list.store(true, Ordering::Relaxed);
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -137,7 +137,10 @@
         .await;
         let timed_out = result.is_err();
         let failure = match result {
-            Ok(Ok(response)) => return Ok(response),
+            Ok(Ok(response)) => {
+                record_other_cell(state, &server, true);
+                return Ok(response);
+            }
             Ok(Err(failure)) => failure,
             Err(_) => {
                 let now = Instant::now();
@@ -146,6 +149,9 @@
             }
         };
         record_attempt_failure(&request, &server, &failure, &mut history);
+        if matches!(failure, AttemptFailure::NotRun(..)) {
+            record_other_cell(state, &server, false);
+        }
         history.tried.push(server.key);
         let out_of_time = timed_out || time_until_disconnect(&request).is_zero();
         match &failure {
@@ -158,6 +164,13 @@
     }
 }
 
+/// Records whether a server took a request, if it belongs to another cell.
+fn record_other_cell(state: &FleetState, server: &BackendState, is_accepted: bool) {
+    if !state.backends.cell().has_server(server.key) {
+        state.cells.record_fallback(is_accepted);
+    }
+}
+
 /// Returns when a request with a quarantined prompt may be tried here.
 fn trial_terms(state: &FleetState) -> TrialTerms {
     if !state.quarantine.is_active() {
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -238,11 +238,15 @@
     (servers, views): (&mut Vec<Arc<BackendState>>, &mut Vec<SlotView>),
     tried: &[u32],
 ) {
+    let now = Instant::now();
     let cell = state.backends.cell();
     let has_left = tried.iter().any(|&key| !cell.has_server(key));
     let is_available = views.iter().any(|view| !view.leaving && !view.ejected);
-    if cell.is_divided() && is_cell_full(views, tried) && !(has_left && is_available) {
-        state.add_fallback(demand, (servers, views), tried, Instant::now());
+    if !cell.is_divided() || !is_cell_full(views, tried) {
+        return;
+    }
+    if !is_available || !has_left && state.cells.admits_fallback(now) {
+        state.add_fallback(demand, (servers, views), tried, now);
     }
 }
 
