Usage that is due reaches other cells in the heartbeat that is sent for it

Cause: a heartbeat to other cells could be sent before the request was collected for which it was due; the request was then reported a period later. Change: changes are collected right before each heartbeat to other cells. Measured: standard tests of mixed, server_limits, draining and unreported_jobs pass.

--- a/fleet/src/heartbeat.rs
+++ b/fleet/src/heartbeat.rs
@@ -122,7 +122,12 @@
                     sent.returned.extend(returned);
                 }
                 () = sleep_until(due.unwrap_or_else(Instant::now).into()), if due.is_some() => {
-                    let heartbeat = self.builder.distant_heartbeat(Instant::now());
+                    // Several changes within a short time are sent in one datagram.
+                    sleep(COLLECT_TIME).await;
+                    let (near, heartbeat) = self.builder.distant_heartbeat(Instant::now());
+                    if let Some(near) = near {
+                        self.send_near(&near).await;
+                    }
                     let addresses = self.distant_targets(heartbeat.full);
                     self.send_all(&heartbeat, addresses).await;
                 }
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -175,11 +175,14 @@
         distant.due = None;
     }
 
-    /// Returns the next heartbeat to VMs of other cells, without usage of servers.
-    pub(crate) fn distant_heartbeat(&self, now: Instant) -> Heartbeat {
+    /// Returns the next heartbeat to VMs of other cells, without usage of servers, and changes that the own cell hasn't been
+    /// told.
+    pub(crate) fn distant_heartbeat(&self, now: Instant) -> (Option<Heartbeat>, Heartbeat) {
         let info = lock(&self.state.members).own().clone();
         let period = self.distant_period(info.follows);
+        // A request that is admitted from here on is reported with the next heartbeat, the ones before with this one.
         lock(&self.state.rate_limiter).record_distant_report();
+        let near = self.changes();
         let full = {
             let mut distant = lock(&self.distant);
             let number = distant.heartbeats;
@@ -198,7 +201,7 @@
         distant.numbers.backends = heartbeat.backends;
         distant.info = info;
         distant.changes.tell(&mut heartbeat);
-        heartbeat
+        (near, heartbeat)
     }
 
     /// Removes from a heartbeat what only VMs of the own cell need, and states the period of heartbeats to the others.
