--- a/boragerill/tests/cell_fleet.rs
+++ b/boragerill/tests/cell_fleet.rs
@@ -562,3 +562,21 @@
     // assert
     assert!(tables.iter().all(|table| table.member(hash(2)).is_none()));
 }
+
+/// Guards against VMs of the previous build, which use all servers and know no cells, that are told no usage of servers.
+#[test]
+fn vms_of_the_previous_build_belong_to_each_cell() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(now);
+    table.record_cells(hash(10), None, true);
+    table.record_cells(hash(11), Some(CELLS), false);
+
+    // act
+    table.set_cell(true, &[hash(1)]);
+    let is_near = [1, 2, 10, 11].map(|vm| table.member(hash(vm)).unwrap().is_near());
+
+    // assert
+    assert_eq!(is_near, [true, false, true, false]);
+    assert_eq!(table.cell_size(), 3);
+}
