Complete lists of servers go to four VMs at once

Cause: after a restart of a large fleet the eight VMs that have the servers first would send all 3,000 to 292 others at once. Change: in a divided fleet a VM begins four such transfers in 0.4 s; a VM that is turned away asks another one.

--- a/boragerill/src/state_fetch.rs
+++ b/boragerill/src/state_fetch.rs
@@ -210,6 +210,25 @@
     }
 }
 
+/// Transfers of complete lists of servers to VMs without any. A receiver isn't known by name, so that each transfer counts
+/// for [`TRANSFER_TIME`].
+#[derive(Clone, Debug, Default)]
+pub struct TransferWindow {
+    begun: Vec<Instant>,
+}
+
+impl TransferWindow {
+    /// Returns whether a transfer may begin, and records it.
+    pub fn begin(&mut self, now: Instant) -> bool {
+        self.begun.retain(|&begun| now < begun + TRANSFER_TIME);
+        let admitted = self.begun.len() < MAX_TRANSFERS;
+        if admitted {
+            self.begun.push(now);
+        }
+        admitted
+    }
+}
+
 /// Transfers of a large state to other VMs.
 #[derive(Clone, Debug, Default)]
 pub struct TransferTable {
--- a/boragerill/tests/state_fetch.rs
+++ b/boragerill/tests/state_fetch.rs
@@ -12,6 +12,7 @@
     FetchTerms,
     SourceTable,
     TransferTable,
+    TransferWindow,
     BUSY_TIME,
     FAILED_TIME,
     HEDGE_DELAY,
@@ -413,3 +414,19 @@
     assert_eq!(at_once, [10, 79, 8]);
     assert!(longest < Duration::from_secs(2));
 }
+
+/// Guards against eight VMs that send 3,000 servers to 292 others at once after a restart.
+#[test]
+fn complete_lists_of_servers_are_sent_to_few_vms_at_once() {
+    // arrange
+    let now = Instant::now();
+    let mut window = TransferWindow::default();
+
+    // act
+    let at_once = (0..36).filter(|_| window.begin(now)).count();
+    let later = window.begin(now + Duration::from_millis(400));
+
+    // assert
+    assert_eq!(at_once, 4);
+    assert!(later);
+}
--- a/fleet/src/cells.rs
+++ b/fleet/src/cells.rs
@@ -27,6 +27,7 @@
         distant_period,
         ListPace, //
     },
+    state_fetch::TransferWindow,
     sync::lock, //
 };
 use log::info;
@@ -54,11 +55,18 @@
     /// When lists of VMs are sent.
     pub(crate) lists: Mutex<ListPace>,
     fallback: Mutex<FallbackPace>,
+    first_transfers: Mutex<TransferWindow>,
     has_list: AtomicBool,
     knows_fleet: AtomicBool,
 }
 
 impl CellRegistry {
+    /// Returns whether the complete list of servers may be sent to a VM without any now. After a restart of a large fleet
+    /// the few VMs that have it first would otherwise send it to all others at once.
+    pub(crate) fn admits_first_transfer(&self, state: &FleetState) -> bool {
+        !state.backends.cell().is_divided() || lock(&self.first_transfers).begin(Instant::now())
+    }
+
     /// Returns whether a request may be sent to a server of another cell while the own cell is full.
     pub(crate) fn admits_fallback(&self, now: Instant) -> bool {
         lock(&self.fallback).admits(now)
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -226,6 +226,12 @@
     state: &FleetState,
     request: &BackendChangesRequest,
 ) -> BackendChangesResponse {
+    if request.backends_after == 0 && !state.cells.admits_first_transfer(state) {
+        return BackendChangesResponse {
+            ends_through: request.ends_after,
+            ..BackendChangesResponse::default()
+        };
+    }
     let now = Instant::now();
     let (through, backends, is_full) = state.backends.read(|table| {
         let is_same = request.backends_digest == Some(table.digest());
@@ -477,6 +483,9 @@
     let Body::BackendAnswer(response) = request_newer(state, vm, body, limit, choice).await? else {
         return Err(unexpected_message(state, vm));
     };
+    if response.backends_through == 0 {
+        return Ok(FetchOutcome::Busy);
+    }
     let source = vm_name(state, vm);
     let missing = response.backends.iter().filter(|record| record.missing);
     let missing_ages: Vec<(String, Duration)> = missing
