--- a/boragerill/tests/state_fetch.rs
+++ b/boragerill/tests/state_fetch.rs
@@ -7,10 +7,12 @@
 };
 
 use boragerill::state_fetch::{
+    first_call_delay,
     FetchStep,
     FetchTerms,
     SourceTable,
     TransferTable,
+    TransferWindow,
     BUSY_TIME,
     FAILED_TIME,
     HEDGE_DELAY,
@@ -392,3 +394,39 @@
     // assert: a tenth of the VMs
     assert!(model.crossing < 30, "{}", model.crossing);
 }
+
+/// Guards against 300 VMs that all ask the store for all servers after they were killed at once.
+#[test]
+fn few_vms_of_a_large_fleet_ask_the_store_for_their_first_state_at_once() {
+    // arrange
+    let sizes = [10, 79, 300];
+
+    // act
+    let at_once = sizes.map(|vms| {
+        let ranks = 0..vms;
+        ranks
+            .filter(|&rank| first_call_delay(rank, vms).is_zero())
+            .count()
+    });
+    let longest = first_call_delay(299, 300);
+
+    // assert
+    assert_eq!(at_once, [10, 79, 8]);
+    assert!(longest < Duration::from_secs(2));
+}
+
+/// Guards against eight VMs that send 3,000 servers to 292 others at once after a restart.
+#[test]
+fn complete_lists_of_servers_are_sent_to_few_vms_at_once() {
+    // arrange
+    let now = Instant::now();
+    let mut window = TransferWindow::default();
+
+    // act
+    let at_once = (0..36).filter(|_| window.begin(now)).count();
+    let later = window.begin(now + Duration::from_millis(400));
+
+    // assert
+    assert_eq!(at_once, 4);
+    assert!(later);
+}
--- a/fleet/src/server_limits.rs
+++ b/fleet/src/server_limits.rs
@@ -603,19 +603,41 @@
         let view = self.view(now);
         SendTerms {
             view,
-            rank: move |number| lock(&self.members).own_rank(number, now),
+            rank: move |number| lock(&self.members).own_cell_rank(number, now),
             sends_to_warming: gate.is_open(view, now),
             now,
         }
     }
 
+    /// Returns how many VMs of the cell report their requests: only these send requests to limited servers of the cell.
     fn view(&self, now: Instant) -> FleetView {
         let members = lock(&self.members);
         FleetView {
-            reporting: members.reporting_size(now),
-            size: members.fleet_size(),
+            reporting: members.cell_reporting_size(now),
+            size: members.cell_size(),
         }
     }
+
+    /// Empties the buckets of servers that have just come to this VM's cell.
+    pub(crate) fn restart_buckets<'a>(&self, servers: impl Iterator<Item = &'a Arc<BackendState>>) {
+        let mut tables = lock(&self.tables);
+        let limits = &mut tables.sends.limits;
+        if limits.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        for server in servers {
+            limits.restart_bucket(process_key(server), now);
+        }
+    }
+
+    /// Returns whether a limit of a server is in force, or the server is warming up.
+    pub(crate) fn is_limited(&self, server: &BackendState) -> bool {
+        let process = process_key(server);
+        let tables = lock(&self.tables);
+        let limits = &tables.sends.limits;
+        limits.limit(process).is_some() || limits.is_warming(process, Instant::now())
+    }
 }
 
 /// Returns the key of a server's process.
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -55,6 +55,7 @@
     CompactString, //
 };
 use log::info;
+use metrics::counter;
 use tokio::sync::watch;
 
 use crate::{
@@ -63,6 +64,7 @@
         BackendState, //
     },
     catalog_store::CatalogStore,
+    cells::CellRegistry,
     evacuations::EvacuationRegistry,
     jobs::JobRegistry,
     links::PeerLinks,
@@ -102,6 +104,8 @@
     pub(crate) limits: Arc<LimitRegistry>,
     /// Load of backend servers and cost of requests.
     pub(crate) load: LoadRegistry,
+    /// Division of the fleet into cells.
+    pub(crate) cells: CellRegistry,
     /// Other VMs.
     pub(crate) members: Arc<Mutex<MemberTable>>,
     /// Token buckets for the rates of workspaces.
@@ -188,6 +192,7 @@
             transfers: Mutex::default(),
             regions: region_table(&settings),
             evacuations: EvacuationRegistry::new(settings.evacuations, now),
+            cells: CellRegistry::default(),
             load: LoadRegistry::default(),
             backends: Arc::new(BackendRegistry::new(limits.clone())),
             limits,
@@ -213,8 +218,8 @@
         }
     }
 
-    /// Returns the servers of a service, of one version if it is given, and a view of the load, health, limit and expected speed of
-    /// each.
+    /// Returns the servers of a service in the own cell, of one version if it is given, and a view of the load, health, limit
+    /// and expected speed of each. If none of them takes requests, a server of another cell is added.
     pub(crate) fn server_views(
         &self,
         service: &str,
@@ -232,9 +237,37 @@
             }
         }
         self.apply_evacuations(&servers, &mut views, now);
+        let mut servers = servers;
+        if views.iter().all(|view| view.leaving) {
+            let demand = (service, version, residency);
+            self.add_fallback(demand, (&mut servers, &mut views), &[], now);
+        }
         (servers, views)
     }
 
+    /// Adds a random server of another cell that isn't one of `tried` and has no limit, if there is one.
+    pub(crate) fn add_fallback(
+        &self,
+        (service, version, residency): (&str, Option<VersionKey>, &ResidencyRule),
+        (servers, views): (&mut Vec<Arc<BackendState>>, &mut Vec<SlotView>),
+        tried: &[u32],
+        now: Instant,
+    ) {
+        let is_usable = |server: &BackendState| {
+            !tried.contains(&server.key)
+                && !self.limits.is_limited(server)
+                && self.regions.admits_domain(residency, &server.server.domain)
+        };
+        let demand = (service, version);
+        let domain = &self.settings.domain;
+        if let Some((server, view)) = self.backends.fallback_view(demand, domain, is_usable, now) {
+            counter!("servers_of_other_cells_considered_total").increment(1);
+            servers.push(server);
+            views.push(view);
+            self.apply_evacuations(servers, views, now);
+        }
+    }
+
     /// Returns the regions that the items of a job may be sent to; `None` without a configuration, or without the job's
     /// route while any restriction is configured.
     pub(crate) fn job_residency(&self, manifest: &JobManifest) -> Option<ResidencyRule> {
