Spread and hold back items only where servers state how long work takes

A service whose views carry no outlook counts free slots and chooses servers for items as before. The order in which items are cut stays for all services.

--- a/boragerill/src/item_start.rs
+++ b/boragerill/src/item_start.rs
@@ -10,7 +10,10 @@
 
 use crate::{
     rank::score,
-    slot::SlotView, //
+    slot::{
+        choose_batch_server,
+        SlotView, //
+    }, //
 };
 
 /// Length of the intervals of which the largest demand is remembered.
@@ -39,6 +42,21 @@
 /// refused, and slots aren't free all the time.
 const NEEDED_MARGIN: f64 = 1.5;
 
+/// Returns whether items of a service yield to the demand of recent seconds and are spread at random: only if its servers
+/// state how long work takes. Elsewhere, with 9 servers and items of 10 s near capacity, starting fewer items made a
+/// sixth of them late.
+pub fn yields_to_demand(views: &[SlotView]) -> bool {
+    views.iter().any(|view| view.outlook.is_some())
+}
+
+/// Chooses the server for an item: [`choose_item_server`] where items yield to demand, else [`choose_batch_server`].
+pub fn choose_start_server(views: &[SlotView], reserve: u32, draw: u64) -> Option<usize> {
+    match yields_to_demand(views) {
+        true => choose_item_server(views, reserve, draw),
+        false => choose_batch_server(views, &[], reserve),
+    }
+}
+
 /// Slots of the servers of a service that take items, and their use by all VMs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SlotTotals {
--- a/boragerill/tests/item_start.rs
+++ b/boragerill/tests/item_start.rs
@@ -9,10 +9,13 @@
 use boragerill::{
     item_start::{
         choose_item_server,
+        choose_start_server,
+        yields_to_demand,
         DemandHistory,
         SlotTotals,
         WaitingItems, //
     },
+    load::ServerOutlook,
     server_limit::SendAdmission,
     slot::{
         choose_batch_server,
@@ -113,6 +116,34 @@
     assert_eq!((remote, none), (Some(4), None));
 }
 
+/// Where 9 servers stated three figures, choosing among free slots at random and leaving slots free for online requests
+/// lowered the worth of the items in time from 1.00 to 0.84.
+#[test]
+fn items_start_as_before_where_servers_state_no_slowdown() {
+    // arrange
+    let views = [view(0, 3), view(1, 6), view(2, 5)];
+    let stated = views.map(|view| SlotView {
+        outlook: Some(ServerOutlook::default()),
+        ..view
+    });
+    let choices = |views: &[SlotView]| {
+        let mut chosen: Vec<_> = (0..50)
+            .map(|draw| choose_start_server(views, 0, draw))
+            .collect();
+        chosen.sort_unstable();
+        chosen.dedup();
+        chosen
+    };
+
+    // act
+    let (plain, spread) = (choices(&views), choices(&stated));
+
+    // assert
+    assert_eq!(plain, [Some(0)]);
+    assert_eq!(spread, [Some(0), Some(1), Some(2)]);
+    assert!(!yields_to_demand(&views) && yields_to_demand(&stated));
+}
+
 /// Returns the online demand at a time: it alternates every 3.5 s between 0.38 and 1.84 of a mean of 180 requests.
 fn online_at(time: Duration) -> u32 {
     match (time.as_millis() / 3500) % 2 {
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -23,7 +23,8 @@
         RouteKind, //
     },
     item_start::{
-        choose_item_server,
+        choose_start_server,
+        yields_to_demand,
         SlotTotals,
         WaitingItems, //
     },
@@ -247,7 +248,7 @@
                     continue;
                 }
                 let (servers, views) = state.server_views(service, version, now);
-                let chosen = choose_item_server(&views, RESERVED_SLOTS, rand::random())
+                let chosen = choose_start_server(&views, RESERVED_SLOTS, rand::random())
                     .filter(|_| *remaining > 0);
                 let Some(chosen) = chosen else {
                     match version {
@@ -355,6 +356,9 @@
     priority: &JobPriority,
     now: Instant,
 ) -> u32 {
+    if !yields_to_demand(views) {
+        return free_slots(views, RESERVED_SLOTS);
+    }
     let others = state
         .backends
         .waiting_items(state.vm_hash, demand.service, now);
