Claim slots only at the process that frees them, and from what VMs report

A request claimed an ejected server that was chosen as a last resort, gave the claim up at once and chose it again without a pause. A claim survived a restart of the server, since only the key was compared. Requests that only the server counts made requests wait 60 ms for an item that nothing cuts, and two claims for one item both waited after it had left.

Ejected servers and servers without an outlook aren't claimed, a claim that was given up is followed by a wait for a freed slot, the process and address are compared, a permission is taken again if the process has stated its first limit since, and reported requests alone decide.

--- a/boragerill/src/backend.rs
+++ b/boragerill/src/backend.rs
@@ -60,6 +60,12 @@
     pub fn key(&self) -> u32 {
         server_key(&self.id)
     }
+
+    /// Returns whether another entry is of the same process at the same address. The key stays the same when a server
+    /// restarts.
+    pub fn is_same_process(&self, other: &BackendServer) -> bool {
+        self.id == other.id && self.start == other.start && self.address == other.address
+    }
 }
 
 /// Returns the short key of a server id: the upper half of its hash.
--- a/boragerill/src/preemption.rs
+++ b/boragerill/src/preemption.rs
@@ -14,15 +14,22 @@
 /// and cut the item at once, but a busy one needs some tens of milliseconds. After that the request is sent anyway.
 pub const CLAIM_TIME: Duration = Duration::from_millis(60);
 
-/// Returns whether an online request that is sent to a server now takes the slot of an item. Sent before the item has
-/// left, it would be queued behind it or rejected, so that the item would be cut for nothing.
+/// Returns whether an online request that is sent to a server now waits until an item has left its slot. Sent earlier, it
+/// would be queued behind the item or rejected, so that the item would be cut for nothing. Only servers with an outlook
+/// are claimed: at others the wait costs more than it saves. Ejected servers are a last resort, and aren't waited for.
+///
+/// Counts reported requests only, as [`SlotTable::items_to_preempt`](crate::slot::SlotTable::items_to_preempt) does: no
+/// item is cut for requests that only the server counts.
 pub fn needs_cut(view: &SlotView) -> bool {
-    view.is_full() && view.used.batch > 0 && view.used.online < view.slots
+    let is_claimable = view.outlook.is_some() && !view.ejected;
+    let is_full = view.used.total() >= view.slots;
+    is_claimable && is_full && view.used.batch > 0 && view.used.online < view.slots
 }
 
-/// Returns whether a request that counts at the server already has a slot.
+/// Returns whether a request that counts at the server already has a slot, or no item is left there that could free one.
+/// Two requests that claim the slot of one item would otherwise both wait after it has left.
 pub fn has_slot(view: &SlotView) -> bool {
-    view.load() <= view.slots
+    view.used.batch == 0 || view.used.total() <= view.slots
 }
 
 /// One of this VM's items at a server.
--- a/boragerill/tests/backend.rs
+++ b/boragerill/tests/backend.rs
@@ -598,3 +598,28 @@
     #[test]
     fn tables_hold_the_servers_of_the_revision_that_they_state(sequential 1..60 => TableTest);
 }
+
+/// A server that restarts keeps its id, and so its key. On earlier code, a request that had claimed a slot of the ended
+/// process was sent on as if it held one of the new process.
+#[test]
+fn restarted_and_moved_servers_are_other_processes() {
+    // arrange
+    let known = server("a");
+    let drained = BackendServer {
+        leaving: !known.leaving,
+        ..known.clone()
+    };
+    let restarted = BackendServer {
+        start: known.start + 1,
+        ..known.clone()
+    };
+    let mut moved = known.clone();
+    moved.address.set_port(known.address.port() ^ 1);
+
+    // act
+    let same = [&drained, &restarted, &moved].map(|other| known.is_same_process(other));
+
+    // assert
+    assert_eq!(same, [true, false, false]);
+    assert_eq!(known.key(), restarted.key());
+}
--- a/boragerill/tests/preemption.rs
+++ b/boragerill/tests/preemption.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use boragerill::{
+    load::ServerOutlook,
     preemption::{
         has_slot,
         items_to_cut,
@@ -81,16 +82,22 @@
     assert_eq!(items_to_cut(&items, 9), [2, 1, 0]);
 }
 
+/// Returns a view of a server of 8 slots that states how long work takes.
+fn claim_view(online: u32, batch: u32) -> SlotView {
+    SlotView {
+        used: SlotUsage { online, batch },
+        slots: 8,
+        outlook: Some(ServerOutlook::default()),
+        ..SlotView::default()
+    }
+}
+
 /// In a burst of 1.84 times the mean, online requests take the slots of items at all servers. On earlier code, they were
 /// sent before the items had left, and rejected by the full servers.
 #[test]
 fn online_request_is_sent_once_the_item_has_left() {
     // arrange
-    let view = |online, batch| SlotView {
-        used: SlotUsage { online, batch },
-        slots: 8,
-        ..SlotView::default()
-    };
+    let view = claim_view;
 
     // act
     let waits = [view(3, 4), view(3, 5), view(8, 2), view(8, 0)].map(|view| needs_cut(&view));
@@ -101,3 +108,64 @@
     assert_eq!(waits, [false, true, false, false]);
     assert!(!claimed && item_left);
 }
+
+/// With 9 servers that state three figures, near capacity, requests that waited for items made these late and gained
+/// nothing.
+#[test]
+fn requests_are_sent_at_once_where_servers_state_no_slowdown() {
+    // arrange
+    let view = SlotView {
+        outlook: None,
+        ..claim_view(3, 5)
+    };
+
+    // act and assert
+    assert!(needs_cut(&claim_view(3, 5)) && !needs_cut(&view));
+}
+
+/// On earlier code, a request whose last resort was an ejected server full of items claimed it and gave it up in a loop
+/// without a pause, which kept the VM's thread busy.
+#[test]
+fn ejected_servers_are_not_claimed() {
+    // arrange
+    let ejected = SlotView {
+        ejected: true,
+        ..claim_view(3, 5)
+    };
+
+    // act and assert
+    assert!(!needs_cut(&ejected));
+}
+
+/// On earlier code, a request waited 60 ms for an item that nothing cuts, since only the server counts the requests that
+/// fill it.
+#[test]
+fn requests_that_only_the_server_counts_are_not_waited_for() {
+    // arrange
+    let unreported = |view: SlotView| SlotView {
+        outlook: Some(ServerOutlook {
+            unreported: 3,
+            ..ServerOutlook::default()
+        }),
+        ..view
+    };
+
+    // act
+    let waits = needs_cut(&unreported(claim_view(2, 3)));
+    let claimed = has_slot(&unreported(claim_view(3, 3)));
+
+    // assert
+    assert!(!waits && claimed);
+}
+
+/// In a burst, several VMs claim the slot of the same item. On earlier code, all waited for the whole time after it had
+/// left.
+#[test]
+fn two_claims_for_one_item_end_once_it_has_left() {
+    // arrange: 7 requests run, 2 claim the slot of one item
+    let before = claim_view(9, 1);
+    let after = claim_view(9, 0);
+
+    // act and assert
+    assert!(!has_slot(&before) && has_slot(&after));
+}
--- a/fleet/src/server_limits.rs
+++ b/fleet/src/server_limits.rs
@@ -174,6 +174,11 @@
         soonest.max(Duration::try_from_secs_f64(others).unwrap_or(Duration::MAX))
     }
 
+    /// Returns whether a server process has stated a limit.
+    pub(crate) fn is_limited(&self, server: &BackendState) -> bool {
+        lock(&self.table).limit(process_key(server)).is_some()
+    }
+
     /// Logs and counts a request to a server that has a limit.
     pub(crate) fn record_send(&self, server: &BackendState, class: RequestClass, request: &str) {
         let Some(limit) = lock(&self.table).limit(process_key(server)) else {
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -123,15 +123,17 @@
             if let Some(permitted) =
                 PermittedServer::take(state, &servers[index], request.outgoing.kind)
             {
-                let permitted = match needs_cut(&views[index]) {
-                    true => claim_slot(state, request, history, permitted).await,
-                    false => Some(permitted),
-                };
-                if let Some(permitted) = permitted {
+                if !needs_cut(&views[index]) {
                     return Ok(permitted);
                 }
+                if let Some(permitted) = claim_slot(state, request, history, permitted).await {
+                    return Ok(permitted);
+                }
+                // The claimed server takes no requests any more. Without a pause, a server that is chosen and given up
+                // again and again would keep the thread busy.
+                let _ = timeout(SLOT_POLL, slot_freed).await;
             }
-            // Another thread has just taken the server's token, or the claimed server takes no requests any more.
+            // Otherwise another thread has just taken the server's token.
             continue;
         }
         let exhausted = !history.tried.is_empty() && history.tried.len() >= servers.len();
@@ -149,7 +151,7 @@
 }
 
 /// Counts a request at a server that is full of items, and waits for [`CLAIM_TIME`] at most until an item has left or
-/// another server has a free slot. Returns `None` if the claimed server takes no requests any more.
+/// another server has a free slot. Returns `None` if the claimed process takes no requests any more.
 async fn claim_slot(
     state: &FleetState,
     request: &AdmittedRequest,
@@ -161,15 +163,26 @@
         .backends
         .track_request(&claimed.server, RequestClass::Online);
     claimed.permit.set_claim(claim);
+    let was_limited = state.limits.is_limited(&claimed.server);
     loop {
         let slot_freed = state.backends.slot_freed.notified();
         let now = Instant::now();
         let (servers, views) = request_views(state, request, &history.tried, now);
         let key = claimed.server.key;
-        let view = views.iter().find(|view| view.key == key);
-        let view = view.filter(|view| !view.leaving && !view.ejected)?;
+        let index = views.iter().position(|view| view.key == key)?;
+        let view = &views[index];
+        // The key stays the same when a server restarts.
+        if view.leaving
+            || view.ejected
+            || !claimed
+                .server
+                .server
+                .is_same_process(&servers[index].server)
+        {
+            return None;
+        }
         if now >= until || has_slot(view) {
-            return Some(claimed);
+            return confirm_claim(state, claimed, was_limited);
         }
         let other = choose_server(&views, request, history, SlotRule::Free);
         let other = other.filter(|&index| views[index].key != key && !views[index].is_full());
@@ -184,6 +197,26 @@
     }
 }
 
+/// Returns a claimed server with a valid permission: a process that has stated its first limit since the claim has to
+/// admit the request.
+fn confirm_claim(
+    state: &FleetState,
+    mut claimed: PermittedServer,
+    was_limited: bool,
+) -> Option<PermittedServer> {
+    if was_limited || !state.limits.is_limited(&claimed.server) {
+        return Some(claimed);
+    }
+    let mut taken = PermittedServer::take(state, &claimed.server, RequestClass::Online);
+    let claim = claimed.permit.take_claim();
+    // No token was taken for the claim, so that none is returned.
+    claimed.permit.record_sent();
+    if let (Some(taken), Some(claim)) = (taken.as_mut(), claim) {
+        taken.permit.set_claim(claim);
+    }
+    taken
+}
+
 /// Returns the state of a request that is waiting for a slot at `now`.
 fn wait_state(
     state: &FleetState,
