Servers of other cells that have just stated a limit get no request

Cause: a limit could arrive between the choice of a server of another cell and the request; the token would have come from a bucket that VMs of the server's cell don't know. Change: such a server is checked once more when the permission is taken. Measured: standard tests of mixed and server_limits pass (13).

--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -84,6 +84,11 @@
         server: &Arc<BackendState>,
         class: RequestClass,
     ) -> Option<PermittedServer> {
+        // The buckets of limits are shared within a cell: only VMs of the server's cell may send to it once it has one.
+        let is_own = state.backends.cell().has_server(server.key);
+        if !is_own && state.limits.is_limited(server) {
+            return None;
+        }
         let permit = state.limits.take(server, class)?;
         let server = server.clone();
         Some(PermittedServer { server, permit })
