Count waiting items by class, so that overdue ones don't wait for relaxed ones

One job with time left applied its reduced allowance to all jobs of the service, and a VM reported relaxed items that it didn't start, for which VMs with overdue items left their slots idle.

Items due soon, relaxed and overdue have allowances of their own, reported demand is limited to what may be started, and a VM's relaxed items that would be late otherwise take any free slot. Each VM weighs its own need against its own running items, which gives the fleet's need in sum without the other VMs' numbers.

--- a/boragerill/src/item_start.rs
+++ b/boragerill/src/item_start.rs
@@ -81,12 +81,14 @@
     }
 }
 
-/// Items that wait for a slot.
+/// Items of this VM that wait for a slot, and those that hold one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WaitingItems {
-    /// Items of all VMs.
+    /// Waiting items.
     pub count: u32,
-    /// Time until the first job is due; zero if it is overdue.
+    /// Items that run.
+    pub running: u32,
+    /// Time until the first job of the waiting items is due; zero if it is overdue.
     pub time_left: Duration,
 }
 
@@ -143,13 +145,27 @@
         let Ok(index) = self.find(service) else {
             return free;
         };
-        if waiting.time_left < RELAXED_TIME {
+        let demand = &self.services[index];
+        if waiting.time_left < demand.relaxed_time() {
             return free;
         }
-        let demand = &self.services[index];
         let spare = totals.capacity.saturating_sub(demand.level());
-        let allowed = spare.max(demand.needed_slots(waiting));
-        free.min(allowed.saturating_sub(totals.batch))
+        let spare = spare.saturating_sub(totals.batch);
+        let needed = self.needed_starts(service, waiting);
+        free.min(spare.max(needed))
+    }
+
+    /// Returns how many of the waiting items have to be started now so that all come to their end in time.
+    pub fn needed_starts(&self, service: u64, waiting: WaitingItems) -> u32 {
+        let known = self.find(service).ok().map(|index| &self.services[index]);
+        let needed = known.map_or(0, |known| known.needed_slots(waiting));
+        needed.saturating_sub(waiting.running)
+    }
+
+    /// Returns whether items of a job that is due after `time_left` yield to the demand of recent seconds.
+    pub fn is_relaxed(&self, service: u64, time_left: Duration) -> bool {
+        let known = self.find(service).ok().map(|index| &self.services[index]);
+        time_left >= known.map_or(RELAXED_TIME, ServiceDemand::relaxed_time)
     }
 
     fn find(&self, service: u64) -> Result<usize, usize> {
@@ -177,6 +193,11 @@
         }
     }
 
+    /// Returns the time that has to be left for a job whose items yield: enough for two runs of an item.
+    fn relaxed_time(&self) -> Duration {
+        RELAXED_TIME.max(2 * self.run.unwrap_or(RUN_DEFAULT))
+    }
+
     /// Returns the slots in which waiting items come to their end before their job is due.
     fn needed_slots(&self, waiting: WaitingItems) -> u32 {
         let run = self.run.unwrap_or(RUN_DEFAULT).as_secs_f64();
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod frame;
 pub mod headroom;
 pub mod hedge;
+pub mod item_demand;
 pub mod item_start;
 pub mod job;
 pub mod job_directory;
--- a/boragerill/src/slot.rs
+++ b/boragerill/src/slot.rs
@@ -169,17 +169,6 @@
         }
     }
 
-    /// Returns how many items of a service the other VMs could start.
-    pub fn waiting(&self, vm: u64, service: u64, now: Instant) -> u32 {
-        let valid = self
-            .demands
-            .iter()
-            .filter(|entry| entry.0 != vm && now < entry.1 + REPORT_LIFETIME);
-        let demands = valid.flat_map(|entry| &entry.2);
-        let same = demands.filter(|demand| demand.service == service);
-        same.fold(0, |sum, demand| demand.waiting.saturating_add(sum))
-    }
-
     /// Returns how many items a VM may start while `free` slots are left for batch. VMs take slots in the
     /// order of their items' due times, so that VMs which see the same free slots don't all take them.
     pub fn allowed_starts(&self, vm: u64, own: SlotDemand, free: u32, now: Instant) -> u32 {
--- a/boragerill/tests/item_start.rs
+++ b/boragerill/tests/item_start.rs
@@ -41,7 +41,11 @@
 }
 
 fn waiting(count: u32, time_left: Duration) -> WaitingItems {
-    WaitingItems { count, time_left }
+    WaitingItems {
+        count,
+        running: 0,
+        time_left,
+    }
 }
 
 fn view(key: u32, online: u32) -> SlotView {
@@ -173,7 +177,11 @@
         history.record(SERVICE, online, start + time);
         let slots = match uses_history {
             true => {
-                history.slots_for_items(SERVICE, totals(online, batch), waiting(200, time_left))
+                let items = WaitingItems {
+                    running: batch,
+                    ..waiting(200, time_left)
+                };
+                history.slots_for_items(SERVICE, totals(online, batch), items)
             }
             false => CAPACITY - online - batch,
         };
@@ -212,7 +220,13 @@
         };
         history.record(SERVICE, online, now + Duration::from_millis(250) * step);
     }
-    let slots = |left| history.slots_for_items(SERVICE, totals(100, 20), waiting(50, left));
+    let slots = |left| {
+        let items = WaitingItems {
+            running: 20,
+            ..waiting(50, left)
+        };
+        history.slots_for_items(SERVICE, totals(100, 20), items)
+    };
 
     // act
     let relaxed = slots(LONG);
@@ -233,7 +247,10 @@
         history.record_run(SERVICE, Duration::from_secs(3));
     }
     let slots = |count| {
-        let items = waiting(count, Duration::from_secs(30));
+        let items = WaitingItems {
+            running: 20,
+            ..waiting(count, Duration::from_secs(30))
+        };
         history.slots_for_items(SERVICE, totals(100, 20), items)
     };
 
--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -357,14 +357,9 @@
         lock(&self.demands).record(vm, demands, now);
     }
 
-    /// Returns how many of this VM's items of a service may be started in `free` slots.
-    pub(crate) fn allowed_starts(&self, vm: u64, own: SlotDemand, free: u32, now: Instant) -> u32 {
-        lock(&self.demands).allowed_starts(vm, own, free, now)
-    }
-
-    /// Returns how many items of a service the VMs other than `vm` could start.
-    pub(crate) fn waiting_items(&self, vm: u64, service: u64, now: Instant) -> u32 {
-        lock(&self.demands).waiting(vm, service, now)
+    /// Reads the batch items that the other VMs could start.
+    pub(crate) fn read_demands<T>(&self, read: impl FnOnce(&DemandTable) -> T) -> T {
+        read(&lock(&self.demands))
     }
 
     /// Replaces the batch items that this VM could start, for the next heartbeat.
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -22,6 +22,10 @@
         CatalogRoute,
         RouteKind, //
     },
+    item_demand::{
+        ItemClass,
+        ItemDemands, //
+    },
     item_start::{
         choose_start_server,
         yields_to_demand,
@@ -40,10 +44,7 @@
     rank::hash_name,
     slot::{
         free_slots,
-        OwnUsage,
-        SlotDemand,
-        SlotView,
-        DUE_OVERDUE, //
+        OwnUsage, //
     },
     stream_version::VersionKey,
     sync::lock, //
@@ -208,52 +209,54 @@
             }
         }
         jobs.sort_by_key(|job| job.0.rank());
-        let demands = collect_demands(state, &catalog, &jobs, now);
-        state.backends.set_own_demands(demands.clone());
-        for demand in demands {
-            self.start_service(state, &catalog, &jobs, demand, now);
+        let mut services = Vec::new();
+        let mut demands = collect_demands(state, &catalog, &jobs, &mut services, now);
+        limit_relaxed(state, &mut demands, &mut services, now);
+        state.backends.set_own_demands(demands.reported());
+        for service in &services {
+            let mut allowances = class_allowances(state, &demands, service, now);
+            self.start_service(state, &catalog, &jobs, (service, &mut allowances), now);
         }
     }
 
-    /// Starts items of one service, up to the number of free slots that other VMs' demands leave to this VM.
+    /// Starts items of one service, up to the number of free slots that other VMs' demands leave to each class of items.
     fn start_service(
         self: &Arc<Self>,
         state: &Arc<FleetState>,
         catalog: &Catalog,
         jobs: &[(JobPriority, Arc<JobEntry>)],
-        demand: SlotDemand,
+        (slots, allowances): (&ServiceSlots, &mut [ClassAllowance]),
         now: Instant,
     ) {
-        let sole = sole_version(state, demand.service);
+        let sole = sole_version(state, slots.service);
         let mut full_versions = Vec::new(); // Without a server for an item that has to resume at them.
-        let mut allowed: Option<u32> = None; // Computed once the first server views are known.
         for (priority, entry) in jobs {
+            let class = slots.classify(state, priority);
+            let found = allowances.iter_mut().find(|known| known.class == class);
+            let Some(allowance) = found.filter(|known| known.starts > 0) else {
+                continue;
+            };
             let Some(route) = catalog.find_route(&entry.manifest.host, &entry.manifest.path) else {
                 continue;
             };
             for index in startable_items(state, entry, priority, now) {
                 let service = route.choose_service(&entry.items[index].id);
-                let Some(service) = service.filter(|name| hash_name(name) == demand.service) else {
+                let Some(service) = service.filter(|name| hash_name(name) == slots.service) else {
                     continue;
                 };
-                let remaining = allowed.get_or_insert_with(|| {
-                    let (_, views) = state.server_views(service, None, now);
-                    let free = startable_slots(state, &views, demand, priority, now);
-                    state
-                        .backends
-                        .allowed_starts(state.vm_hash, demand, free, now)
-                });
+                if allowance.starts == 0 {
+                    break;
+                }
                 let version = resumed_version(state, (service, sole), entry, index);
                 if version.is_some_and(|version| full_versions.contains(&version)) {
                     continue;
                 }
                 let (servers, views) = state.server_views(service, version, now);
-                let chosen = choose_start_server(&views, RESERVED_SLOTS, rand::random())
-                    .filter(|_| *remaining > 0);
+                let chosen = choose_start_server(&views, RESERVED_SLOTS, rand::random());
                 let Some(chosen) = chosen else {
                     match version {
-                        Some(version) if *remaining > 0 => full_versions.push(version),
-                        _ => return,
+                        Some(version) => full_versions.push(version),
+                        None => return,
                     }
                     continue;
                 };
@@ -264,7 +267,7 @@
                 if !self.admit(state, (priority, entry), index, now) {
                     continue;
                 }
-                *remaining -= 1;
+                allowance.starts -= 1;
                 self.start(state, entry, route, index, permitted, priority.time_left);
             }
         }
@@ -347,30 +350,97 @@
     }
 }
 
-/// Returns the number of slots of a service in which items may be started: free ones that online requests aren't
-/// expected to need soon, if the job has time.
-fn startable_slots(
+/// Slots of a service to which items of this VM's jobs go.
+struct ServiceSlots {
+    service: u64,
+    yields: bool, // Whether items yield to the online demand of recent seconds.
+    free: u32,
+    totals: SlotTotals,
+    running: u32, // This VM's items.
+    relaxed: u32, // Slots for items of jobs with time left.
+    needed: u32,  // Such items that have to be started now to end in time.
+}
+
+impl ServiceSlots {
+    fn new(state: &FleetState, service: &str, now: Instant) -> ServiceSlots {
+        let (servers, views) = state.server_views(service, None, now);
+        ServiceSlots {
+            service: hash_name(service),
+            yields: yields_to_demand(&views),
+            free: free_slots(&views, RESERVED_SLOTS),
+            totals: SlotTotals::of(&views, RESERVED_SLOTS),
+            running: servers.iter().map(|server| server.used().batch).sum(),
+            relaxed: 0,
+            needed: 0,
+        }
+    }
+
+    /// Returns the class of a job's items.
+    fn classify(&self, state: &FleetState, priority: &JobPriority) -> ItemClass {
+        match priority.overdue {
+            _ if !self.yields => ItemClass::Equal,
+            true => ItemClass::Overdue,
+            false if state.load.is_relaxed(self.service, priority.time_left) => ItemClass::Relaxed,
+            false => ItemClass::DueSoon,
+        }
+    }
+}
+
+/// Number of items of a class that may be started in this pass.
+struct ClassAllowance {
+    class: ItemClass,
+    starts: u32,
+}
+
+/// Reduces the demands of jobs with time left to the items that may be started now: those in slots that online requests
+/// aren't expected to need soon, and those that have to be started to end in time.
+fn limit_relaxed(
     state: &FleetState,
-    views: &[SlotView],
-    demand: SlotDemand,
-    priority: &JobPriority,
+    demands: &mut ItemDemands,
+    services: &mut [ServiceSlots],
     now: Instant,
-) -> u32 {
-    if !yields_to_demand(views) {
-        return free_slots(views, RESERVED_SLOTS);
+) {
+    for slots in services {
+        let Some(demand) = demands.get(slots.service, ItemClass::Relaxed) else {
+            continue;
+        };
+        let waiting = WaitingItems {
+            count: demand.waiting,
+            running: slots.running,
+            time_left: Duration::from_millis(demand.due_ms.into()),
+        };
+        let allowed = state
+            .load
+            .slots_for_items(slots.service, slots.totals, waiting, now);
+        slots.relaxed = allowed.min(slots.free);
+        slots.needed = state.load.needed_starts(slots.service, waiting);
+        demands.limit(slots.service, ItemClass::Relaxed, slots.relaxed);
     }
-    let others = state
-        .backends
-        .waiting_items(state.vm_hash, demand.service, now);
-    let waiting = WaitingItems {
-        count: others.saturating_add(demand.waiting),
-        time_left: priority.time_left,
-    };
-    let totals = SlotTotals::of(views, RESERVED_SLOTS);
-    let allowed = state
-        .load
-        .slots_for_items(demand.service, totals, waiting, now);
-    allowed.min(free_slots(views, RESERVED_SLOTS))
+}
+
+/// Returns how many items of each class this VM may start at a service.
+fn class_allowances(
+    state: &FleetState,
+    demands: &ItemDemands,
+    slots: &ServiceSlots,
+    now: Instant,
+) -> Vec<ClassAllowance> {
+    let classes = demands.classes().into_iter();
+    let own = classes.filter(|known| known.0 == slots.service);
+    let allowances = own.map(|(service, class)| {
+        let allowed = |free| {
+            state.backends.read_demands(|table| {
+                demands.allowed_starts((service, class), free, (table, state.vm_hash), now)
+            })
+        };
+        let starts = match class {
+            // Items that would be late otherwise take any free slot.
+            ItemClass::Relaxed => allowed(slots.relaxed).max(allowed(slots.free).min(slots.needed)),
+            _ => allowed(slots.free),
+        };
+        ClassAllowance { class, starts }
+    });
+    allowances.collect()
 }
 
 /// Returns the version at which an item has to be resumed; `None` if it may begin at any, since it has no output or no
@@ -429,38 +499,32 @@
     startable
 }
 
-/// Returns the number of startable items and the earliest due time by service, in the order of the jobs.
+/// Returns the startable items by service and class, and adds the services to which they go.
 fn collect_demands(
     state: &FleetState,
     catalog: &Catalog,
     jobs: &[(JobPriority, Arc<JobEntry>)],
+    services: &mut Vec<ServiceSlots>,
     now: Instant,
-) -> Vec<SlotDemand> {
-    let mut demands: Vec<SlotDemand> = Vec::new();
+) -> ItemDemands {
+    let mut demands = ItemDemands::default();
     for (priority, entry) in jobs {
         let Some(route) = catalog.find_route(&entry.manifest.host, &entry.manifest.path) else {
             continue;
         };
-        let due_ms = match priority.overdue {
-            true => DUE_OVERDUE,
-            false => u32::try_from(priority.time_left.as_millis()).unwrap_or(DUE_OVERDUE),
-        };
+        let time_left = (!priority.overdue).then_some(priority.time_left);
         for index in startable_items(state, entry, priority, now) {
-            let Some(service) = route.choose_service(&entry.items[index].id) else {
+            let Some(name) = route.choose_service(&entry.items[index].id) else {
                 break;
             };
-            let service = hash_name(service);
-            match demands.iter_mut().find(|demand| demand.service == service) {
-                Some(demand) => {
-                    demand.waiting += 1;
-                    demand.due_ms = demand.due_ms.min(due_ms);
-                }
-                None => demands.push(SlotDemand {
-                    service,
-                    waiting: 1,
-                    due_ms,
-                }),
-            }
+            let service = hash_name(name);
+            let known = services.iter().position(|known| known.service == service);
+            let position = known.unwrap_or_else(|| {
+                services.push(ServiceSlots::new(state, name, now));
+                services.len() - 1
+            });
+            let class = services[position].classify(state, priority);
+            demands.add(service, class, time_left);
         }
     }
     demands
--- a/fleet/src/server_load.rs
+++ b/fleet/src/server_load.rs
@@ -217,6 +217,16 @@
         demand.slots_for_items(service, totals, waiting)
     }
 
+    /// Returns how many of this VM's waiting items have to be started now to come to their end in time.
+    pub(crate) fn needed_starts(&self, service: u64, waiting: WaitingItems) -> u32 {
+        lock(&self.demand).needed_starts(service, waiting)
+    }
+
+    /// Returns whether items of a job that is due after `time_left` yield to the demand of recent seconds.
+    pub(crate) fn is_relaxed(&self, service: u64, time_left: Duration) -> bool {
+        lock(&self.demand).is_relaxed(service, time_left)
+    }
+
     /// Records for how long an item held its slot until its end.
     pub(crate) fn record_item_run(&self, server: &BackendState, run: Duration) {
         lock(&self.demand).record_run(service_key(server), run);
