Derive the estimates for a request once, from figures kept for each service

The number of stating processes and the sorted speeds are kept with the service and change with a process; the cost is parsed once a request, and the views of a request get its own estimates only.

--- a/boragerill/src/load/table.rs
+++ b/boragerill/src/load/table.rs
@@ -61,11 +61,34 @@
     prompts: Vec<u64>, // Hashes of the shared prompt parts read last, the latest at the end.
 }
 
-/// Prompt model of one service.
+/// What is known of one service. The choice for each request reads it, so that it isn't derived from all processes anew.
 #[derive(Clone, Debug)]
 struct ServiceEntry {
     service: u64,
     prompts: PromptModel,
+    stating: usize,           // Processes that have stated a slowdown.
+    intervals: Vec<Duration>, // Usual intervals of its processes; sorted.
+}
+
+impl ServiceEntry {
+    /// Replaces the usual interval of a process.
+    fn replace_interval(&mut self, before: Option<Duration>, after: Option<Duration>) {
+        if before == after {
+            return;
+        }
+        if let Some(Ok(index)) = before.map(|known| self.intervals.binary_search(&known)) {
+            self.intervals.remove(index);
+        }
+        if let Some(after) = after {
+            let index = self.intervals.partition_point(|known| *known < after);
+            self.intervals.insert(index, after);
+        }
+    }
+
+    /// Returns the median of the usual intervals.
+    fn median_interval(&self) -> Option<Duration> {
+        self.intervals.get(self.intervals.len() / 2).copied()
+    }
 }
 
 /// Time until a request's first event.
@@ -151,23 +174,28 @@
                 });
             }
         }
-        if let Some(slowdown) = statement.slowdown {
+        let Some(slowdown) = statement.slowdown else {
+            return;
+        };
+        if entry.slowdown.is_none_or(|known| known.1 <= received) {
+            entry.slowdown = Some((slowdown, received));
+        }
+        if !entry.states_slowdown {
             entry.states_slowdown = true;
-            if entry.slowdown.is_none_or(|known| known.1 <= received) {
-                entry.slowdown = Some((slowdown, received));
-            }
+            let service = entry.service;
+            self.service_mut(service).stating += 1;
         }
     }
 
     /// Returns whether a server of the service has stated a slowdown, so that its servers are chosen by estimates.
     pub fn is_active(&self, service: u64) -> bool {
-        let mut servers = self.servers.iter();
-        servers.any(|entry| entry.service == service && entry.states_slowdown)
+        self.find_service(service)
+            .is_some_and(|known| known.stating > 0)
     }
 
     /// Returns whether any service is active.
     pub fn is_any_active(&self) -> bool {
-        self.servers.iter().any(|entry| entry.states_slowdown)
+        self.services.iter().any(|known| known.stating > 0)
     }
 
     /// Records the time of some events of a process.
@@ -178,17 +206,37 @@
         sample: PaceSample,
         now: Instant,
     ) {
-        if let Some(entry) = self.entry_mut(process, service) {
+        self.change_pace(process, service, |entry| {
             let slowdown = entry.stated_slowdown(now);
             entry.pace.record(sample, slowdown, now);
-        }
+        });
     }
 
     /// Records the speed that another VM observed.
     pub fn record_reported(&mut self, service: u64, speed: ServerSpeed) {
-        if let Some(entry) = self.entry_mut(speed.process, service) {
+        self.change_pace(speed.process, service, |entry| {
             entry.pace.record_reported(speed.interval);
-        }
+        });
+    }
+
+    /// Returns the service of a known process.
+    pub fn service_of(&self, process: ProcessKey) -> Option<u64> {
+        self.find(process).map(|entry| entry.service)
+    }
+
+    fn change_pace(
+        &mut self,
+        process: ProcessKey,
+        service: u64,
+        change: impl FnOnce(&mut ServerEntry),
+    ) {
+        let Some(entry) = self.entry_mut(process, service) else {
+            return;
+        };
+        let before = entry.pace.usual();
+        change(entry);
+        let (after, service) = (entry.pace.usual(), entry.service);
+        self.service_mut(service).replace_interval(before, after);
     }
 
     /// Records a first event, from which the time to read prompts is learned.
@@ -240,7 +288,7 @@
 
     /// Removes the processes that aren't registered any more, and services without servers.
     pub fn retain(&mut self, is_listed: impl Fn(ProcessKey) -> bool) {
-        self.servers.retain(|entry| is_listed(entry.process));
+        self.retain_servers(|entry| is_listed(entry.process));
         let servers = &self.servers;
         self.services.retain(|known| {
             let mut servers = servers.iter();
@@ -248,6 +296,17 @@
         });
     }
 
+    fn retain_servers(&mut self, is_kept: impl Fn(&ServerEntry) -> bool) {
+        let servers = std::mem::take(&mut self.servers).into_iter();
+        let (kept, removed): (Vec<_>, Vec<_>) = servers.partition(is_kept);
+        self.servers = kept;
+        for entry in removed {
+            let known = self.service_mut(entry.service);
+            known.replace_interval(entry.pace.usual(), None);
+            known.stating -= usize::from(entry.states_slowdown);
+        }
+    }
+
     /// Returns the next speeds to report to other VMs, at most `count`; successive calls go through all of them.
     pub fn next_speeds(&mut self, count: usize) -> Vec<ServerSpeed> {
         let observed = self.servers.iter().filter_map(|entry| {
@@ -301,12 +360,9 @@
 
     /// Returns the median of the usual intervals of a service's servers.
     fn median_interval(&self, service: u64) -> Duration {
-        let servers = self.servers.iter().filter(|entry| entry.service == service);
-        let mut known: Vec<Duration> = servers.filter_map(|entry| entry.pace.usual()).collect();
-        known.sort_unstable();
+        let known = self.find_service(service);
         known
-            .get(known.len() / 2)
-            .copied()
+            .and_then(ServiceEntry::median_interval)
             .unwrap_or(DEFAULT_INTERVAL)
     }
 
@@ -332,6 +388,8 @@
             let entry = ServiceEntry {
                 service,
                 prompts: PromptModel::default(),
+                stating: 0,
+                intervals: Vec::new(),
             };
             self.services.insert(index, entry);
             index
@@ -345,8 +403,9 @@
         let search =
             |servers: &[ServerEntry]| servers.binary_search_by_key(&process, |entry| entry.process);
         if search(&self.servers).is_err() {
-            self.servers
-                .retain(|entry| entry.process.0 != process.0 || entry.process.1 > process.1);
+            self.retain_servers(|entry| {
+                entry.process.0 != process.0 || entry.process.1 > process.1
+            });
             if self.servers.len() >= MAX_PROCESSES {
                 return None;
             }
--- a/boragerill/tests/load.rs
+++ b/boragerill/tests/load.rs
@@ -822,3 +822,63 @@
         }
     }
 }
+
+/// Returns the median speed that a service's estimates are based on, seen through a process that isn't known.
+fn unknown_server(table: &LoadTable, now: Instant) -> Option<ServerOutlook> {
+    table.outlook(&query(99, 100.0), now)
+}
+
+proptest! {
+    /// The active flag and the median of a service are kept rather than derived for each request. Guards against ones
+    /// that differ from what the known processes give, after any observations, restarts and removals.
+    #[test]
+    fn kept_median_and_flag_follow_the_known_processes(
+        changes in prop::collection::vec((0..4_u32, 1..4_u64, 0..4_u8, 1..100_u64), 1..60),
+    ) {
+        // arrange
+        let now = Instant::now();
+        let mut table = LoadTable::default();
+        let mut stating: Vec<ProcessKey> = Vec::new();
+        for (key, start, change, interval_ms) in changes {
+            let process = (key, start);
+            let is_new = table.service_of(process).is_none();
+
+            // act
+            match change {
+                0 => {
+                    table.record(process, SERVICE, statement(None, Some(1.0), now), 0);
+                }
+                1 | 2 => {
+                    let elapsed = Duration::from_millis(interval_ms);
+                    table.record_pace(process, SERVICE, PaceSample { events: 1, elapsed }, now);
+                }
+                _ => table.retain(|known| known.0 != key),
+            }
+
+            // assert
+            match change {
+                3 => stating.retain(|known| known.0 != key),
+                // A new process replaces the earlier ones of its server.
+                _ if is_new => stating.retain(|known| known.0 != key || known.1 > start),
+                _ => {}
+            }
+            if change == 0 {
+                stating.push(process);
+            }
+            prop_assert_eq!(table.is_active(SERVICE), !stating.is_empty());
+            prop_assert_eq!(table.is_any_active(), !stating.is_empty());
+            let speeds = table.clone().next_speeds(usize::MAX);
+            let mut intervals: Vec<Duration> = speeds.iter().map(|speed| speed.interval).collect();
+            intervals.sort_unstable();
+            let mut expected = LoadTable::default();
+            expected.record((0, 1), SERVICE, statement(None, Some(1.0), now), 0);
+            if let Some(&median) = intervals.get(intervals.len() / 2) {
+                let reported = ServerSpeed { process: (0, 1), interval: median };
+                expected.record_reported(SERVICE, reported);
+            }
+            if table.is_active(SERVICE) {
+                prop_assert_eq!(unknown_server(&table, now), unknown_server(&expected, now));
+            }
+        }
+    }
+}
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -1,7 +1,10 @@
 //! Admission control: checks callers' requests against configuration, keys, limits and rates.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
     time::{
         Duration,
         Instant, //
@@ -388,6 +391,7 @@
             repeatable: route.is_repeatable(),
             kind: RequestClass::Online,
             prompt,
+            cost: OnceLock::new(),
         },
         route: route.clone(),
     })
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -1,7 +1,10 @@
 //! One attempt of a request at one backend server.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
     time::{
         Duration,
         Instant, //
@@ -57,6 +60,7 @@
         EndWitness, //
     },
     server_limits::SendPermit,
+    server_load::RequestCost,
     state::FleetState,
     wire::HeaderNames, //
 };
@@ -116,6 +120,8 @@
     pub(crate) kind: RequestClass,
     /// Parts of the prompt.
     pub(crate) prompt: PromptParts,
+    /// What it costs, once that has been derived.
+    pub(crate) cost: OnceLock<RequestCost>,
 }
 
 impl OutgoingRequest {
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -3,7 +3,10 @@
 use std::{
     future::Future,
     pin::pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
     time::{
         Duration,
         Instant, //
@@ -478,5 +481,6 @@
         repeatable: true,
         kind: RequestClass::Batch,
         prompt: item_prompt(names, &entry.manifest.workspace, item),
+        cost: OnceLock::new(),
     }
 }
--- a/fleet/src/server_load.rs
+++ b/fleet/src/server_load.rs
@@ -80,8 +80,17 @@
 }
 
 impl RequestCost {
-    /// Returns the cost that a request of a route declares.
-    pub(crate) fn of(names: &HeaderNames, route: &str, request: &OutgoingRequest) -> RequestCost {
+    /// Returns the cost that a request of a route declares. Its headers are parsed once.
+    pub(crate) fn of<'a>(
+        names: &HeaderNames,
+        route: &str,
+        request: &'a OutgoingRequest,
+    ) -> &'a RequestCost {
+        let parse = || RequestCost::parse(names, route, request);
+        request.cost.get_or_init(parse)
+    }
+
+    fn parse(names: &HeaderNames, route: &str, request: &OutgoingRequest) -> RequestCost {
         let prompt = request.prompt.shared_hash();
         let workspace = hash_name(&request.workspace);
         RequestCost {
@@ -134,17 +143,16 @@
     /// Records the first event of a response, `delay` after its request was sent.
     pub(crate) fn record_first_event(
         &self,
-        names: &HeaderNames,
         server: &BackendState,
-        request: &OutgoingRequest,
+        cost: &RequestCost,
         delay: Duration,
     ) {
         if !self.is_active.load(Ordering::Relaxed) {
             return;
         }
         let first = FirstEvent {
-            declared: declared_cost(names, request),
-            prompt: request.prompt.shared_hash(),
+            declared: cost.declared,
+            prompt: cost.prompt,
             delay,
         };
         let (process, service) = (process_key(server), service_key(server));
@@ -245,15 +253,18 @@
     pub(crate) fn record_heartbeat(&self, heartbeat: &Heartbeat, servers: &[Arc<BackendState>]) {
         for notice in &heartbeat.speeds {
             let process = (notice.server, notice.start);
-            let found = servers.iter().find(|server| process_key(server) == process);
-            let Some(server) = found else {
-                continue;
-            };
             let speed = ServerSpeed {
                 process,
                 interval: Duration::from_micros(notice.interval_us.into()),
             };
-            lock(&self.servers).record_reported(service_key(server), speed);
+            let mut table = lock(&self.servers);
+            let service = table.service_of(process).or_else(|| {
+                let found = servers.iter().find(|server| process_key(server) == process);
+                found.map(|server| service_key(server))
+            });
+            if let Some(service) = service {
+                table.record_reported(service, speed);
+            }
         }
     }
 
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -305,13 +305,13 @@
     tried: &[u32],
     now: Instant,
 ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
-    let (mut servers, mut views) = state.server_views(&request.service, request.version, now);
+    let (mut servers, mut views) = state.limited_views(&request.service, request.version, now);
     if state.load.is_active() {
         let cost = RequestCost::of(&state.format.names, &request.route.name, &request.outgoing);
         let selected = (servers.as_slice(), views.as_mut_slice());
         state
             .load
-            .apply(&request.service, selected, Some(&cost), now);
+            .apply(&request.service, selected, Some(cost), now);
     }
     if begins_resumable(request) {
         keep_settled(state, (&mut servers, &mut views), tried);
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -202,11 +202,22 @@
         service: &str,
         version: Option<VersionKey>,
         now: Instant,
+    ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
+        let (servers, mut views) = self.limited_views(service, version, now);
+        self.load.apply(service, (&servers, &mut views), None, now);
+        (servers, views)
+    }
+
+    /// Returns the servers of a service with views that lack estimates.
+    pub(crate) fn limited_views(
+        &self,
+        service: &str,
+        version: Option<VersionKey>,
+        now: Instant,
     ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
         let domain = &self.settings.domain;
         let (servers, mut views) = self.backends.views(service, version, domain, now);
         self.limits.apply(&servers, &mut views);
-        self.load.apply(service, (&servers, &mut views), None, now);
         (servers, views)
     }
 
--- a/fleet/src/stream_start.rs
+++ b/fleet/src/stream_start.rs
@@ -46,6 +46,7 @@
     },
     response_end::check_end,
     server_limits::SendPermit,
+    server_load::RequestCost,
     server_selection::{
         choose_other_start,
         PermittedServer, //
@@ -223,11 +224,12 @@
     let mut splitter = EventSplitter::after(request.outgoing.last_event(&state.format.names));
     let first = match read_events(&mut response, &mut splitter).await {
         Ok(Some(events)) => {
-            let names = &state.format.names;
-            let delay = response.in_flight.age();
-            state
-                .load
-                .record_first_event(names, &server, &request.outgoing, delay);
+            if state.load.is_active() {
+                let names = &state.format.names;
+                let cost = RequestCost::of(names, &request.route.name, &request.outgoing);
+                let delay = response.in_flight.age();
+                state.load.record_first_event(&server, cost, delay);
+            }
             Ok(FirstRead::Events(events))
         }
         Ok(None) if splitter.last().is_none() => {
