Learn an item's time from all its runs

Only the last run counted, so that items that are cut and resumed were taken for short ones and started too late.

The progress of a job adds the times of the runs that generated an item's output. An item that goes on from a checkpoint isn't learned from, as its earlier runs are unknown here.

--- a/boragerill/src/item_start.rs
+++ b/boragerill/src/item_start.rs
@@ -127,7 +127,7 @@
         self.services[index].record(online, now);
     }
 
-    /// Records for how long an item held its slot until its end.
+    /// Records for how long an item held slots in all its runs.
     pub fn record_run(&mut self, service: u64, run: Duration) {
         if let Ok(index) = self.find(service) {
             let known = &mut self.services[index].run;
--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -227,6 +227,7 @@
     failures: u32,
     silent_runs: u32, // Runs that ended because their server sent nothing for long.
     pause_until: Option<Instant>,
+    run_time: Option<Duration>, // Of the runs that generated the text; `None` if some of it is from a checkpoint.
 }
 
 /// Progress of one job.
@@ -255,6 +256,7 @@
             failures: 0,
             silent_runs: 0,
             pause_until: None,
+            run_time: Some(Duration::ZERO),
         };
         let items = vec![fresh; ids.len()];
         ids.sort();
@@ -367,6 +369,7 @@
         item.run = self.runs;
         if item.version != Some(version) {
             item.text.clear();
+            item.run_time = Some(Duration::ZERO);
             item.last = None;
             item.version = Some(version);
         }
@@ -419,6 +422,7 @@
             }
             item.last = Some(output.last);
             item.text = output.text.as_bytes().to_vec();
+            item.run_time = None;
             item.version = output.version;
             if output.whole {
                 item.phase = ItemPhase::Finished(JobOutcome::Completed);
@@ -469,6 +473,21 @@
         true
     }
 
+    /// Adds the time for which a run held its slot, and returns the time of all runs that generated the item's output,
+    /// if it is known. A run without output doesn't count, as it brings the item no nearer to its end.
+    pub fn add_run_time(
+        &mut self,
+        index: usize,
+        run: RunNumber,
+        time: Duration,
+    ) -> Option<Duration> {
+        let item = self.current(index, run)?;
+        if !item.text.is_empty() {
+            item.run_time = item.run_time.map(|known| known + time);
+        }
+        item.run_time
+    }
+
     /// Records that an item leaves a server that has sent nothing for long.
     pub fn record_silence(&mut self, index: usize, run: RunNumber) -> bool {
         let Some(item) = self.current(index, run) else {
@@ -507,6 +526,7 @@
         item.phase = ItemPhase::Waiting;
         item.pause_until = Some(until);
         item.text.clear();
+        item.run_time = Some(Duration::ZERO);
         item.last = None;
         true
     }
--- a/boragerill/tests/item_runs.rs
+++ b/boragerill/tests/item_runs.rs
@@ -1,7 +1,10 @@
 //! The text of an item is made of its events in order, each once and all of one software version, however many runs of
 //! the item are open at a time, and from whichever checkpoints a runner continues.
 
-use std::time::Instant;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use boragerill::{
     job::{
@@ -278,3 +281,43 @@
     #[test]
     fn text_of_an_item_has_each_event_once_in_order(sequential 1..80 => RunTest);
 }
+
+/// Items are cut and go on elsewhere. On earlier code, only the last run counted, so that long items were taken for short
+/// ones and started too late.
+#[test]
+fn run_time_of_an_item_covers_all_runs_that_generated_its_output() {
+    // arrange
+    let second = Duration::from_secs(1);
+    let mut progress = new_progress();
+    let start = |progress: &mut JobProgress| {
+        let started = progress.start_item(0, 1);
+        started.expect("the item waits").number
+    };
+    let run_with_event = |progress: &mut JobProgress, event: EventId| {
+        let run = start(progress);
+        let text = format!("id: {event}\ndata: {event}\n\n");
+        progress
+            .extend(0, run, text.as_bytes())
+            .expect("the next event");
+        run
+    };
+
+    // act
+    let first = start(&mut progress);
+    let without_output = progress.add_run_time(0, first, second);
+    progress.pause(0, first, None);
+    let cut = run_with_event(&mut progress, 0);
+    let after_cut = progress.add_run_time(0, cut, 8 * second);
+    progress.pause(0, cut, None);
+    let resumed = run_with_event(&mut progress, 1);
+    let replaced = progress.add_run_time(0, cut, second);
+    let at_end = progress.add_run_time(0, resumed, 3 * second);
+    progress.discard(0, resumed, Instant::now());
+    let anew = run_with_event(&mut progress, 0);
+    let after_discard = progress.add_run_time(0, anew, second);
+
+    // assert
+    assert_eq!(without_output, Some(Duration::ZERO));
+    assert_eq!((after_cut, at_end), (Some(8 * second), Some(11 * second)));
+    assert_eq!((replaced, after_discard), (None, Some(second)));
+}
--- a/boragerill/tests/item_start.rs
+++ b/boragerill/tests/item_start.rs
@@ -261,6 +261,27 @@
     assert_eq!((few, many, too_many), (0, 40, CAPACITY - 120));
 }
 
+/// On earlier code, items of 12 s of a job due in 15 s yielded to the demand of recent seconds, and were late.
+#[test]
+fn items_that_hold_their_slots_for_long_stop_to_yield_earlier() {
+    // arrange
+    let now = Instant::now();
+    let mut history = DemandHistory::default();
+    history.record(SERVICE, CAPACITY, now);
+    let yields =
+        |history: &DemandHistory, left_s| history.is_relaxed(SERVICE, Duration::from_secs(left_s));
+    let short = [9, 15].map(|left| yields(&history, left));
+
+    // act
+    for _ in 0..100 {
+        history.record_run(SERVICE, Duration::from_secs(12));
+    }
+    let long = [15, 25].map(|left| yields(&history, left));
+
+    // assert
+    assert_eq!((short, long), ([false, true], [false, true]));
+}
+
 /// After a burst that isn't repeated, slots must not stay idle.
 #[test]
 fn demand_is_forgotten_after_some_seconds() {
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -135,6 +135,8 @@
     pub(crate) server: &'a Arc<BackendState>,
     /// Number of failures at servers after which the item is abandoned.
     pub(crate) attempts: u32,
+    /// Time at which it was started.
+    pub(crate) begun: Instant,
     /// Time at which the run is abandoned.
     pub(crate) deadline: Instant,
 }
@@ -179,10 +181,17 @@
 
     /// Ends the run and pauses the item until a time, if one is given.
     pub(crate) fn pause(&self, until: Option<Instant>) {
+        self.add_run_time();
         let is_current = lock(&self.entry.progress).pause(self.index, self.number, until);
         self.record_change(is_current, "pause");
     }
 
+    /// Counts the time of this run, and returns the time of all runs of the item if it is known.
+    fn add_run_time(&self) -> Option<Duration> {
+        let time = self.begun.elapsed();
+        lock(&self.entry.progress).add_run_time(self.index, self.number, time)
+    }
+
     /// Logs a change of the item's progress that had no effect, since the run isn't the current one.
     fn record_change(&self, is_current: bool, change: &str) {
         if is_current {
@@ -285,11 +294,13 @@
         response: ServerResponse,
         process: Option<ProcessState>,
     ) {
+        let run_time = self.add_run_time();
         let is_current = lock(&self.entry.progress).complete(self.index, self.number);
         self.record_change(is_current, "complete");
         if is_current {
-            let run = response.in_flight.age();
-            self.state.load.record_item_run(self.server, run);
+            if let Some(run_time) = run_time {
+                self.state.load.record_item_run(self.server, run_time);
+            }
             counter!("items_completed_total").increment(1);
             info!(
                 job = self.entry.id.as_str(),
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -325,6 +325,7 @@
         let flight = state.backends.track_request(&server, RequestClass::Batch);
         let (runner, state, entry) = (self.clone(), state.clone(), entry.clone());
         let attempts = route.attempts;
+        let begun = Instant::now();
         tokio::spawn(async move {
             drop(flight);
             let run = ItemRun {
@@ -334,6 +335,7 @@
                 number: started.number,
                 server: &server,
                 attempts,
+                begun,
                 deadline: outgoing.deadline,
             };
             tokio::select! {
--- a/fleet/src/server_load.rs
+++ b/fleet/src/server_load.rs
@@ -235,7 +235,7 @@
         lock(&self.demand).is_relaxed(service, time_left)
     }
 
-    /// Records for how long an item held its slot until its end.
+    /// Records for how long an item held slots in all its runs.
     pub(crate) fn record_item_run(&self, server: &BackendState, run: Duration) {
         lock(&self.demand).record_run(service_key(server), run);
     }
