Keep wrong declarations and slow callers out of the learned speeds

One request that declared 10,000,000 prompt tokens flattened the line from which the time until the first event is estimated, for all callers. Events that wait for a caller's read were taken for slow ones of the server.

First events far above the typical number of tokens aren't used; the typical number follows prompts that have become longer for good.

--- a/boragerill/src/load/pace.rs
+++ b/boragerill/src/load/pace.rs
@@ -23,12 +23,26 @@
 const INTERVALS: std::ops::RangeInclusive<Duration> =
     Duration::from_micros(50)..=Duration::from_secs(5);
 
+/// Largest plausible number of prompt tokens to be read; clients may declare any number.
+const MAX_READ_TOKENS: f64 = 200_000.0;
+
+/// Multiple of the typical number of tokens above which a first event isn't used: one wrong number would otherwise
+/// outweigh all others, as its square does.
+const OUTLIER_FACTOR: f64 = 10.0;
+
+/// Smallest number of tokens that counts as typical, so that prompts of ordinary length are never outliers.
+const MIN_TYPICAL_TOKENS: f64 = 500.0;
+
 /// Largest slowdown that is derived from observed intervals.
 const MAX_SLOWDOWN: f64 = 10.0;
 
 /// Ratio of observed to usual interval below which the server counts as being as fast as usual.
 const NOTABLE_SLOWDOWN: f64 = 1.5;
 
+/// Time without a read by the caller after which the times of events show the caller's speed, not the server's. Events
+/// come every few milliseconds.
+const CALLER_PAUSE: Duration = Duration::from_millis(5);
+
 /// Factor by which older first events lose weight with each new one.
 const FIRST_EVENT_DECAY: f64 = 0.98;
 
@@ -70,6 +84,11 @@
         EventClock { since: now, count }
     }
 
+    /// Returns the clock after the caller hasn't read for a time; `None` if the times of events have to be collected anew.
+    pub fn after_pause(self, pause: Duration) -> Option<EventClock> {
+        (pause <= CALLER_PAUSE).then_some(self)
+    }
+
     /// Returns a sample once enough events or time have passed; `count` is the number of events received so far.
     pub fn sample(&mut self, now: Instant, count: u64) -> Option<PaceSample> {
         let sample = PaceSample {
@@ -146,11 +165,15 @@
     delay: f64,
     tokens_squared: f64,
     product: f64,
+    typical: f64, // Average number of tokens, with outliers reduced to the limit.
 }
 
 impl PromptModel {
-    /// Records an observed first event.
+    /// Records an observed first event, unless the number of tokens is far above the typical one.
     pub(super) fn record(&mut self, tokens: f64, delay: f64) {
+        if tokens > MAX_READ_TOKENS || self.is_outlier(tokens) {
+            return;
+        }
         for sum in [
             &mut self.weight,
             &mut self.tokens,
@@ -167,6 +190,19 @@
         self.product += tokens * delay;
     }
 
+    /// Returns whether a number of tokens is far above the typical one, which it also changes: prompts that have become
+    /// longer for good are outliers only at first.
+    fn is_outlier(&mut self, tokens: f64) -> bool {
+        if self.weight < MIN_FIRST_EVENTS {
+            self.typical = (self.typical * self.weight + tokens) / (self.weight + 1.0);
+            return false;
+        }
+        let limit = self.typical.max(MIN_TYPICAL_TOKENS) * OUTLIER_FACTOR;
+        let counted = tokens.min(limit);
+        self.typical = self.typical * FIRST_EVENT_DECAY + counted * (1.0 - FIRST_EVENT_DECAY);
+        tokens > limit
+    }
+
     /// Returns the expected time until the first event.
     pub(super) fn delay(&self, tokens: f64) -> f64 {
         if self.weight < MIN_FIRST_EVENTS {
--- a/boragerill/tests/load.rs
+++ b/boragerill/tests/load.rs
@@ -882,3 +882,114 @@
         }
     }
 }
+
+/// Reads prompts at 10 tokens in a millisecond, after 50 ms.
+fn record_prompts(table: &mut LoadTable, tokens: impl Iterator<Item = u32>, now: Instant) {
+    for tokens in tokens {
+        let delay = Duration::from_millis(u64::from(50 + tokens / 10));
+        record_declared(table, tokens, delay, now);
+    }
+}
+
+fn record_declared(table: &mut LoadTable, tokens: u32, delay: Duration, now: Instant) {
+    let first = FirstEvent {
+        declared: declared_prompt(tokens),
+        prompt: None,
+        delay,
+    };
+    table.record_first_event(process(0), SERVICE, first, now);
+}
+
+fn declared_prompt(tokens: u32) -> DeclaredCost {
+    DeclaredCost {
+        prompt: tokens,
+        own_part: tokens,
+        output: 0,
+    }
+}
+
+fn first_ms(table: &LoadTable, tokens: u32, now: Instant) -> u128 {
+    let query = OutlookQuery {
+        declared: declared_prompt(tokens),
+        ..query(0, 10.0)
+    };
+    outlook(table, query, now).first.as_millis()
+}
+
+/// On earlier code, one request that declared 10,000,000 tokens hid from all requests of the service that long prompts
+/// take long to read.
+#[test]
+fn wrong_declarations_do_not_change_the_time_to_read_a_prompt() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(&[1.0], now);
+    record_prompts(
+        &mut table,
+        (0..40).map(|number| 200 * (1 + number % 10)),
+        now,
+    );
+    let before = first_ms(&table, 2000, now);
+
+    // act
+    for tokens in [10_000_000, 200_001, 150_000] {
+        record_declared(&mut table, tokens, Duration::from_millis(50), now);
+    }
+    let after = first_ms(&table, 2000, now);
+
+    // assert
+    assert!((245..=255).contains(&before), "{before} ms");
+    assert_eq!(after, before);
+}
+
+/// A service may get prompts that are fifty times as long for good.
+#[test]
+fn longer_prompts_are_learned_once_they_are_usual() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(&[1.0], now);
+    record_prompts(
+        &mut table,
+        (0..40).map(|number| 200 * (1 + number % 10)),
+        now,
+    );
+
+    // act
+    record_prompts(
+        &mut table,
+        (0..200).map(|number| 10_000 * (1 + number % 10)),
+        now,
+    );
+    let learned = first_ms(&table, 80_000, now);
+
+    // assert
+    assert!((7900..=8200).contains(&learned), "{learned} ms");
+}
+
+/// On earlier code, a caller that takes 20 ms for each event had its server recorded as four times as slow, unless it
+/// paused for more than 100 ms.
+#[test]
+fn reads_of_slow_callers_do_not_show_the_speed_of_a_server() {
+    // arrange
+    let now = Instant::now();
+    let samples = |pause: Duration| {
+        let mut clock = None;
+        let events = (0_u32..40).filter_map(|event| {
+            let at = now + (EVENT + pause) * event;
+            let kept = clock.and_then(|clock: EventClock| clock.after_pause(pause));
+            let mut current = kept.unwrap_or_else(|| EventClock::start(at, u64::from(event)));
+            let sample = current.sample(at, u64::from(event));
+            clock = Some(current);
+            sample
+        });
+        events.count()
+    };
+
+    // act
+    let (fast, slow) = (
+        samples(Duration::from_millis(1)),
+        samples(Duration::from_millis(20)),
+    );
+
+    // assert
+    assert!(fast >= 4 && slow == 0, "{fast} and {slow} samples");
+}
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -100,9 +100,6 @@
 /// time for this long at most.
 pub(crate) const HANDOVER_TIME: Duration = Duration::from_millis(250);
 
-/// Time without a read by the caller after which the times of events don't show the server's speed.
-const CALLER_PAUSE: Duration = Duration::from_millis(100);
-
 /// Time for which a server that refused a stream isn't asked again.
 const REFUSED_TIME: Duration = Duration::from_millis(500);
 
@@ -226,9 +223,8 @@
             }
             None => {}
         }
-        if self.last_event.elapsed() > CALLER_PAUSE {
-            self.clock = None;
-        }
+        let pause = self.last_event.elapsed();
+        self.clock = self.clock.and_then(|clock| clock.after_pause(pause));
         // The caller may have paused its reading since the last events; that is no silence of the server.
         self.last_event = Instant::now();
         self.last_sign = self.last_event;
