--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod headroom;
 pub mod heartbeat_pace;
 pub mod hedge;
+pub mod item_demand;
 pub mod item_start;
 pub mod job;
 pub mod job_directory;
--- a/boragerill/tests/item_start.rs
+++ b/boragerill/tests/item_start.rs
@@ -41,7 +41,11 @@
 }
 
 fn waiting(count: u32, time_left: Duration) -> WaitingItems {
-    WaitingItems { count, time_left }
+    WaitingItems {
+        count,
+        running: 0,
+        time_left,
+    }
 }
 
 fn view(key: u32, online: u32) -> SlotView {
@@ -173,7 +177,11 @@
         history.record(SERVICE, online, start + time);
         let slots = match uses_history {
             true => {
-                history.slots_for_items(SERVICE, totals(online, batch), waiting(200, time_left))
+                let items = WaitingItems {
+                    running: batch,
+                    ..waiting(200, time_left)
+                };
+                history.slots_for_items(SERVICE, totals(online, batch), items)
             }
             false => CAPACITY - online - batch,
         };
@@ -212,7 +220,13 @@
         };
         history.record(SERVICE, online, now + Duration::from_millis(250) * step);
     }
-    let slots = |left| history.slots_for_items(SERVICE, totals(100, 20), waiting(50, left));
+    let slots = |left| {
+        let items = WaitingItems {
+            running: 20,
+            ..waiting(50, left)
+        };
+        history.slots_for_items(SERVICE, totals(100, 20), items)
+    };
 
     // act
     let relaxed = slots(LONG);
@@ -233,7 +247,10 @@
         history.record_run(SERVICE, Duration::from_secs(3));
     }
     let slots = |count| {
-        let items = waiting(count, Duration::from_secs(30));
+        let items = WaitingItems {
+            running: 20,
+            ..waiting(count, Duration::from_secs(30))
+        };
         history.slots_for_items(SERVICE, totals(100, 20), items)
     };
 
@@ -244,6 +261,27 @@
     assert_eq!((few, many, too_many), (0, 40, CAPACITY - 120));
 }
 
+/// On earlier code, items of 12 s of a job due in 15 s yielded to the demand of recent seconds, and were late.
+#[test]
+fn items_that_hold_their_slots_for_long_stop_to_yield_earlier() {
+    // arrange
+    let now = Instant::now();
+    let mut history = DemandHistory::default();
+    history.record(SERVICE, CAPACITY, now);
+    let yields =
+        |history: &DemandHistory, left_s| history.is_relaxed(SERVICE, Duration::from_secs(left_s));
+    let short = [9, 15].map(|left| yields(&history, left));
+
+    // act
+    for _ in 0..100 {
+        history.record_run(SERVICE, Duration::from_secs(12));
+    }
+    let long = [15, 25].map(|left| yields(&history, left));
+
+    // assert
+    assert_eq!((short, long), ([false, true], [false, true]));
+}
+
 /// After a burst that isn't repeated, slots must not stay idle.
 #[test]
 fn demand_is_forgotten_after_some_seconds() {
--- a/boragerill/tests/load.rs
+++ b/boragerill/tests/load.rs
@@ -822,3 +822,174 @@
         }
     }
 }
+
+/// Returns the median speed that a service's estimates are based on, seen through a process that isn't known.
+fn unknown_server(table: &LoadTable, now: Instant) -> Option<ServerOutlook> {
+    table.outlook(&query(99, 100.0), now)
+}
+
+proptest! {
+    /// The active flag and the median of a service are kept rather than derived for each request. Guards against ones
+    /// that differ from what the known processes give, after any observations, restarts and removals.
+    #[test]
+    fn kept_median_and_flag_follow_the_known_processes(
+        changes in prop::collection::vec((0..4_u32, 1..4_u64, 0..4_u8, 1..100_u64), 1..60),
+    ) {
+        // arrange
+        let now = Instant::now();
+        let mut table = LoadTable::default();
+        let mut stating: Vec<ProcessKey> = Vec::new();
+        for (key, start, change, interval_ms) in changes {
+            let process = (key, start);
+            let is_new = table.service_of(process).is_none();
+
+            // act
+            match change {
+                0 => {
+                    table.record(process, SERVICE, statement(None, Some(1.0), now), 0);
+                }
+                1 | 2 => {
+                    let elapsed = Duration::from_millis(interval_ms);
+                    table.record_pace(process, SERVICE, PaceSample { events: 1, elapsed }, now);
+                }
+                _ => table.retain(|known| known.0 != key),
+            }
+
+            // assert
+            match change {
+                3 => stating.retain(|known| known.0 != key),
+                // A new process replaces the earlier ones of its server.
+                _ if is_new => stating.retain(|known| known.0 != key || known.1 > start),
+                _ => {}
+            }
+            if change == 0 {
+                stating.push(process);
+            }
+            prop_assert_eq!(table.is_active(SERVICE), !stating.is_empty());
+            prop_assert_eq!(table.is_any_active(), !stating.is_empty());
+            let speeds = table.clone().next_speeds(usize::MAX);
+            let mut intervals: Vec<Duration> = speeds.iter().map(|speed| speed.interval).collect();
+            intervals.sort_unstable();
+            let mut expected = LoadTable::default();
+            expected.record((0, 1), SERVICE, statement(None, Some(1.0), now), 0);
+            if let Some(&median) = intervals.get(intervals.len() / 2) {
+                let reported = ServerSpeed { process: (0, 1), interval: median };
+                expected.record_reported(SERVICE, reported);
+            }
+            if table.is_active(SERVICE) {
+                prop_assert_eq!(unknown_server(&table, now), unknown_server(&expected, now));
+            }
+        }
+    }
+}
+
+/// Reads prompts at 10 tokens in a millisecond, after 50 ms.
+fn record_prompts(table: &mut LoadTable, tokens: impl Iterator<Item = u32>, now: Instant) {
+    for tokens in tokens {
+        let delay = Duration::from_millis(u64::from(50 + tokens / 10));
+        record_declared(table, tokens, delay, now);
+    }
+}
+
+fn record_declared(table: &mut LoadTable, tokens: u32, delay: Duration, now: Instant) {
+    let first = FirstEvent {
+        declared: declared_prompt(tokens),
+        prompt: None,
+        delay,
+    };
+    table.record_first_event(process(0), SERVICE, first, now);
+}
+
+fn declared_prompt(tokens: u32) -> DeclaredCost {
+    DeclaredCost {
+        prompt: tokens,
+        own_part: tokens,
+        output: 0,
+    }
+}
+
+fn first_ms(table: &LoadTable, tokens: u32, now: Instant) -> u128 {
+    let query = OutlookQuery {
+        declared: declared_prompt(tokens),
+        ..query(0, 10.0)
+    };
+    outlook(table, query, now).first.as_millis()
+}
+
+/// On earlier code, one request that declared 10,000,000 tokens hid from all requests of the service that long prompts
+/// take long to read.
+#[test]
+fn wrong_declarations_do_not_change_the_time_to_read_a_prompt() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(&[1.0], now);
+    record_prompts(
+        &mut table,
+        (0..40).map(|number| 200 * (1 + number % 10)),
+        now,
+    );
+    let before = first_ms(&table, 2000, now);
+
+    // act
+    for tokens in [10_000_000, 200_001, 150_000] {
+        record_declared(&mut table, tokens, Duration::from_millis(50), now);
+    }
+    let after = first_ms(&table, 2000, now);
+
+    // assert
+    assert!((245..=255).contains(&before), "{before} ms");
+    assert_eq!(after, before);
+}
+
+/// A service may get prompts that are fifty times as long for good.
+#[test]
+fn longer_prompts_are_learned_once_they_are_usual() {
+    // arrange
+    let now = Instant::now();
+    let mut table = table(&[1.0], now);
+    record_prompts(
+        &mut table,
+        (0..40).map(|number| 200 * (1 + number % 10)),
+        now,
+    );
+
+    // act
+    record_prompts(
+        &mut table,
+        (0..200).map(|number| 10_000 * (1 + number % 10)),
+        now,
+    );
+    let learned = first_ms(&table, 80_000, now);
+
+    // assert
+    assert!((7900..=8200).contains(&learned), "{learned} ms");
+}
+
+/// On earlier code, a caller that takes 20 ms for each event had its server recorded as four times as slow, unless it
+/// paused for more than 100 ms.
+#[test]
+fn reads_of_slow_callers_do_not_show_the_speed_of_a_server() {
+    // arrange
+    let now = Instant::now();
+    let samples = |pause: Duration| {
+        let mut clock = None;
+        let events = (0_u32..40).filter_map(|event| {
+            let at = now + (EVENT + pause) * event;
+            let kept = clock.and_then(|clock: EventClock| clock.after_pause(pause));
+            let mut current = kept.unwrap_or_else(|| EventClock::start(at, u64::from(event)));
+            let sample = current.sample(at, u64::from(event));
+            clock = Some(current);
+            sample
+        });
+        events.count()
+    };
+
+    // act
+    let (fast, slow) = (
+        samples(Duration::from_millis(1)),
+        samples(Duration::from_millis(20)),
+    );
+
+    // assert
+    assert!(fast >= 4 && slow == 0, "{fast} and {slow} samples");
+}
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -1,7 +1,10 @@
 //! Admission control: checks callers' requests against configuration, keys, limits and rates.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
     time::{
         Duration,
         Instant, //
@@ -397,6 +400,7 @@
             kind: RequestClass::Online,
             prompt,
             residency: ResidencyRule::default(),
+            cost: OnceLock::new(),
         },
         route: route.clone(),
     })
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -1,7 +1,10 @@
 //! One attempt of a request at one backend server.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
     time::{
         Duration,
         Instant, //
@@ -58,6 +61,7 @@
         EndWitness, //
     },
     server_limits::SendPermit,
+    server_load::RequestCost,
     state::FleetState,
     wire::HeaderNames, //
 };
@@ -119,6 +123,8 @@
     pub(crate) prompt: PromptParts,
     /// Regions that it may be sent to.
     pub(crate) residency: ResidencyRule,
+    /// What it costs, once that has been derived.
+    pub(crate) cost: OnceLock<RequestCost>,
 }
 
 impl OutgoingRequest {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -226,18 +226,29 @@
         version: Option<VersionKey>,
         residency: &ResidencyRule,
         now: Instant,
+    ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
+        let (servers, mut views) = self.limited_views(service, version, residency, now);
+        self.load.apply(service, (&servers, &mut views), None, now);
+        (servers, views)
+    }
+
+    /// Returns the servers of a service with views that lack estimates.
+    pub(crate) fn limited_views(
+        &self,
+        service: &str,
+        version: Option<VersionKey>,
+        residency: &ResidencyRule,
+        now: Instant,
     ) -> (Vec<Arc<BackendState>>, Vec<SlotView>) {
         let domain = &self.settings.domain;
-        let (servers, mut views) = self.backends.views(service, version, domain, now);
+        let (mut servers, mut views) = self.backends.views(service, version, domain, now);
         self.limits.apply(&servers, &mut views);
-        self.load.apply(service, (&servers, &mut views), None, now);
         if residency.is_restricted() {
             for (server, view) in servers.iter().zip(&mut views) {
                 view.leaving |= !self.regions.admits_domain(residency, &server.server.domain);
             }
         }
         self.apply_evacuations(&servers, &mut views, now);
-        let mut servers = servers;
         if views.iter().all(|view| view.leaving) {
             let demand = (service, version, residency);
             self.add_fallback(demand, (&mut servers, &mut views), &[], now);
