Choose the items to cut by the time that is left now

The time left was stored when an item started, so that one that had run for most of its job's time was cut before others whose jobs are due later.

A running item keeps when its job is due, and items_to_cut takes the time.

--- a/boragerill/src/preemption.rs
+++ b/boragerill/src/preemption.rs
@@ -2,7 +2,10 @@
 
 use std::{
     cmp::Reverse,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use crate::slot::SlotView;
@@ -33,10 +36,10 @@
 }
 
 /// One of this VM's items at a server.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct ItemView {
-    /// Time until its job is due; zero if the job is overdue.
-    pub time_left: Duration,
+    /// When its job is due.
+    pub due: Instant,
     /// Output received so far, in all its runs.
     pub output_bytes: usize,
     /// Whether it has been cut already, but still holds its slot.
@@ -46,14 +49,15 @@
 /// Returns the positions of the items to cut so that `count` slots become free. Items that have been cut before and
 /// still hold their slots count. Of the others, those of the jobs with the most time go first, in steps of a doubling,
 /// and of these the ones with the least output: the others are nearer to their end, and free their slots for good.
-pub fn items_to_cut(items: &[ItemView], count: u32) -> Vec<usize> {
+pub fn items_to_cut(items: &[ItemView], count: u32, now: Instant) -> Vec<usize> {
     let ending = items.iter().filter(|item| item.is_ending).count();
     let needed = usize::try_from(count).unwrap_or(usize::MAX);
     let running = (0..items.len()).filter(|&index| !items[index].is_ending);
     let mut running: Vec<usize> = running.collect();
     running.sort_by_key(|&index| {
         let item = items[index];
-        (Reverse(urgency_step(item.time_left)), item.output_bytes)
+        let time_left = item.due.saturating_duration_since(now);
+        (Reverse(urgency_step(time_left)), item.output_bytes)
     });
     running.truncate(needed.saturating_sub(ending));
     running
--- a/boragerill/tests/preemption.rs
+++ b/boragerill/tests/preemption.rs
@@ -1,6 +1,9 @@
 //! Which items are cut when online demand alternates each 3 to 4 s between 0.38 and 1.84 of its mean.
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use boragerill::{
     load::ServerOutlook,
@@ -16,9 +19,9 @@
     },
 };
 
-fn item(left_s: u64, output_bytes: usize) -> ItemView {
+fn item(now: Instant, left_s: u64, output_bytes: usize) -> ItemView {
     ItemView {
-        time_left: Duration::from_secs(left_s),
+        due: now + Duration::from_secs(left_s),
         output_bytes,
         is_ending: false,
     }
@@ -29,11 +32,12 @@
 #[test]
 fn repeated_passes_for_one_online_request_cut_one_item() {
     // arrange
-    let mut items = [item(60, 100), item(60, 200), item(60, 300)];
+    let now = Instant::now();
+    let mut items = [item(now, 60, 100), item(now, 60, 200), item(now, 60, 300)];
 
     // act
     for _ in 0..5 {
-        for index in items_to_cut(&items, 1) {
+        for index in items_to_cut(&items, 1, now) {
             items[index].is_ending = true;
         }
     }
@@ -46,13 +50,14 @@
 #[test]
 fn rising_demand_cuts_only_as_many_further_items_as_it_needs() {
     // arrange: one item is ending when a second online request arrives
+    let now = Instant::now();
     let ending = ItemView {
         is_ending: true,
-        ..item(60, 100)
+        ..item(now, 60, 100)
     };
 
     // act
-    let cut = items_to_cut(&[ending, item(60, 300), item(60, 200)], 2);
+    let cut = items_to_cut(&[ending, item(now, 60, 300), item(now, 60, 200)], 2, now);
 
     // assert
     assert_eq!(cut, [2]);
@@ -62,10 +67,11 @@
 #[test]
 fn items_near_their_end_are_kept_among_jobs_due_about_the_same_time() {
     // arrange
-    let items = [item(45, 9000), item(40, 10), item(44, 5000)];
+    let now = Instant::now();
+    let items = [item(now, 45, 9000), item(now, 40, 10), item(now, 44, 5000)];
 
     // act
-    let cut = items_to_cut(&items, 2);
+    let cut = items_to_cut(&items, 2, now);
 
     // assert
     assert_eq!(cut, [1, 2]);
@@ -74,12 +80,13 @@
 #[test]
 fn items_of_jobs_with_much_time_are_cut_before_those_due_soon_and_overdue_ones_last() {
     // arrange
-    let items = [item(0, 10), item(3, 10), item(60, 9000)];
+    let now = Instant::now();
+    let items = [item(now, 0, 10), item(now, 3, 10), item(now, 60, 9000)];
 
     // act and assert
-    assert_eq!(items_to_cut(&items, 1), [2]);
-    assert_eq!(items_to_cut(&items, 2), [2, 1]);
-    assert_eq!(items_to_cut(&items, 9), [2, 1, 0]);
+    assert_eq!(items_to_cut(&items, 1, now), [2]);
+    assert_eq!(items_to_cut(&items, 2, now), [2, 1]);
+    assert_eq!(items_to_cut(&items, 9, now), [2, 1, 0]);
 }
 
 /// Returns a view of a server of 8 slots that states how long work takes.
@@ -169,3 +176,19 @@
     // act and assert
     assert!(!has_slot(&before) && has_slot(&after));
 }
+
+/// On earlier code, the time left when an item was started decided, so that an item that had run for most of its job's
+/// time was cut before one whose job is due later.
+#[test]
+fn time_left_now_decides_which_item_is_cut() {
+    // arrange: 50 s later, 10 s are left for the job of the first item
+    let started = Instant::now();
+    let now = started + Duration::from_secs(50);
+    let items = [item(started, 60, 10), item(now, 40, 9000)];
+
+    // act
+    let cut = items_to_cut(&items, 1, now);
+
+    // assert
+    assert_eq!(cut, [1]);
+}
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -96,14 +96,14 @@
     job: Arc<JobEntry>,
     index: usize,
     server: u32,
-    job_due: Duration,
+    due: Instant,                         // When the job is due.
     preempt: Option<oneshot::Sender<()>>, // `None` once it has been preempted.
 }
 
 impl RunningItem {
     fn view(&self) -> ItemView {
         ItemView {
-            time_left: self.job_due,
+            due: self.due,
             output_bytes: lock(&self.job.progress).output_bytes(self.index),
             is_ending: self.preempt.is_none(),
         }
@@ -176,7 +176,7 @@
         let at_server = running.iter_mut().filter(|item| item.server == server);
         let mut candidates: Vec<&mut RunningItem> = at_server.collect();
         let views: Vec<ItemView> = candidates.iter().map(|item| item.view()).collect();
-        for index in items_to_cut(&views, count) {
+        for index in items_to_cut(&views, count, Instant::now()) {
             counter!("items_paused_total").increment(1);
             if let Some(preempt) = candidates[index].preempt.take() {
                 // An error means that the item has just ended.
@@ -268,7 +268,14 @@
                     continue;
                 }
                 allowance.starts -= 1;
-                self.start(state, entry, route, index, permitted, priority.time_left);
+                self.start(
+                    state,
+                    entry,
+                    route,
+                    index,
+                    permitted,
+                    now + priority.time_left,
+                );
             }
         }
     }
@@ -302,7 +309,7 @@
         route: &Arc<CatalogRoute>,
         index: usize,
         permitted: PermittedServer,
-        job_due: Duration,
+        due: Instant,
     ) {
         let PermittedServer { server, permit } = permitted;
         let (preempt, preempted) = oneshot::channel();
@@ -317,7 +324,7 @@
             job: entry.clone(),
             index,
             server: server.key,
-            job_due,
+            due,
             preempt: Some(preempt),
         });
         let outgoing = item_request(state, entry, route, index, started.last);
