Leave claimed requests out of what a server's statement is compared with

A request that claims an item's slot counts as in flight before it is sent. The server's statement can't contain it, so that the request was missing from the merged load once it had been sent.

Claims are counted separately and left out at the time of a statement. No test covers the shell that counts them.

--- a/fleet/src/backends.rs
+++ b/fleet/src/backends.rs
@@ -94,6 +94,7 @@
     pool: ConnectionPool,
     online: AtomicU32,
     batch: AtomicU32,
+    claims: AtomicU32, // Online requests that are counted but haven't been sent.
     drain_announced: AtomicBool,
     misdirected: AtomicBool, // Whether another server was met at the address.
     health: Mutex<BackendHealth>,
@@ -393,10 +394,19 @@
             registry: self.clone(),
             shared: state.shared.clone(),
             kind,
+            is_claim: false,
             started: Instant::now(),
         }
     }
 
+    /// Counts an online request at a server before it is sent.
+    pub(crate) fn track_claim(self: &Arc<Self>, state: &Arc<BackendState>) -> InFlightGuard {
+        state.shared.claims.fetch_add(1, Ordering::Relaxed);
+        let mut claim = self.track_request(state, RequestClass::Online);
+        claim.is_claim = true;
+        claim
+    }
+
     /// Records a successful response of a server.
     pub(crate) fn record_success(&self, state: &BackendState) {
         let now = Instant::now();
@@ -528,6 +538,12 @@
         }
     }
 
+    /// Returns this VM's requests that the server can know of: those in flight without the claims.
+    pub(crate) fn sent(&self) -> u32 {
+        let claims = self.shared.claims.load(Ordering::Relaxed);
+        self.used().total().saturating_sub(claims)
+    }
+
     /// Returns whether the server takes no new work, by its entry or by its own announcement.
     pub(crate) fn is_draining(&self) -> bool {
         self.server.leaving || self.shared.drain_announced.load(Ordering::Relaxed)
@@ -635,6 +651,7 @@
     registry: Arc<BackendRegistry>,
     shared: Arc<BackendShared>,
     kind: RequestClass,
+    is_claim: bool, // Whether the request hasn't been sent.
     started: Instant,
 }
 
@@ -658,10 +675,17 @@
 
     /// Returns the guard for a request that is sent now and has been counted before.
     pub(crate) fn begin_request(mut self) -> InFlightGuard {
+        self.end_claim();
         self.started = Instant::now();
         self
     }
 
+    fn end_claim(&mut self) {
+        if std::mem::take(&mut self.is_claim) {
+            self.shared.claims.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
     /// Returns for how long the request has held its slot.
     pub(crate) fn age(&self) -> Duration {
         self.started.elapsed()
@@ -670,6 +694,7 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
+        self.end_claim();
         self.shared
             .counter(self.kind)
             .fetch_sub(1, Ordering::Relaxed);
--- a/fleet/src/server_load.rs
+++ b/fleet/src/server_load.rs
@@ -113,8 +113,8 @@
                 info!(server = server.server.id.as_str(), figures = fault.name(), text = fault.text(); "malformed load");
             }
         }
-        let own = server.used().total();
-        let own = own.saturating_sub(u32::from(is_refused));
+        // The server can't have counted claimed requests, which haven't been sent.
+        let own = server.sent().saturating_sub(u32::from(is_refused));
         let mut servers = lock(&self.servers);
         servers.record(
             process_key(server),
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -159,9 +159,7 @@
     mut claimed: PermittedServer,
 ) -> Option<PermittedServer> {
     let until = Instant::now() + CLAIM_TIME;
-    let claim = state
-        .backends
-        .track_request(&claimed.server, RequestClass::Online);
+    let claim = state.backends.track_claim(&claimed.server);
     claimed.permit.set_claim(claim);
     let was_limited = state.limits.is_limited(&claimed.server);
     loop {
