Keep costs of other workspaces, and demand through seconds without a record

One caller that sent many different prompts replaced what was learned of all workspaces, and the first demand recorded after a gap counted for all of the gap, so that a burst was forgotten at once.

Distributions of prompt parts are replaced first.

--- a/boragerill/src/item_start.rs
+++ b/boragerill/src/item_start.rs
@@ -98,6 +98,7 @@
     service: u64,
     begun: Instant,        // Begin of the last interval.
     peaks: VecDeque<u32>,  // The last interval is the last one.
+    latest: u32,           // Last recorded demand.
     run: Option<Duration>, // Mean time that an item holds its slot.
 }
 
@@ -118,6 +119,7 @@
                     service,
                     begun: now,
                     peaks: VecDeque::from([online]),
+                    latest: online,
                     run: None,
                 };
                 self.services.insert(index, demand);
@@ -179,9 +181,15 @@
         let age = now.saturating_duration_since(self.begun);
         let passed = age.as_millis() / INTERVAL.as_millis();
         let passed = usize::try_from(passed).unwrap_or(INTERVALS).min(INTERVALS);
+        // Nothing is known of a gap as long as all intervals; in a shorter one, demand was about as high as before.
+        let between = match passed < INTERVALS {
+            true => self.latest,
+            false => online,
+        };
         for _ in 0..passed {
-            self.peaks.push_back(online);
+            self.peaks.push_back(between);
         }
+        self.latest = online;
         if passed > 0 {
             self.begun = now;
         }
@@ -189,7 +197,10 @@
             self.peaks.pop_front();
         }
         if let Some(last) = self.peaks.back_mut() {
-            *last = online.max(*last);
+            *last = match passed > 0 {
+                true => online,
+                false => online.max(*last),
+            };
         }
     }
 
--- a/boragerill/src/load/cost.rs
+++ b/boragerill/src/load/cost.rs
@@ -7,7 +7,8 @@
 /// Samples from which a distribution is used.
 const MIN_SAMPLES: u32 = 8;
 
-/// Largest number of distributions; the ones unused for longest are replaced. At 210 bytes each, 105 KB.
+/// Largest number of distributions; of prompt parts, of which a caller can send any number, the ones unused for longest
+/// are replaced first. At 210 bytes each, 105 KB.
 const MAX_ENTRIES: usize = 512;
 
 /// Events assumed before any response has ended.
@@ -134,6 +135,7 @@
 #[derive(Clone, Debug, Default)]
 struct CostEntry {
     key: u64,
+    is_part: bool, // Whether it is of a prompt part.
     last_use: u64,
     lengths: Sketch,
     ratios: Sketch, // Number of events for each declared output token.
@@ -153,7 +155,7 @@
         let events = events as f64;
         for key in keys.all() {
             let last_use = self.uses;
-            let entry = self.entry_mut(key);
+            let entry = self.entry_mut(key, keys.part == Some(key));
             entry.last_use = last_use;
             entry.lengths.add(events);
             if declared.output > 0 {
@@ -201,17 +203,20 @@
         found.ok().map(|index| &self.entries[index])
     }
 
-    fn entry_mut(&mut self, key: u64) -> &mut CostEntry {
+    fn entry_mut(&mut self, key: u64, is_part: bool) -> &mut CostEntry {
         let search = |entries: &[CostEntry]| entries.binary_search_by_key(&key, |entry| entry.key);
         if search(&self.entries).is_err() && self.entries.len() >= MAX_ENTRIES {
             let entries = self.entries.iter().enumerate();
-            if let Some((oldest, _)) = entries.min_by_key(|(_, entry)| entry.last_use) {
+            if let Some((oldest, _)) =
+                entries.min_by_key(|(_, entry)| (!entry.is_part, entry.last_use))
+            {
                 self.entries.remove(oldest);
             }
         }
         let index = search(&self.entries).unwrap_or_else(|index| {
             let entry = CostEntry {
                 key,
+                is_part,
                 ..CostEntry::default()
             };
             self.entries.insert(index, entry);
--- a/boragerill/tests/load.rs
+++ b/boragerill/tests/load.rs
@@ -993,3 +993,25 @@
     // assert
     assert!(fast >= 4 && slow == 0, "{fast} and {slow} samples");
 }
+
+/// On earlier code, one caller that sent many different prompts replaced what was learned of all other workspaces.
+#[test]
+fn many_prompts_of_one_caller_leave_the_costs_of_other_workspaces() {
+    // arrange
+    let mut costs = CostTable::default();
+    let known = CostKeys::new(1, 2, None);
+    for _ in 0..20 {
+        costs.record(known, DeclaredCost::default(), 400);
+    }
+
+    // act
+    for part in 0..2000 {
+        let keys = CostKeys::new(3, 4, Some(part));
+        costs.record(keys, DeclaredCost::default(), 10);
+    }
+
+    // assert
+    let estimate = costs.estimate(known, DeclaredCost::default());
+    assert!(is_near(estimate.median, 400.0), "{estimate:?}");
+    assert!(costs.len() <= 512);
+}
