--- a/standins/src/soak/oracle.rs
+++ b/standins/src/soak/oracle.rs
@@ -98,11 +98,16 @@
 }
 
 impl ServerWarmup {
-    /// Returns the largest number of requests in a second of the warm-up.
-    pub(crate) fn busiest_window(&self) -> usize {
+    /// Returns the requests that arrived during the warm-up.
+    pub(crate) fn requests(&self) -> Vec<Instant> {
         let warmup = self.begun..self.begun + WARMUP_TIME;
         let arrivals = self.arrivals.iter().filter(|at| warmup.contains(*at));
-        let counted: Vec<Instant> = arrivals.copied().collect();
+        arrivals.copied().collect()
+    }
+
+    /// Returns the largest number of requests in a second of the warm-up.
+    pub(crate) fn busiest_window(&self) -> usize {
+        let counted = self.requests();
         let in_window = |start: &Instant| {
             let window = *start..*start + WARMUP_WINDOW;
             counted.iter().filter(|at| window.contains(*at)).count()
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -43,7 +43,8 @@
         added_path,
         config,
         RESUMABLE_PATH,
-        SINGLE_PATH, //
+        SINGLE_PATH,
+        WARMUP_TIME, //
     },
     events::ServerRuns,
     fleet::{
@@ -747,7 +748,15 @@
             let busiest = record.warmups.iter().map(ServerWarmup::busiest_window);
             let busiest = busiest.max().unwrap_or(0);
             let count = record.warmups.len();
-            println!("{count} warm-ups, at most {busiest} requests in a second of one");
+            let sent: usize = record
+                .warmups
+                .iter()
+                .map(|warmup| warmup.requests().len())
+                .sum();
+            let mean = sent as f64 / (count as f64 * WARMUP_TIME.as_secs_f64());
+            println!(
+                "{count} warm-ups, {mean:.1} requests a second, at most {busiest} in a second"
+            );
         }
         for vm in &ended {
             println!("front-{vm:02} ended by itself");
