A VM whose requests don't wait for a warming server takes its turns for tokens as well

Change: a VM counts as waiting for a token if it asked in the last 250 ms, and its turn begins when the token accrued; that its process ran without a stall is known from the process, not from its requests. Turns are 16 ms.

--- a/boragerill/src/server_limit.rs
+++ b/boragerill/src/server_limit.rs
@@ -51,7 +51,7 @@
 
 /// Time from the turn of some VMs for a token of a process that is warming up to the turn of as many again: within two
 /// or three of them also slow VMs learn of the others' requests.
-const WARMUP_TURN_TIME: Duration = Duration::from_millis(12);
+const WARMUP_TURN_TIME: Duration = Duration::from_millis(16);
 
 /// Time for which such a token is left to online requests before a batch item takes it.
 const WARMUP_YIELD_TIME: Duration = Duration::from_millis(40);
@@ -71,11 +71,10 @@
 /// The same during a warm-up, whose windows are shorter.
 const WARMUP_DEBT_TIME: Duration = Duration::from_secs(1);
 
-/// Longest time between two requests for a token of a process that is warming up in which a VM has learned of the others'
-/// requests. Requests that wait ask more often, unless the VM has no processor time.
-const WAITING_GAP: Duration = Duration::from_millis(40);
+/// Time without a request for a token of a process that is warming up after which a VM no longer counts as waiting for it.
+const WAITING_GAP: Duration = Duration::from_millis(250);
 
-/// Time after a longer one in which a VM processes the reports that have arrived meanwhile.
+/// Time after a stall of this VM's process in which it processes the reports that have arrived meanwhile.
 const CATCH_UP_TIME: Duration = Duration::from_millis(5);
 
 /// Time for which statements and reports are repeated, since single messages may be lost.
@@ -193,6 +192,7 @@
     rank: Option<TokenRank>,
     awaited: Option<AwaitedToken>,
     last_asked: Option<Instant>, // When a token was last asked for during a warm-up.
+    numbered: Instant,           // When the number of the next token last changed.
     fraction: f64,               // Of the fleet that reported at the last refill during a warm-up.
 }
 
@@ -240,6 +240,8 @@
     pub rank: F,
     /// Whether requests may be sent to processes that are warming up.
     pub sends_to_warming: bool,
+    /// Since when this VM's process has run without a stall.
+    pub running_since: Instant,
     /// Time of the decision.
     pub now: Instant,
 }
@@ -421,6 +423,7 @@
         }
         bucket.tokens -= 1.0;
         bucket.sent += 1;
+        bucket.numbered = terms.now;
         bucket.changed = true;
         bucket.last_sent = Some(terms.now);
         true
@@ -647,6 +650,7 @@
             rank: None,
             awaited: None,
             last_asked: None,
+            numbered: now,
             fraction: 0.0,
         }
     }
@@ -725,15 +729,22 @@
             self.awaited = None;
             return missing;
         }
-        let is_current = last_asked.is_some_and(|last| terms.now < last + WAITING_GAP);
         let token = self.token();
+        let is_waiting = |asked: &Instant| terms.now < *asked + WAITING_GAP;
+        let last_asked = last_asked.filter(is_waiting);
         let known = self.awaited.filter(|awaited| awaited.token == token);
-        let since = match known.filter(|_| is_current) {
-            Some(awaited) => awaited.since,
-            None if is_current => terms.now,
-            None => terms.now + CATCH_UP_TIME,
+        let since = match (last_asked, known) {
+            (Some(_), Some(awaited)) => awaited.since,
+            // The token has accrued since this VM last asked.
+            (Some(asked), None) => {
+                let surplus = Duration::try_from_secs_f64(-missing / bounds.rate);
+                let accrued = terms.now.checked_sub(surplus.unwrap_or_default());
+                asked.max(self.numbered).max(accrued.unwrap_or(asked))
+            }
+            (None, _) => terms.now,
         };
         self.awaited = Some(AwaitedToken { token, since });
+        let since = since.max(terms.running_since + CATCH_UP_TIME);
         // VMs of low rank share turns: one after the other they would wait for long.
         let turn = WARMUP_TURN_TIME * bit_length(self.rank(terms));
         let turn = match class {
@@ -802,6 +813,9 @@
                 }
             }
         };
+        if report.sent != before {
+            self.numbered = now;
+        }
         report.sent as f64 - before as f64
     }
 
--- a/boragerill/src/warmup.rs
+++ b/boragerill/src/warmup.rs
@@ -27,6 +27,10 @@
 /// refilling their buckets on its behalf at about the same time.
 const PAUSE_TIME: Duration = Duration::from_millis(600);
 
+/// Time without a sign of life after which the process may decide by old reports, since it had no processor time. Signs of
+/// life come more than twice as often.
+const STALL_TIME: Duration = Duration::from_millis(60);
+
 /// Time after a pause in which reports that arrived meanwhile are processed and the list of servers is fetched.
 const PAUSE_RECOVERY: Duration = Duration::from_millis(500);
 
@@ -515,6 +519,7 @@
     started: Instant,
     alone_since: Option<Instant>,
     last_active: Instant,
+    running_since: Instant,
 }
 
 impl WarmupGate {
@@ -524,6 +529,7 @@
             started: now,
             alone_since: None,
             last_active: now,
+            running_since: now,
         }
     }
 
@@ -537,9 +543,17 @@
     pub fn record_activity(&mut self, now: Instant) -> bool {
         let silence = now.saturating_duration_since(self.last_active);
         self.last_active = self.last_active.max(now);
+        if silence >= STALL_TIME {
+            self.running_since = now;
+        }
         silence >= PAUSE_TIME
     }
 
+    /// Returns since when the process has run without a stall.
+    pub fn running_since(&self) -> Instant {
+        self.running_since
+    }
+
     /// Returns whether requests may be sent to servers that are warming up.
     pub fn is_open(&self, view: FleetView, now: Instant) -> bool {
         let knows_fleet = view.size > 1
--- a/boragerill/tests/server_limit.rs
+++ b/boragerill/tests/server_limit.rs
@@ -61,6 +61,7 @@
         },
         rank: |_| 0,
         sends_to_warming: true,
+        running_since: now,
         now,
     }
 }
@@ -206,6 +207,7 @@
                     .count()
             },
             sends_to_warming: true,
+            running_since: now,
             now,
         }
     }
--- a/boragerill/tests/warmup.rs
+++ b/boragerill/tests/warmup.rs
@@ -127,6 +127,7 @@
     sides: (usize, usize), // VMs below the first index, between both, and from the second index on are partitioned.
     lossy_until: Instant,
     messages: Vec<ModelMessage>,
+    gives_up: bool,     // Whether requests that no server admits at once go elsewhere.
     awake: u32,         // Steps of each QUOTA_STEPS in which a VM runs.
     transfer: Duration, // Time from a message's sending to its receipt.
     now: Instant,
@@ -158,6 +159,7 @@
             sides: (0, 0),
             lossy_until: now,
             messages: Vec::new(),
+            gives_up: false,
             awake: QUOTA_STEPS,
             transfer: STEP,
             now,
@@ -300,6 +302,9 @@
             self.vms[vm].waiting = self.vms[vm].waiting.min(MAX_WAITING);
             self.probe(vm);
             self.send_waiting(vm);
+            if self.gives_up {
+                self.vms[vm].waiting = 0;
+            }
             for message in std::mem::take(&mut self.vms[vm].inbox) {
                 self.deliver(vm, &message);
             }
@@ -398,6 +403,7 @@
                 before.count()
             },
             sends_to_warming: self.vms[vm].tables.gate.is_open(view, now),
+            running_since: self.vms[vm].tables.gate.running_since(),
             now,
         }
     }
@@ -646,6 +652,24 @@
     }
 }
 
+/// Answers requests that don't wait for the server, since others have room: each VM asks from time to time only.
+#[test]
+fn rate_is_used_by_requests_that_do_not_wait() {
+    // arrange
+    let mut model = warming_fleet(12, 1);
+    model.gives_up = true;
+
+    // act
+    model.run(3 * STEPS_PER_S, |vm, step| {
+        u32::from((step as usize + 3 * vm) % 8 == 0)
+    });
+
+    // assert
+    model.check();
+    let used = model.servers[0].arrivals.len() as f64 / (3.0 * WARMUP.requests_per_s);
+    assert!(used >= 0.8, "{used:.2} of the rate used");
+}
+
 /// Answers demand at few VMs: the others' turns mustn't leave the rate unused.
 #[test]
 fn one_vm_of_60_uses_the_rate_alone() {
@@ -967,6 +991,7 @@
         .warmups
         .presume((1, 1), None, WarmupCause::Reconnected, now);
     tables.apply_warmups(now);
+    let running_since = now;
     let terms = |now| SendTerms {
         view: FleetView {
             reporting,
@@ -974,6 +999,7 @@
         },
         rank: |_| 0,
         sends_to_warming,
+        running_since,
         now,
     };
     let full = now + Duration::from_secs(2);
@@ -1014,6 +1040,7 @@
         },
         rank: |_| 0,
         sends_to_warming: true,
+        running_since: now,
         now: full + WAIT_INTERVAL * step,
     };
     let mut admission = |reporting, step| {
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -103,6 +103,7 @@
         loop {
             // A timeout starts the next pass without a signal.
             let _ = timeout(CHECK_INTERVAL, state.jobs.work.notified()).await;
+            state.limits.record_activity();
             self.stop_cancelled();
             self.preempt_items(&state);
             if !state.is_shutting_down() {
--- a/fleet/src/server_limits.rs
+++ b/fleet/src/server_limits.rs
@@ -315,6 +315,14 @@
         lock(&self.tables).is_registered = true;
     }
 
+    /// Records that the process runs; to be called at least every 25 ms.
+    pub(crate) fn record_activity(&self) {
+        let mut tables = lock(&self.tables);
+        if !tables.sends.warmups.is_off() {
+            tables.record_activity(Instant::now());
+        }
+    }
+
     /// Logs warm-ups that have ended, and records that the process runs and how large the fleet is.
     pub(crate) fn review_warmups(&self, now: Instant) {
         let size = lock(&self.members).fleet_size();
@@ -592,6 +600,7 @@
             view,
             rank: move |number| lock(&self.members).own_rank(number, now),
             sends_to_warming: gate.is_open(view, now),
+            running_since: gate.running_since(),
             now,
         }
     }
