--- a/boragerill/tests/warmup.rs
+++ b/boragerill/tests/warmup.rs
@@ -635,7 +635,16 @@
 /// part of each 100 ms only.
 #[test]
 fn bound_holds_while_60_vms_with_requests_waiting_lack_processor_time() {
-    for (awake, idle) in [(1, 0), (2, 0), (4, 0), (8, 0), (2, 100), (4, 100), (8, 100)] {
+    for (awake, idle) in [
+        (1, 0),
+        (2, 0),
+        (4, 0),
+        (8, 0),
+        (1, 100),
+        (2, 100),
+        (4, 100),
+        (8, 100),
+    ] {
         // arrange
         let mut model = FleetModel::new(60, 3);
         model.awake = awake;
