--- a/boragerill/src/cell.rs
+++ b/boragerill/src/cell.rs
@@ -18,7 +18,7 @@
 pub const MIN_DIVIDED_VMS: usize = 80;
 
 /// Number of VMs of a cell, on which the number of cells depends.
-pub const CELL_VMS: usize = 40;
+pub const CELL_VMS: usize = 25;
 
 /// Number of VMs by which the fleet has to shrink below the size for a number of cells until it has fewer, so that single
 /// VMs that come and go change nothing.
--- a/boragerill/src/heartbeat_pace.rs
+++ b/boragerill/src/heartbeat_pace.rs
@@ -18,9 +18,9 @@
 /// Period of heartbeats within a cell, and of those that watch the store to all VMs.
 pub const NEAR_PERIOD: Duration = Duration::from_millis(150);
 
-/// Part of the period of distant heartbeats that each VM of the fleet adds: 500 ms at 300 VMs. The rate at which a VM sends
+/// Part of the period of distant heartbeats that each VM of the fleet adds: 1 s at 300 VMs. The rate at which a VM sends
 /// them is the same at all larger sizes.
-const PERIOD_PER_VM: Duration = Duration::from_micros(1667);
+const PERIOD_PER_VM: Duration = Duration::from_micros(3333);
 
 /// Longest period of distant heartbeats.
 const MAX_DISTANT_PERIOD: Duration = Duration::from_secs(2);
@@ -164,6 +164,10 @@
         || !changes.quarantines.is_empty()
         || !changes.streams.is_empty()
         || !changes.unreported_jobs.is_empty()
+        || changes
+            .limits
+            .iter()
+            .any(|notice| notice.warmup_ms.is_some())
 }
 
 /// Replaces the entries of `known` that `changes` has as well, and adds the others.
--- a/boragerill/tests/cell.rs
+++ b/boragerill/tests/cell.rs
@@ -71,7 +71,7 @@
     view
 }
 
-/// Guards against cells in fleets that work without them, and against cells that are far from 40 VMs.
+/// Guards against cells in fleets that work without them, and against cells that are far from 25 VMs.
 #[test]
 fn number_of_cells_follows_the_fleet() {
     // arrange
@@ -81,7 +81,7 @@
     let counts = sizes.map(|vms| cell_count(vms, []));
 
     // assert
-    assert_eq!(counts, [1, 1, 1, 2, 2, 3, 7, 25]);
+    assert_eq!(counts, [1, 1, 1, 3, 4, 4, 12, 40]);
 }
 
 /// Guards against a fleet that is divided anew by each VM that comes or goes.
@@ -93,29 +93,29 @@
 
     // act
     for step in 0..100 {
-        let vms = 115 + step % 10;
+        let vms = 120 + step % 10;
         let next = cell_count(vms, [count]);
         changes += usize::from(next != count);
         count = next;
     }
 
-    // assert: from one to two, and from two to three
+    // assert: from one to four, and from four to five
     assert_eq!(changes, 2);
-    assert_eq!(cell_count(109, [3]), 2);
+    assert_eq!(cell_count(114, [5]), 4);
 }
 
 /// Guards against VMs that started at different times and disagree for good.
 #[test]
 fn vms_with_different_numbers_agree() {
-    // arrange: one VM still uses three cells, one that has just started computes two
-    let (old, new) = (3, cell_count(115, []));
+    // arrange: one VM still uses five cells, one that has just started computes four
+    let (old, new) = (5, cell_count(120, []));
 
     // act
-    let agreed = [cell_count(115, [old, new]), cell_count(115, [new, old])];
+    let agreed = [cell_count(120, [old, new]), cell_count(120, [new, old])];
 
     // assert
-    assert_eq!(new, 2);
-    assert_eq!(agreed, [3, 3]);
+    assert_eq!(new, 4);
+    assert_eq!(agreed, [5, 5]);
 }
 
 /// Guards against cells with much more load or fewer servers than others.
