--- a/standins/src/vm_process.rs
+++ b/standins/src/vm_process.rs
@@ -81,6 +81,18 @@
         matches!(status, Some(Ok(None)))
     }
 
+    /// Returns the id of the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process doesn't exist.
+    pub fn id(&self) -> u32 {
+        self.child
+            .as_ref()
+            .expect("a process that was started")
+            .id()
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Panics
