--- a/boragerill/src/frame.rs
+++ b/boragerill/src/frame.rs
@@ -1,6 +1,7 @@
 //! Connections between the system's processes: length-prefixed `Envelope` messages over TCP.
 
 use std::{
+    io,
     sync::{
         atomic::{
             AtomicU64,
@@ -12,7 +13,10 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use compact_str::{
     CompactString,
     ToCompactString, //
@@ -32,6 +36,8 @@
     time::timeout, //
 };
 use tokio_util::codec::{
+    Decoder,
+    Encoder,
     Framed,
     LengthDelimitedCodec, //
 };
@@ -74,6 +80,40 @@
 /// Receiver of the messages on one connection that aren't responses to its requests.
 pub type FrameInbox = mpsc::Receiver<Envelope>;
 
+/// Is told of the bytes that a connection buffers, and returns whether it may go on.
+pub type FrameWatch = Box<dyn Fn(usize) -> bool + Send>;
+
+/// Splits what arrives into frames, and reports what is buffered of unfinished ones.
+struct WatchedCodec {
+    codec: LengthDelimitedCodec,
+    watch: FrameWatch,
+}
+
+impl Decoder for WatchedCodec {
+    type Item = BytesMut;
+    type Error = io::Error;
+
+    fn decode(&mut self, source: &mut BytesMut) -> io::Result<Option<BytesMut>> {
+        let frame = self.codec.decode(source)?;
+        let buffered = match &frame {
+            Some(_) => 0,
+            None => source.len(),
+        };
+        match (self.watch)(buffered) {
+            true => Ok(frame),
+            false => Err(io::ErrorKind::QuotaExceeded.into()),
+        }
+    }
+}
+
+impl Encoder<Bytes> for WatchedCodec {
+    type Error = io::Error;
+
+    fn encode(&mut self, frame: Bytes, target: &mut BytesMut) -> io::Result<()> {
+        self.codec.encode(frame, target)
+    }
+}
+
 impl PartialEq for FrameLink {
     /// Returns whether both handles belong to the same connection.
     fn eq(&self, other: &FrameLink) -> bool {
@@ -100,6 +140,16 @@
     /// Starts the task that serves an accepted or opened connection; must be called within a Tokio
     /// runtime.
     pub fn open(stream: TcpStream, peer: &str) -> (FrameLink, FrameInbox) {
+        FrameLink::open_watched(stream, peer, Box::new(|_| true))
+    }
+
+    /// As [`FrameLink::open`]; `watch` is told how many bytes of unfinished frames are buffered, and returns whether the
+    /// connection may go on.
+    pub fn open_watched(
+        stream: TcpStream,
+        peer: &str,
+        watch: FrameWatch,
+    ) -> (FrameLink, FrameInbox) {
         // With Nagle's algorithm a heartbeat would wait for the acknowledgement of the previous one.
         let _ = stream.set_nodelay(true);
         let mut codec = LengthDelimitedCodec::new();
@@ -113,7 +163,7 @@
             next_id: Arc::new(AtomicU64::new(1)),
         };
         tokio::spawn(run_link(
-            Framed::new(stream, codec),
+            Framed::new(stream, WatchedCodec { codec, watch }),
             outbox,
             incoming,
             link.pending.clone(),
@@ -211,7 +261,7 @@
 }
 
 async fn run_link(
-    framed: Framed<TcpStream, LengthDelimitedCodec>,
+    framed: Framed<TcpStream, WatchedCodec>,
     mut outbox: mpsc::Receiver<Envelope>,
     incoming: mpsc::Sender<Envelope>,
     pending: Arc<PendingResponses>,
--- a/boragerill/src/refusal.rs
+++ b/boragerill/src/refusal.rs
@@ -52,6 +52,8 @@
     VersionUnavailable,
     /// Requests with the prompt crash backend servers.
     PromptQuarantined,
+    /// The VM holds as many bytes for its callers as it may.
+    MemoryShort,
     /// The process is shutting down.
     ShuttingDown,
     /// An earlier request with the same idempotency key hasn't ended, or its outcome is unknown.
@@ -187,6 +189,7 @@
             RefusalReason::VersionUnknown => ("version_unknown", 503),
             RefusalReason::VersionUnavailable => ("version_unavailable", 503),
             RefusalReason::PromptQuarantined => ("prompt_quarantined", 503),
+            RefusalReason::MemoryShort => ("memory_short", 503),
             RefusalReason::ShuttingDown => ("shutting_down", 503),
             RefusalReason::RunUnknown => ("run_unknown", 409),
             RefusalReason::PlatformUnavailable => ("platform_unavailable", 503),
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -56,6 +56,7 @@
         CallerRequest, //
     },
     dispatch::dispatch_request,
+    head_timer::HeadTimer,
     jobs,
     request_body::read_body,
     response::{
@@ -189,7 +190,10 @@
         ));
     }
     authorize(state, &catalog, &caller)?;
-    let body = read_body(&catalog, parts, body).await?;
+    let body = read_body(&catalog, &state.caller_bytes, parts, body).await?;
+    if let Some(timer) = parts.extensions.get::<Arc<HeadTimer>>() {
+        timer.end_body();
+    }
     // The body may be complete long after the head.
     let known = catalog.version();
     let catalog = state.catalog.load().unwrap_or(catalog);
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -70,9 +70,11 @@
     admission::{
         CallerResult, //
     },
+    byte_budget::ByteReservation,
     caller::CallerRequest,
     job_reads,
     job_watch,
+    request_body::refuse_shed,
     response::local_response,
     state::{
         wall_ms,
@@ -121,6 +123,10 @@
 /// Longest back-off before a write to the store is retried.
 const BACKOFF_MAX: Duration = Duration::from_millis(480);
 
+/// Bytes that storing a submission takes for each byte of its body, beyond the body: decoded items, their copies by
+/// object, and the encoded objects.
+const SUBMISSION_FACTOR: usize = 3;
+
 /// One job that this VM runs, or whose final state it keeps.
 #[derive(Debug)]
 pub(crate) struct JobEntry {
@@ -330,6 +336,11 @@
         counter!("jobs_resent_total").increment(1);
         return Ok(accepted(&caller.id));
     }
+    let reservation = state.caller_bytes.open();
+    // The submission isn't shed while it is stored; until then nothing of it is.
+    if !reservation.resize(body.len() * SUBMISSION_FACTOR) || !reservation.pin() {
+        return Err(refuse_shed("submission"));
+    }
     let items = (state.format.decode_items)(&body).map_err(malformed)?;
     if items.len() > MAX_SUBMISSION_ITEMS || items.is_empty() {
         return Err(malformed(format_compact!(
@@ -363,6 +374,7 @@
         id: caller.id.as_str().into(),
         manifest,
         items,
+        reservation,
         arrived: caller.arrived,
         until: (caller.arrived + SUBMIT_LIMIT).min(caller.deadline),
     };
@@ -379,6 +391,7 @@
     id: JobId,
     manifest: JobManifest,
     items: Vec<JobItem>,
+    reservation: ByteReservation,
     arrived: Instant,
     until: Instant, // End of the attempts to store the job.
 }
@@ -388,6 +401,7 @@
         id,
         manifest,
         items,
+        reservation: _reservation,
         arrived,
         until,
     } = job;
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,10 +6,12 @@
 mod admission;
 mod attempt;
 mod backends;
+mod byte_budget;
 mod caller;
 mod catalog_store;
 mod checkpoint;
 mod commit;
+mod connection_table;
 mod crash_watch;
 mod dispatch;
 mod handover;
--- a/fleet/src/listener.rs
+++ b/fleet/src/listener.rs
@@ -50,6 +50,7 @@
 
 use crate::{
     admission,
+    connection_table::ConnectionTable,
     head_timer::{
         HeadTimer,
         TimedStream, //
@@ -72,6 +73,9 @@
 /// have the rest of the period to complete.
 const CLOSE_SHARE: f64 = 0.3;
 
+/// Least size of a connection's buffers, in bytes.
+const MIN_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Open connections of callers.
 #[derive(Debug, Default)]
 pub(crate) struct CallerConnections {
@@ -96,6 +100,7 @@
 impl CallerConnections {
     /// Accepts callers' connections until [`CallerConnections::drain`] is called.
     pub(crate) async fn accept(self: Arc<Self>, state: Arc<FleetState>, listener: TcpListener) {
+        let table = ConnectionTable::new("callers", state.resources.callers);
         loop {
             let accepted = tokio::select! {
                 accepted = accept_one(&listener) => accepted,
@@ -104,10 +109,15 @@
             let Some(stream) = accepted else {
                 continue;
             };
+            let timer = HeadTimer::new();
+            let Some(place) = table.add(&timer) else {
+                continue;
+            };
             self.open.fetch_add(1, Ordering::Relaxed);
             let (connections, state) = (self.clone(), state.clone());
             tokio::spawn(async move {
-                serve_connection(state, stream).await;
+                serve_connection(state, stream, timer).await;
+                drop(place);
                 connections.open.fetch_sub(1, Ordering::Relaxed);
                 connections.closed.notify_waiters();
             });
@@ -163,14 +173,14 @@
 /// Serves the requests of a connection until it closes. During a shutdown it closes after its next response.
 /// After [`CLOSE_SHARE`] of the grace period it accepts no further requests and closes once a running one has
 /// completed.
-async fn serve_connection(state: Arc<FleetState>, stream: TcpStream) {
+async fn serve_connection(state: Arc<FleetState>, stream: TcpStream, timer: Arc<HeadTimer>) {
     let limits = || {
         let catalog = state.catalog.load();
         catalog.map_or_else(CallerLimits::default, |catalog| catalog.limits().clone())
     };
-    let timer = HeadTimer::new();
-    let service = service_fn(|request: Request<Incoming>| {
+    let service = service_fn(|mut request: Request<Incoming>| {
         timer.end_head();
+        request.extensions_mut().insert(timer.clone());
         let (state, timer) = (state.clone(), timer.clone());
         async move {
             let version = request.version();
@@ -190,10 +200,8 @@
     });
     let mut builder = http1::Builder::new();
     builder.header_read_timeout(None).keep_alive(true);
-    let stream = TimedStream {
-        stream,
-        timer: timer.clone(),
-    };
+    builder.max_buf_size(buffer_bytes(&limits()));
+    let stream = TimedStream::new(stream, timer.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let closing = async {
@@ -218,6 +226,12 @@
     }
 }
 
+/// Returns the size of a connection's buffers: the largest head, its request line, and as much for what follows it. A
+/// larger head is refused with 431.
+fn buffer_bytes(limits: &CallerLimits) -> usize {
+    limits.header_bytes.saturating_mul(2).max(MIN_BUFFER_BYTES)
+}
+
 /// States the length of a response whose body is known. HTTP/1.0 has no chunks, so that the end of the connection would
 /// be the end of the response, also if this process is killed.
 fn state_length(response: &mut CallerResponse) {
@@ -229,7 +243,8 @@
 
 /// Serves readiness checks.
 pub(crate) async fn serve_ready(state: Arc<FleetState>, listener: TcpListener) {
-    serve_plain(listener, move || {
+    let table = ConnectionTable::new("readiness", state.resources.probes);
+    serve_plain(listener, table, move || {
         if state.is_ready() {
             (200, Bytes::from_static(b"ready\n"))
         } else {
@@ -240,13 +255,15 @@
 }
 
 /// Serves metrics scrapers.
-pub(crate) async fn serve_metrics(meters: MeterRecorder, listener: TcpListener) {
-    serve_plain(listener, move || (200, meters.render().into())).await;
+pub(crate) async fn serve_metrics(meters: MeterRecorder, limit: usize, listener: TcpListener) {
+    let table = ConnectionTable::new("metrics", limit);
+    serve_plain(listener, table, move || (200, meters.render().into())).await;
 }
 
 /// Serves the same kind of plain-text response to every request.
 async fn serve_plain(
     listener: TcpListener,
+    table: Arc<ConnectionTable>,
     response: impl Fn() -> (u16, Bytes) + Clone + Send + Sync + 'static,
 ) {
     loop {
@@ -254,14 +271,29 @@
             continue;
         };
         let response = response.clone();
+        let timer = HeadTimer::new();
+        let Some(place) = table.add(&timer) else {
+            continue;
+        };
         tokio::spawn(async move {
             let service = service_fn(|_: Request<Incoming>| {
+                timer.end_head();
                 let (status, body) = response();
-                async move { Ok::<_, Infallible>(local_response(status, "text/plain", body)) }
+                let response = local_response(status, "text/plain", body);
+                let response = response.map(|body| timer.clone().watch_body(body));
+                async move { Ok::<_, Infallible>(response) }
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let stream = TimedStream::new(stream, timer.clone());
+            let mut builder = http1::Builder::new();
+            builder.header_read_timeout(None);
+            builder.max_buf_size(MIN_BUFFER_BYTES);
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
             // An error means that the client closed the connection.
-            drop(connection.await);
+            tokio::select! {
+                ended = connection => drop(ended),
+                () = timer.wait_until_expired(CallerLimits::default) => {}
+            }
+            drop(place);
         });
     }
 }
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -67,7 +67,9 @@
         apply_catalog_text,
         unpack, //
     },
+    connection_table::ConnectionTable,
     handover,
+    head_timer::HeadTimer,
     job_reads,
     jobs,
     pool::{
@@ -148,6 +150,7 @@
 
 /// Serves the requests of other VMs until the process ends.
 pub(crate) async fn serve_peers(state: Arc<FleetState>, listener: TcpListener) {
+    let table = ConnectionTable::new("peers", state.resources.peers);
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -160,10 +163,27 @@
         if let Err(error) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT) {
             warn!(error = error.to_string().as_str(); "setting socket options failed");
         }
-        let (link, mut inbox) = FrameLink::open(stream, &peer.to_string());
+        let timer = HeadTimer::new();
+        let Some(place) = table.add(&timer) else {
+            continue;
+        };
+        let reservation = Arc::new(state.peer_bytes.open());
+        let watched = reservation.clone();
+        let watch = Box::new(move |bytes| watched.resize(bytes));
+        let (link, mut inbox) = FrameLink::open_watched(stream, &peer.to_string(), watch);
         let state = state.clone();
         tokio::spawn(async move {
-            while let Some(envelope) = inbox.recv().await {
+            let _place = place;
+            loop {
+                let envelope = tokio::select! {
+                    envelope = inbox.recv() => envelope,
+                    () = timer.wait_until_closed() => break,
+                    () = reservation.wait_until_shed() => break,
+                };
+                let Some(envelope) = envelope else {
+                    break;
+                };
+                timer.record_use();
                 let Some(body) = envelope.body else {
                     continue;
                 };
--- a/fleet/src/pool.rs
+++ b/fleet/src/pool.rs
@@ -62,6 +62,9 @@
 /// Number of requests on a connection after which a late response to an earlier one is no longer expected.
 const MAX_LATE_REQUESTS: usize = 32;
 
+/// Most bytes of a response that are buffered before its caller takes them, and largest head of a response.
+const BUFFER_BYTES: usize = 64 * 1024;
+
 /// An open connection. Dropping it closes the connection at once, even while a request is running.
 #[derive(Debug)]
 pub(crate) struct BackendConnection {
@@ -92,7 +95,9 @@
             _ => unreachable(&error),
         })?;
         set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT).map_err(|error| unreachable(&error))?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| unreachable(&error))?;
         // Errors are reported to the request that uses the connection.
         let task = tokio::spawn(async move { drop(connection.await) });
--- a/fleet/src/response.rs
+++ b/fleet/src/response.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use boragerill::refusal::RefusalResponse;
+use boragerill::refusal::{
+    RefusalReason,
+    RefusalResponse, //
+};
 use bytes::Bytes;
 use futures_util::Stream;
 use http_body_util::{
@@ -18,6 +21,7 @@
     body::Frame,
     header::{
         HeaderValue,
+        CONNECTION,
         CONTENT_TYPE,
         RETRY_AFTER, //
     },
@@ -75,6 +79,9 @@
     if let Ok(value) = HeaderValue::from_str(id) {
         headers.insert(names.request_id.clone(), value);
     }
+    if refused.reason == RefusalReason::MemoryShort {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     if let Some(wait) = refused.retry_after {
         headers.insert(RETRY_AFTER, seconds(wait));
     }
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -22,6 +22,7 @@
 use boragerill::{
     cancellation::CancellationTable,
     catalog::CatalogWorkspace,
+    connection_limit::ResourceLimits,
     member::{
         Incarnation,
         MemberInfo,
@@ -56,6 +57,7 @@
         BackendRegistry,
         BackendState, //
     },
+    byte_budget::ByteBudget,
     catalog_store::CatalogStore,
     jobs::JobRegistry,
     links::PeerLinks,
@@ -112,6 +114,12 @@
     pub(crate) streams: StreamRegistry,
     /// Cache of jobs that other VMs run and this VM read from the store.
     pub(crate) read_cache: ReadCache,
+    /// Limits of connections and memory.
+    pub(crate) resources: ResourceLimits,
+    /// Bytes that are held for callers.
+    pub(crate) caller_bytes: Arc<ByteBudget>,
+    /// Bytes of unfinished frames of other VMs.
+    pub(crate) peer_bytes: Arc<ByteBudget>,
     /// Identifier of this process, made from the time of its start.
     pub(crate) incarnation: Incarnation,
     /// Start of this process.
@@ -159,6 +167,7 @@
             slack: settings.rate_slack,
         };
         let members = Arc::new(Mutex::new(MemberTable::new(info)));
+        let resources = ResourceLimits::new(settings.memory_mb, settings.max_fds);
         FleetState {
             vm_hash: hash_name(&settings.vm),
             runner: format_compact!("{}.{incarnation}", settings.vm),
@@ -181,6 +190,9 @@
             cancellations: Mutex::default(),
             streams: StreamRegistry::default(),
             read_cache: ReadCache::default(),
+            resources,
+            caller_bytes: ByteBudget::new("callers", resources.caller_bytes),
+            peer_bytes: ByteBudget::new("peers", resources.peer_bytes),
             incarnation,
             started: now,
             seeds: Mutex::new(settings.seeds.clone()),
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -189,7 +189,11 @@
         meters.install().map_err(|error| {
             ServeError::Unreachable(Step::Listen, address.into(), error.to_compact_string())
         })?;
-        tokio::spawn(listener::serve_metrics(meters, metrics_listener));
+        tokio::spawn(listener::serve_metrics(
+            meters,
+            state.resources.probes,
+            metrics_listener,
+        ));
     }
     if !settings.ready.is_empty() {
         let ready_listener = listener::bind(&settings.ready).await?;
