--- a/boragerill/src/connection_limit.rs
+++ b/boragerill/src/connection_limit.rs
@@ -17,7 +17,7 @@
 
 /// Fractions of the memory for what is held for callers and for unfinished frames of other VMs. The rest is for the buffers
 /// of connections, the process's own state, and what the allocator keeps.
-const CALLER_MEMORY_DIVISOR: usize = 4;
+const CALLER_MEMORY_DIVISOR: usize = 6;
 const PEER_MEMORY_DIVISOR: usize = 8;
 
 /// Least budget for frames of other VMs: one frame of the largest size.
--- a/fleet/src/byte_budget.rs
+++ b/fleet/src/byte_budget.rs
@@ -3,7 +3,8 @@
 use std::{
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        OnceLock, //
     },
     time::{
         Duration,
@@ -22,6 +23,8 @@
 use metrics::counter;
 use tokio::sync::Notify;
 
+use crate::head_timer::HeadTimer;
+
 /// Least time between two log lines of one kind.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -44,11 +47,33 @@
     }
 }
 
+/// Tells the task of a reservation, and its connection if there is one, that the reservation was shed.
+#[derive(Debug, Default)]
+pub(crate) struct ShedSignal {
+    shed: Notify,
+    connection: OnceLock<Arc<HeadTimer>>,
+}
+
+impl ShedSignal {
+    /// Sets the connection that is closed when the reservation is shed.
+    pub(crate) fn close_with(&self, connection: Arc<HeadTimer>) {
+        // It is set once, when the response is handed to its connection.
+        let _ = self.connection.set(connection);
+    }
+
+    fn send(&self) {
+        self.shed.notify_one();
+        if let Some(connection) = self.connection.get() {
+            connection.close();
+        }
+    }
+}
+
 /// Budget that is shared by the clients of one kind.
 #[derive(Debug)]
 pub(crate) struct ByteBudget {
     kind: &'static str,
-    budget: Mutex<MemoryBudget<Arc<Notify>>>,
+    budget: Mutex<MemoryBudget<Arc<ShedSignal>>>,
     shed_log: LogLimit,
 }
 
@@ -57,7 +82,7 @@
 pub(crate) struct ByteReservation {
     owner: Arc<ByteBudget>,
     id: ReservationId,
-    shed: Arc<Notify>,
+    signal: Arc<ShedSignal>,
 }
 
 impl ByteBudget {
@@ -72,12 +97,12 @@
 
     /// Opens a reservation of no bytes.
     pub(crate) fn open(self: &Arc<ByteBudget>) -> ByteReservation {
-        let shed = Arc::new(Notify::new());
-        let id = lock(&self.budget).open(shed.clone(), Instant::now());
+        let signal = Arc::<ShedSignal>::default();
+        let id = lock(&self.budget).open(signal.clone(), Instant::now());
         ByteReservation {
             owner: self.clone(),
             id,
-            shed,
+            signal,
         }
     }
 
@@ -103,7 +128,7 @@
         let is_shed = was_open && !decision.is_granted;
         self.owner
             .record_shed(decision.shed.len() + usize::from(is_shed), held);
-        decision.shed.iter().for_each(|shed| shed.notify_one());
+        decision.shed.iter().for_each(|signal| signal.send());
         decision.is_granted
     }
 
@@ -112,9 +137,20 @@
         lock(&self.owner.budget).pin(self.id)
     }
 
+    /// Records that the client has taken bytes; returns `false` if they were shed.
+    pub(crate) fn record_progress(&self) -> bool {
+        let bytes = lock(&self.owner.budget).bytes(self.id);
+        bytes.is_some_and(|bytes| self.resize(bytes))
+    }
+
+    /// Returns what tells that the bytes are shed.
+    pub(crate) fn signal(&self) -> Arc<ShedSignal> {
+        self.signal.clone()
+    }
+
     /// Waits until the bytes are shed for other clients.
     pub(crate) async fn wait_until_shed(&self) {
-        self.shed.notified().await;
+        self.signal.shed.notified().await;
     }
 }
 
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -24,10 +24,6 @@
     format_compact,
     CompactString, //
 };
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use log::info;
 use metrics::counter;
 use tokio::time::{
@@ -51,13 +47,18 @@
         record_lost_request,
         LostRequest, //
     },
+    held_body::{
+        receive,
+        BodyFault,
+        HeldBody, //
+    },
     quarantine::{
         RunProgress,
         RunProof, //
     },
     response::{
         forward_response,
-        full_body,
+        refusal,
         CallerResponse, //
     },
     response_end::check_end,
@@ -327,15 +328,17 @@
         true => RESPONSE_LIMIT_BYTES,
         false => ERROR_RESPONSE_LIMIT_BYTES,
     };
-    let reading = Limited::new(&mut response.body, limit).collect();
-    let read = match reading.await {
-        Ok(body) => {
-            let ended = check_end(&request.outgoing, &mut response).await;
-            ended.map(|_| body.to_bytes())
+    let mut held = HeldBody::new(&state.caller_bytes);
+    let read = match receive(&mut held, &mut response.body, limit).await {
+        Ok(()) => check_end(&request.outgoing, &mut response).await.map(drop),
+        // No failure of the server, and running the request again would take as much memory.
+        Err(BodyFault::Shed) => return Ok(refuse_response(state, request)),
+        Err(BodyFault::TooLarge) => Err(format_compact!("response of more than {limit} bytes")),
+        Err(BodyFault::Broken(error)) => {
+            Err(format_compact!("reading the response failed: {error}"))
         }
-        Err(error) => Err(format_compact!("reading the response failed: {error}")),
     };
-    let body = read.map_err(|cause| {
+    read.map_err(|cause| {
         state
             .backends
             .record_failure(&response.server, Instant::now());
@@ -347,7 +350,16 @@
         let prompt = &request.outgoing.prompt;
         RunProof::default().record(&state.quarantine, prompt, RunProgress::Complete);
     }
-    let forwarded = forward_response(&state.format.names, &response.head, full_body(body));
+    let (body, signal) = held.into_response();
+    let mut forwarded = forward_response(&state.format.names, &response.head, body);
+    forwarded.extensions_mut().insert(signal);
     response.finish();
     Ok(forwarded)
 }
+
+/// Makes the response to a request whose response was shed while it was received. The request may have run.
+fn refuse_response(state: &FleetState, request: &AdmittedRequest) -> CallerResponse {
+    let detail = "response shed, the memory budget is short";
+    let refused = RefusalResponse::unknown(RefusalReason::ServerFailed, detail);
+    refusal(&state.format.names, &refused, &request.outgoing.id)
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod heartbeat;
 mod heartbeat_builder;
 mod heartbeat_receiver;
+mod held_body;
 mod item_run;
 mod item_scheduler;
 mod job_reads;
--- a/fleet/src/listener.rs
+++ b/fleet/src/listener.rs
@@ -50,6 +50,7 @@
 
 use crate::{
     admission,
+    byte_budget::ShedSignal,
     connection_table::ConnectionTable,
     head_timer::{
         HeadTimer,
@@ -73,6 +74,9 @@
 /// have the rest of the period to complete.
 const CLOSE_SHARE: f64 = 0.3;
 
+/// Room for a request line beside the headers, in bytes; `max_header_bytes` counts only these.
+const REQUEST_LINE_BYTES: usize = 8 * 1024;
+
 /// Least size of a connection's buffers, in bytes.
 const MIN_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -185,6 +189,9 @@
         async move {
             let version = request.version();
             let mut response = admission::serve(&state, request).await;
+            if let Some(signal) = response.extensions_mut().remove::<Arc<ShedSignal>>() {
+                signal.close_with(timer.clone());
+            }
             if version < Version::HTTP_11 {
                 state_length(&mut response);
             }
@@ -226,10 +233,10 @@
     }
 }
 
-/// Returns the size of a connection's buffers: the largest head, its request line, and as much for what follows it. A
-/// larger head is refused with 431.
+/// Returns the size of a connection's buffers: the largest head and its request line. A larger head is refused with 431.
 fn buffer_bytes(limits: &CallerLimits) -> usize {
-    limits.header_bytes.saturating_mul(2).max(MIN_BUFFER_BYTES)
+    let bytes = limits.header_bytes.saturating_add(REQUEST_LINE_BYTES);
+    bytes.max(MIN_BUFFER_BYTES)
 }
 
 /// States the length of a response whose body is known. HTTP/1.0 has no chunks, so that the end of the connection would
--- a/fleet/src/request_body.rs
+++ b/fleet/src/request_body.rs
@@ -30,9 +30,13 @@
 };
 use tokio::time::timeout;
 
-use crate::byte_budget::{
-    ByteBudget,
-    ByteReservation, //
+use crate::{
+    byte_budget::ByteBudget,
+    held_body::{
+        receive,
+        BodyFault,
+        HeldBody, //
+    }, //
 };
 
 /// Time limit for receiving a request's body.
@@ -41,12 +45,6 @@
 /// Retry delay for callers whose requests were shed.
 const SHED_RETRY: Duration = Duration::from_millis(500);
 
-/// Least growth of a body's buffer, in bytes.
-const GROWTH_BYTES: usize = 1024;
-
-/// Fraction of its size by which a body's buffer grows at least, so that it is seldom copied.
-const GROWTH_DIVISOR: usize = 4;
-
 /// Most bytes that are read of a body that is too large.
 const DISCARD_LIMIT_BYTES: usize = 32 * 1024 * 1024;
 
@@ -109,7 +107,7 @@
             )));
         }
     }
-    if !held.reservation.pin() {
+    if !held.pin() {
         return Err(refuse_shed("body"));
     }
     Ok(Bytes::from_owner(held))
@@ -120,75 +118,6 @@
     RefusalResponse::not_run(RefusalReason::MemoryShort, detail).retry_after(SHED_RETRY)
 }
 
-/// Body in one buffer that grows with what has arrived. Its bytes are reserved until the last part of it is dropped.
-struct HeldBody {
-    bytes: Vec<u8>,
-    reservation: ByteReservation,
-}
-
-impl HeldBody {
-    fn new(budget: &Arc<ByteBudget>) -> HeldBody {
-        HeldBody {
-            bytes: Vec::new(),
-            reservation: budget.open(),
-        }
-    }
-
-    /// Appends bytes; returns `false` if the budget doesn't suffice.
-    fn append(&mut self, piece: &[u8]) -> bool {
-        let length = self.bytes.len() + piece.len();
-        if length > self.bytes.capacity() {
-            let grown = length.max(self.bytes.capacity() + self.bytes.capacity() / GROWTH_DIVISOR);
-            let capacity = grown.next_multiple_of(GROWTH_BYTES);
-            // Reserved before the memory is taken.
-            if !self.reservation.resize(capacity) {
-                return false;
-            }
-            self.bytes.reserve_exact(capacity - self.bytes.len());
-        } else if !self.reservation.resize(self.bytes.capacity()) {
-            return false;
-        }
-        self.bytes.extend_from_slice(piece);
-        true
-    }
-}
-
-impl AsRef<[u8]> for HeldBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
-/// Why a body isn't complete.
-enum BodyFault {
-    TooLarge,
-    Shed,
-    Broken(hyper::Error),
-}
-
-async fn receive(held: &mut HeldBody, mut body: Incoming, limit: usize) -> Result<(), BodyFault> {
-    loop {
-        let frame = tokio::select! {
-            biased;
-            () = held.reservation.wait_until_shed() => return Err(BodyFault::Shed),
-            frame = body.frame() => frame,
-        };
-        let Some(frame) = frame else {
-            return Ok(());
-        };
-        let frame = frame.map_err(BodyFault::Broken)?;
-        let Some(piece) = frame.data_ref() else {
-            continue;
-        };
-        if held.bytes.len() + piece.len() > limit {
-            return Err(BodyFault::TooLarge);
-        }
-        if !held.append(piece) {
-            return Err(BodyFault::Shed);
-        }
-    }
-}
-
 /// Reads and drops the rest of a body that is too large. Closing the connection with unread data would
 /// reset it, and the caller could lose the refusal.
 async fn discard(body: Incoming) {
