--- a/fleet/src/request_body.rs
+++ b/fleet/src/request_body.rs
@@ -1,6 +1,9 @@
 //! Reads bodies of callers' requests within the configured limits.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use boragerill::{
     catalog::Catalog,
@@ -27,9 +30,21 @@
 };
 use tokio::time::timeout;
 
+use crate::{
+    byte_budget::ByteBudget,
+    held_body::{
+        receive,
+        BodyFault,
+        HeldBody, //
+    }, //
+};
+
 /// Time limit for receiving a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Retry delay for callers whose requests were shed.
+const SHED_RETRY: Duration = Duration::from_millis(500);
+
 /// Most bytes that are read of a body that is too large.
 const DISCARD_LIMIT_BYTES: usize = 32 * 1024 * 1024;
 
@@ -43,6 +58,7 @@
 /// Returns a refusal if the head or the body exceeds its limit, or if the body can't be received in time.
 pub(crate) async fn read_body(
     catalog: &Catalog,
+    budget: &Arc<ByteBudget>,
     parts: &Parts,
     body: Incoming,
 ) -> Result<Bytes, RefusalResponse> {
@@ -69,21 +85,37 @@
             limits.body_bytes
         )));
     }
-    let reading = Limited::new(body, limits.body_bytes).collect();
     let malformed =
         |detail: CompactString| RefusalResponse::not_run(RefusalReason::RequestMalformed, detail);
+    let mut held = HeldBody::new(budget);
+    let reading = receive(&mut held, body, limits.body_bytes);
     match timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(read)) => Ok(read.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(too_large(format_compact!("{error}")))
+        Ok(Ok(())) => {}
+        Ok(Err(BodyFault::TooLarge)) => {
+            let detail = format_compact!("the limit is {}", limits.body_bytes);
+            return Err(too_large(detail));
+        }
+        Ok(Err(BodyFault::Shed)) => return Err(refuse_shed("body")),
+        Ok(Err(BodyFault::Broken(error))) => {
+            return Err(malformed(format_compact!(
+                "receiving the body failed: {error}"
+            )));
         }
-        Ok(Err(error)) => Err(malformed(format_compact!(
-            "receiving the body failed: {error}"
-        ))),
-        Err(_) => Err(malformed(format_compact!(
-            "body not received within {BODY_TIMEOUT:?}"
-        ))),
+        Err(_) => {
+            return Err(malformed(format_compact!(
+                "body not received within {BODY_TIMEOUT:?}"
+            )));
+        }
+    }
+    if !held.pin() {
+        return Err(refuse_shed("body"));
     }
+    Ok(Bytes::from_owner(held))
+}
+
+/// Refuses a request whose bytes were shed before it was sent anywhere.
+pub(crate) fn refuse_shed(detail: &str) -> RefusalResponse {
+    RefusalResponse::not_run(RefusalReason::MemoryShort, detail).retry_after(SHED_RETRY)
 }
 
 /// Reads and drops the rest of a body that is too large. Closing the connection with unread data would
