Keep with a permission whether a token was taken for it

A permission taken before a process stated its first limit returned a token that it had never taken when it was dropped, and whether a claim needs one was read after the permission had been taken. The pause after a claim that was given up ended at once, since the end of the claim notifies waiters.

The permission stores the fact under the lock of the table, and the pause waits for a notification that comes after the claim.

--- a/fleet/src/server_limits.rs
+++ b/fleet/src/server_limits.rs
@@ -59,6 +59,7 @@
 pub(crate) struct SendPermit {
     registry: Arc<LimitRegistry>,
     process: ProcessKey,
+    has_token: bool, // Whether the process had a limit when the permission was taken.
     sent: bool,
     claim: Option<InFlightGuard>, // Counts the request before it is sent.
 }
@@ -79,6 +80,12 @@
         self.claim.take()
     }
 
+    /// Returns whether the permission was taken without a token from a process that has stated a limit since.
+    pub(crate) fn lacks_token(&self) -> bool {
+        let is_limited = || lock(&self.registry.table).limit(self.process).is_some();
+        !self.has_token && is_limited()
+    }
+
     /// Records that the connection failed before the request was sent.
     pub(crate) fn record_unsent(&mut self) {
         self.sent = false;
@@ -87,7 +94,7 @@
 
 impl Drop for SendPermit {
     fn drop(&mut self) {
-        if !self.sent {
+        if self.has_token && !self.sent {
             lock(&self.registry.table).return_token(self.process);
         }
     }
@@ -119,10 +126,14 @@
     ) -> Option<SendPermit> {
         let process = process_key(server);
         let terms = self.terms(Instant::now());
-        let admitted = lock(&self.table).take(process, send_class(class), &terms);
+        let mut table = lock(&self.table);
+        let has_token = table.limit(process).is_some();
+        let admitted = table.take(process, send_class(class), &terms);
+        drop(table);
         admitted.then(|| SendPermit {
             registry: self.clone(),
             process,
+            has_token,
             sent: false,
             claim: None,
         })
@@ -174,11 +185,6 @@
         soonest.max(Duration::try_from_secs_f64(others).unwrap_or(Duration::MAX))
     }
 
-    /// Returns whether a server process has stated a limit.
-    pub(crate) fn is_limited(&self, server: &BackendState) -> bool {
-        lock(&self.table).limit(process_key(server)).is_some()
-    }
-
     /// Logs and counts a request to a server that has a limit.
     pub(crate) fn record_send(&self, server: &BackendState, class: RequestClass, request: &str) {
         let Some(limit) = lock(&self.table).limit(process_key(server)) else {
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -130,8 +130,8 @@
                     return Ok(permitted);
                 }
                 // The claimed server takes no requests any more. Without a pause, a server that is chosen and given up
-                // again and again would keep the thread busy.
-                let _ = timeout(SLOT_POLL, slot_freed).await;
+                // again and again would keep the thread busy. The end of the claim has notified `slot_freed` already.
+                let _ = timeout(SLOT_POLL, state.backends.slot_freed.notified()).await;
             }
             // Otherwise another thread has just taken the server's token.
             continue;
@@ -161,7 +161,6 @@
     let until = Instant::now() + CLAIM_TIME;
     let claim = state.backends.track_claim(&claimed.server);
     claimed.permit.set_claim(claim);
-    let was_limited = state.limits.is_limited(&claimed.server);
     loop {
         let slot_freed = state.backends.slot_freed.notified();
         let now = Instant::now();
@@ -180,7 +179,7 @@
             return None;
         }
         if now >= until || has_slot(view) {
-            return confirm_claim(state, claimed, was_limited);
+            return confirm_claim(state, claimed);
         }
         let other = choose_server(&views, request, history, SlotRule::Free);
         let other = other.filter(|&index| views[index].key != key && !views[index].is_full());
@@ -197,22 +196,15 @@
 
 /// Returns a claimed server with a valid permission: a process that has stated its first limit since the claim has to
 /// admit the request.
-fn confirm_claim(
-    state: &FleetState,
-    mut claimed: PermittedServer,
-    was_limited: bool,
-) -> Option<PermittedServer> {
-    if was_limited || !state.limits.is_limited(&claimed.server) {
+fn confirm_claim(state: &FleetState, mut claimed: PermittedServer) -> Option<PermittedServer> {
+    if !claimed.permit.lacks_token() {
         return Some(claimed);
     }
-    let mut taken = PermittedServer::take(state, &claimed.server, RequestClass::Online);
-    let claim = claimed.permit.take_claim();
-    // No token was taken for the claim, so that none is returned.
-    claimed.permit.record_sent();
-    if let (Some(taken), Some(claim)) = (taken.as_mut(), claim) {
+    let mut taken = PermittedServer::take(state, &claimed.server, RequestClass::Online)?;
+    if let Some(claim) = claimed.permit.take_claim() {
         taken.permit.set_claim(claim);
     }
-    taken
+    Some(taken)
 }
 
 /// Returns the state of a request that is waiting for a slot at `now`.
