Make the test of seconds without a record fail on the earlier code

Two seconds of demand before the gap were enough to be remembered even when the gap counted as the demand after it. Two intervals aren't; the mutant gaps-forget-bursts is killed by the test.

--- a/boragerill/tests/item_start.rs
+++ b/boragerill/tests/item_start.rs
@@ -308,7 +308,7 @@
     // arrange
     let now = Instant::now();
     let mut history = DemandHistory::default();
-    for step in 0..8 {
+    for step in 0..2 {
         history.record(SERVICE, 300, now + Duration::from_millis(250) * step);
     }
 
