--- a/boragerill/src/heartbeat_pace.rs
+++ b/boragerill/src/heartbeat_pace.rs
@@ -73,11 +73,11 @@
     u64::try_from(interval).unwrap_or(u64::MAX).max(1)
 }
 
-/// Changes that distant VMs haven't been told.
+/// Changes that haven't been reported to distant VMs.
 #[derive(Clone, Debug, Default)]
 pub struct DistantChanges {
     pending: Heartbeat,
-    told_jobs: Vec<String>, // Ids.
+    reported_jobs: Vec<String>, // Ids.
     is_urgent: bool,
 }
 
@@ -86,7 +86,7 @@
     pub fn add(&mut self, changes: &Heartbeat) {
         let mut jobs = changes.jobs.iter();
         // Other VMs take over a job that is in the store and that no VM reports.
-        let has_new_job = jobs.any(|job| !self.told_jobs.contains(&job.id));
+        let has_new_job = jobs.any(|job| !self.reported_jobs.contains(&job.id));
         self.is_urgent |= is_urgent(changes) || has_new_job;
         let pending = &mut self.pending;
         merge(&mut pending.uses, &changes.uses, |usage| usage.workspace);
@@ -115,33 +115,33 @@
         self.is_urgent = true;
     }
 
-    /// Returns whether distant VMs have to be told at once.
+    /// Returns whether the changes have to be reported to distant VMs at once.
     pub fn is_urgent(&self) -> bool {
         self.is_urgent
     }
 
-    /// Adds all changes to a heartbeat for distant VMs. Those of `heartbeat.full` are told for the last time. Otherwise
+    /// Adds all changes to a heartbeat for distant VMs. Those of `heartbeat.full` are reported for the last time. Otherwise
     /// all but usage and streams, which are numerous and repeated in full ones, are repeated, since heartbeats may be lost.
-    pub fn tell(&mut self, heartbeat: &mut Heartbeat) {
+    pub fn add_to(&mut self, heartbeat: &mut Heartbeat) {
         self.is_urgent = false;
         let pending = &mut self.pending;
         let uses = std::mem::take(&mut pending.uses);
         let missing = uses.into_iter().filter(|usage| {
-            let mut told = heartbeat.uses.iter();
-            !told.any(|told| told.workspace == usage.workspace)
+            let mut reported = heartbeat.uses.iter();
+            !reported.any(|reported| reported.workspace == usage.workspace)
         });
         let missing: Vec<_> = missing.collect();
         heartbeat.uses.extend(missing);
         heartbeat.streams = std::mem::take(&mut pending.streams);
         if heartbeat.full {
-            self.told_jobs = heartbeat.jobs.iter().map(|job| job.id.clone()).collect();
+            self.reported_jobs = heartbeat.jobs.iter().map(|job| job.id.clone()).collect();
             *pending = Heartbeat::default();
             return;
         }
         heartbeat.jobs.clone_from(&pending.jobs);
         for job in &pending.jobs {
-            if !self.told_jobs.contains(&job.id) {
-                self.told_jobs.push(job.id.clone());
+            if !self.reported_jobs.contains(&job.id) {
+                self.reported_jobs.push(job.id.clone());
             }
         }
         heartbeat
--- a/boragerill/src/load/table.rs
+++ b/boragerill/src/load/table.rs
@@ -102,7 +102,7 @@
     pub delay: Duration,
 }
 
-/// Speed of a server process that other VMs are told.
+/// Speed of a server process that is reported to other VMs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ServerSpeed {
     /// The process.
--- a/boragerill/src/rate_limiter.rs
+++ b/boragerill/src/rate_limiter.rs
@@ -201,7 +201,7 @@
         self.longest_delay = longest;
     }
 
-    /// Returns when VMs of other cells have to be told the usage; `None` if it is unchanged.
+    /// Returns when the usage has to be reported to VMs of other cells; `None` if it is unchanged.
     pub fn report_due(&self) -> Option<Instant> {
         self.buckets
             .iter()
@@ -209,7 +209,7 @@
             .min()
     }
 
-    /// Records that VMs of other cells are told the usage.
+    /// Records that the usage is reported to VMs of other cells.
     pub fn record_distant_report(&mut self) {
         for bucket in &mut self.buckets {
             bucket.report_due = None;
--- a/boragerill/tests/cell.rs
+++ b/boragerill/tests/cell.rs
@@ -1,5 +1,5 @@
 //! Cells of fleets of 10, 80, 300 and 1,000 VMs. The load that they answer: 300 VMs, each of which would use 3,000 servers
-//! and tell 299 others of each request.
+//! and report each request to 299 others.
 
 use std::time::{
     Duration,
@@ -147,7 +147,7 @@
     }
 }
 
-/// Guards against servers that no VM uses, or that VMs use which don't tell each other.
+/// Guards against servers that no VM uses, or that VMs use which don't report to each other.
 #[test]
 fn vms_of_a_cell_use_the_same_servers_and_know_each_other() {
     for size in SIZES {
--- a/boragerill/tests/cell_fleet.rs
+++ b/boragerill/tests/cell_fleet.rs
@@ -1,5 +1,5 @@
 //! Membership and cells that VMs agree on through lost and reordered heartbeats, restarts, VMs that come and go, and cut
-//! failure domains. The load that they answer: a fleet that is too large for each VM to tell all others of each change.
+//! failure domains. The load that they answer: a fleet that is too large for each VM to report each change to all others.
 
 use std::time::{
     Duration,
@@ -563,7 +563,7 @@
     assert!(tables.iter().all(|table| table.member(hash(2)).is_none()));
 }
 
-/// Guards against VMs of the previous build, which use all servers and know no cells, that are told no usage of servers.
+/// Guards against VMs of the previous build, which use all servers and know no cells, that receive no usage of servers.
 #[test]
 fn vms_of_the_previous_build_belong_to_each_cell() {
     // arrange
--- a/boragerill/tests/heartbeat_pace.rs
+++ b/boragerill/tests/heartbeat_pace.rs
@@ -214,10 +214,10 @@
 
     // act
     let (mut first, mut second, mut last, mut next) = (minimal(), minimal(), full(), minimal());
-    distant.tell(&mut first);
-    distant.tell(&mut second);
-    distant.tell(&mut last);
-    distant.tell(&mut next);
+    distant.add_to(&mut first);
+    distant.add_to(&mut second);
+    distant.add_to(&mut last);
+    distant.add_to(&mut next);
 
     // assert
     let notices = [&first, &second, &next].map(|heartbeat| heartbeat.leaving.len());
@@ -241,11 +241,11 @@
             ..minimal()
         });
     }
-    let mut told = minimal();
-    distant.tell(&mut told);
+    let mut report = minimal();
+    distant.add_to(&mut report);
 
     // assert
-    let used: Vec<u64> = told.uses.iter().map(|usage| usage.used).collect();
+    let used: Vec<u64> = report.uses.iter().map(|usage| usage.used).collect();
     assert_eq!(used, [9]);
 }
 
--- a/boragerill/tests/rate_delay.rs
+++ b/boragerill/tests/rate_delay.rs
@@ -36,7 +36,7 @@
     limit: WorkspaceRate,
     limiters: Vec<RateLimiter>,
     distant_due: Vec<Instant>,
-    pending: Vec<Option<u64>>, // Usage that other cells haven't been told, by VM.
+    pending: Vec<Option<u64>>, // Usage that hasn't been reported to other cells, by VM.
     grants: Vec<Instant>,
     reports: usize, // To other cells.
     now: Instant,
--- a/fleet/src/heartbeat_builder.rs
+++ b/fleet/src/heartbeat_builder.rs
@@ -85,7 +85,7 @@
     evacuations: Revision,
 }
 
-/// What was last told to the VMs of other cells.
+/// What was last reported to the VMs of other cells.
 #[derive(Debug, Default)]
 struct DistantState {
     changes: DistantChanges,
@@ -176,8 +176,8 @@
         distant.due = None;
     }
 
-    /// Returns the next heartbeat to VMs of other cells, without usage of servers, and changes that the own cell hasn't been
-    /// told.
+    /// Returns the next heartbeat to VMs of other cells, without usage of servers, and changes that haven't been reported to the
+    /// own cell.
     pub(crate) fn distant_heartbeat(&self, now: Instant) -> (Option<Heartbeat>, Heartbeat) {
         let info = lock(&self.state.members).own().clone();
         let period = self.distant_period(info.follows);
@@ -201,7 +201,7 @@
         distant.numbers.catalog = heartbeat.catalog;
         distant.numbers.backends = heartbeat.backends;
         distant.info = info;
-        distant.changes.tell(&mut heartbeat);
+        distant.changes.add_to(&mut heartbeat);
         (near, heartbeat)
     }
 
--- a/fleet/src/stream_versions.rs
+++ b/fleet/src/stream_versions.rs
@@ -93,7 +93,7 @@
         lock(&self.table).record_own(service, origin, Instant::now());
     }
 
-    /// Adds the streams that other VMs have to know and haven't been told to a heartbeat, and returns whether there
+    /// Adds the streams that other VMs have to know and that haven't been reported to a heartbeat, and returns whether there
     /// are any: those of services with several versions, and all while the list of servers isn't confirmed, since no VM may
     /// be able to vouch for their version then.
     pub(crate) fn add_new(&self, heartbeat: &mut Heartbeat, state: &FleetState) -> bool {
