Count each started item once against the allowance of its class

A merge had doubled the line, so that a VM with an odd allowance started items without limit; 30 process-level tests of jobs stopped at the overflow.

--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -274,7 +274,6 @@
                     continue;
                 }
                 allowance.starts -= 1;
-                allowance.starts -= 1;
                 let job_due = now + priority.time_left;
                 self.start(state, entry, (route, &residency), index, permitted, job_due);
             }
