--- a/boragerill/src/write_pace.rs
+++ b/boragerill/src/write_pace.rs
@@ -8,9 +8,10 @@
 /// Time that is left until a job is due, divided by the time for which its results are collected.
 const COLLECT_DIVISOR: u32 = 6;
 
-/// Shortest and longest time for which results are collected before they are stored.
+/// Shortest and longest time for which results are collected before they are stored. Clients read while a job runs, and
+/// expect results that are ready within some seconds.
 const COLLECT_TIMES: (Duration, Duration) =
-    (Duration::from_millis(900), Duration::from_millis(2500));
+    (Duration::from_millis(900), Duration::from_millis(1500));
 
 /// Time that is left until a job is due, divided by the period of its checkpoints.
 const CHECKPOINT_DIVISOR: u32 = 4;
