--- /dev/null
+++ b/review/second/main.rs
@@ -0,0 +1,48 @@
+//! Cases of the second review: each starts processes of the project and stand-ins, and checks one rule.
+//!
+//! `review-2 CASE FOLDER` exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run. With
+//! `TROUBLE=0` the disruption is left out.
+
+mod costly_job;
+mod fleet;
+mod http;
+mod ingress;
+mod json;
+mod late_intake;
+mod lengthless;
+mod removed_route;
+mod server;
+mod store;
+mod wire;
+
+use std::{path::PathBuf, process::exit, thread, time::Duration};
+
+/// Longest run of a case.
+const LIMIT: Duration = Duration::from_secs(110);
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let (case, folder) = (arguments.next().unwrap_or_default(), arguments.next());
+    let folder = PathBuf::from(folder.unwrap_or_else(|| ".".to_owned()));
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let run: fn(&std::path::Path, bool) -> bool = match case.as_str() {
+        "costly-job" => costly_job::run,
+        "late-intake" => late_intake::run,
+        "lengthless" => lengthless::run,
+        "removed-route" => removed_route::run,
+        _ => fleet::fail_to_run("unknown case"),
+    };
+    let running = thread::spawn(move || run(&folder, has_trouble));
+    let until = std::time::Instant::now() + LIMIT;
+    while !running.is_finished() && std::time::Instant::now() < until {
+        thread::sleep(Duration::from_millis(20));
+    }
+    if !running.is_finished() {
+        fleet::fail_to_run("it took too long");
+    }
+    match running.join() {
+        Ok(true) => exit(1),
+        Ok(false) => exit(0),
+        Err(_) => exit(2),
+    }
+}
