--- a/review/second/costly_job.rs
+++ b/review/second/costly_job.rs
@@ -4,7 +4,7 @@
 use std::{
     path::Path,
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
         Arc,
     },
     thread::{self, sleep},
@@ -13,10 +13,11 @@
 
 use crate::{
     fleet::{
-        batch_route, config, describe, stream_request, stream_route, submission, Fleet, Record, Vm, DCSC_SERVING,
-        SERVICE, ZONES,
+        batch_route, config, describe, stream_request, stream_route, submission, Fleet, Record, DCSC_SERVING, SERVICE,
+        ZONES,
     },
     http::{call, Request},
+    machine::{broken_machines, Machine},
     server::{Framing, Output, Server},
     store::Store,
     wire,
@@ -36,13 +37,6 @@
 /// Client attempts of a job: the first one and one retry at another node.
 const ATTEMPTS: usize = 2;
 
-/// Delay after which an ended process is started again.
-const RESTART_DELAY: Duration = Duration::from_millis(300);
-
-/// Number of ends of one process, and of such machines, that break the rule.
-const ENDS: u64 = 3;
-const MACHINES: usize = 2;
-
 pub fn run(folder: &Path, has_trouble: bool) -> bool {
     let record = Record::create(folder);
     let store = Store::start();
@@ -57,12 +51,7 @@
         .collect();
     let fleet = Fleet::start(&store, &record, DCSC_SERVING, &ZONES);
     let stop = Arc::new(AtomicBool::new(false));
-    let ends: Vec<Arc<AtomicU64>> = fleet.fronts.iter().map(|_| Arc::default()).collect();
-    let machines = fleet.fronts.iter().zip(&ends).map(|(vm, ends)| {
-        let (vm, ends, stop, record) = (vm.clone(), ends.clone(), stop.clone(), record.clone());
-        thread::spawn(move || keep_within_memory(&vm, &ends, &stop, &record))
-    });
-    let machines: Vec<_> = machines.collect();
+    let machines = Machine::watch_all(&fleet, DCSC_SERVING.front_mb, &stop, &record);
     sleep(Duration::from_secs(1));
 
     let begin = Instant::now();
@@ -87,38 +76,14 @@
     }
     sleep(Duration::from_secs(2));
     stop.store(true, Ordering::SeqCst);
-    machines.into_iter().for_each(|machine| machine.join().expect("machine"));
-
     record.write(&format!("{cut} of {sent} ordinary streams beside them got no complete answer"));
-    for (vm, ends) in fleet.fronts.iter().zip(&ends) {
-        let count = ends.load(Ordering::SeqCst);
-        record.write(&format!("the process of {} ended {count} times by its memory", vm.name));
-    }
-    let many = ends.iter().filter(|ends| ends.load(Ordering::SeqCst) >= ENDS);
-    let is_broken = many.count() >= MACHINES;
+    let ends: Vec<u64> = machines.iter().map(Machine::ends).collect();
+    machines.into_iter().for_each(|machine| machine.finish(&record));
+    let is_broken = broken_machines(&ends);
     record.write(if is_broken { "Fault is broken" } else { "Fault held" });
     is_broken
 }
 
-/// Ends a process that uses more than the memory of its machine, and starts it again after a short delay.
-fn keep_within_memory(vm: &Vm, ends: &AtomicU64, stop: &AtomicBool, record: &Record) {
-    let limit_kb = DCSC_SERVING.front_mb * 1024;
-    let mut peak = 0;
-    while !stop.load(Ordering::SeqCst) {
-        let used = vm.resident_kb();
-        peak = peak.max(used);
-        if used > limit_kb || vm.has_ended() {
-            record.write(&format!("{} uses {used} kB of {limit_kb} kB and is killed", vm.name));
-            vm.kill();
-            ends.fetch_add(1, Ordering::SeqCst);
-            sleep(RESTART_DELAY);
-            vm.start_again();
-        }
-        sleep(Duration::from_millis(2));
-    }
-    record.write(&format!("{} used {peak} kB of {limit_kb} kB at most", vm.name));
-}
-
 /// Sends an ordinary stream to each machine every 100 ms for 2 s; each reports whether its answer was complete.
 fn send_streams(fleet: &Fleet, number: usize) -> Vec<thread::JoinHandle<bool>> {
     let clients = (0..20).flat_map(|round| fleet.fronts.iter().enumerate().map(move |(index, vm)| (round, index, vm)));
--- a/review/second/main.rs
+++ b/review/second/main.rs
@@ -8,8 +8,10 @@
 mod http;
 mod ingress;
 mod json;
+mod kept_jobs;
 mod late_intake;
 mod lengthless;
+mod machine;
 mod removed_route;
 mod server;
 mod store;
@@ -27,6 +29,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run: fn(&std::path::Path, bool) -> bool = match case.as_str() {
         "costly-job" => costly_job::run,
+        "kept-jobs" => kept_jobs::run,
         "late-intake" => late_intake::run,
         "lengthless" => lengthless::run,
         "removed-route" => removed_route::run,
