--- a/review/second/fleet.rs
+++ b/review/second/fleet.rs
@@ -32,7 +32,7 @@
 pub struct Site {
     pub front_mb: u64,
     front_fds: u64,
-    storage_mb: u64,
+    pub storage_mb: u64,
     storage_fds: u64,
 }
 
@@ -113,14 +113,28 @@
 /// The processes of a small deployment: three front machines and three storage machines.
 pub struct Fleet {
     pub fronts: Vec<Arc<Vm>>,
-    workers: Vec<Arc<Vm>>,
+    pub workers: Vec<Arc<Vm>>,
     folder: PathBuf,
 }
 
 impl Fleet {
     /// Starts a front machine in each of `zones` and three storage machines, each with the settings of the deploy file's
-    /// template, and waits until they are ready.
+    /// template, for the first time, and waits until they are ready.
     pub fn start(store: &Store, record: &Record, site: Site, zones: &[&'static str]) -> Fleet {
+        let fleet = Fleet::launch(store, site, zones, true);
+        let until = Instant::now() + Duration::from_secs(15);
+        while !fleet.fronts.iter().all(|vm| vm.is_ready()) {
+            if Instant::now() > until {
+                fail_to_run("the processes aren't ready in time");
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        record.write(&format!("{} front and 3 storage machines are ready", zones.len()));
+        fleet
+    }
+
+    /// Starts the processes without waiting for them.
+    pub fn launch(store: &Store, site: Site, zones: &[&'static str], is_first: bool) -> Fleet {
         let fronts = zones.len();
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("temporary folder");
@@ -132,23 +146,14 @@
                 false => (format!("storage-{}", index - fronts + 1), ZONES[(index - fronts) % 3]),
             };
             let is_front = index < fronts;
-            let settings = Settings { name, site, zone, is_front, host: &hosts[index], port, hosts: &hosts };
+            let settings = Settings { name, site, zone, is_front, host: &hosts[index], port, hosts: &hosts, is_first };
             Arc::new(settings.start(store, &folder))
         };
-        let fleet = Fleet {
+        Fleet {
             fronts: (0..fronts).map(start).collect(),
             workers: (fronts..fronts + 3).map(start).collect(),
             folder: folder.clone(),
-        };
-        let until = Instant::now() + Duration::from_secs(15);
-        while !fleet.fronts.iter().all(|vm| vm.is_ready()) {
-            if Instant::now() > until {
-                fail_to_run("the processes aren't ready in time");
-            }
-            thread::sleep(Duration::from_millis(50));
         }
-        record.write(&format!("{fronts} front and 3 storage machines are ready"));
-        fleet
     }
 }
 
@@ -167,6 +172,7 @@
     host: &'a str,
     port: u16,
     hosts: &'a [String],
+    is_first: bool, // Whether the whole system starts for the first time.
 }
 
 impl Settings<'_> {
@@ -199,7 +205,7 @@
             ("seeds", Json::List(seeds.collect())),
             ("metrics_port", Json::number(free_port(self.host).into())),
             ("platform", Json::text(&format!("http://{}", store.address))),
-            ("first_start", Json::Bool(true)),
+            ("first_start", Json::Bool(self.is_first)),
             ("grace_s", Json::number(GRACE.as_secs())),
             ("rate_window_s", number("5")),
             ("rate_overage", number("0.1")),
--- a/review/second/kept_jobs.rs
+++ b/review/second/kept_jobs.rs
@@ -19,7 +19,7 @@
     http::{call, Request},
     json::Json,
     machine::{broken_machines, Machine},
-    server::{Framing, Output, Server},
+    server::{Output, Server},
     store::Store,
     wire,
 };
@@ -44,7 +44,7 @@
     let store = Store::start();
     let routes = vec![stream_route("alarm", false, 1), batch_route()];
     store.write("config", "main", config(7, routes));
-    let output = |_: &_| Output { events: 10, pause: Duration::from_millis(5), framing: Framing::Chunks };
+    let output = |_: &_| Output { events: 10, pause: Duration::from_millis(5) };
     let _servers: Vec<_> = (0..6)
         .map(|index| {
             let id = format!("i-{index}");
@@ -53,7 +53,7 @@
         .collect();
     let fleet = Arc::new(Fleet::start(&store, &record, DCSC_SERVING, &ZONES));
     let stop = Arc::new(AtomicBool::new(false));
-    let machines = Machine::watch_all(&fleet, DCSC_SERVING.front_mb, &stop, &record);
+    let machines = Machine::watch_all(&fleet, DCSC_SERVING, &stop, &record);
     sleep(Duration::from_secs(1));
 
     let begin = Instant::now();
--- a/review/second/late_intake.rs
+++ b/review/second/late_intake.rs
@@ -11,7 +11,7 @@
     fleet::{config, describe, stream_request, stream_route, Fleet, Record, Vm, GRACE, RIEGO_EBRO, SERVICE, ZONES},
     http::{call, Response},
     ingress::Ingress,
-    server::{Framing, Output, Server},
+    server::{Output, Server},
     store::Store,
 };
 
@@ -19,7 +19,7 @@
 const FRONTS: [&str; 5] = [ZONES[0], ZONES[0], ZONES[0], ZONES[1], ZONES[2]];
 
 /// A stream of 4.5 s, which is within the 5 s of its route and its clients, with pauses within the route's 300 ms.
-const OUTPUT: Output = Output { events: 45, pause: Duration::from_millis(100), framing: Framing::Chunks };
+const OUTPUT: Output = Output { events: 45, pause: Duration::from_millis(100) };
 
 /// Time between two requests of the zone's clients.
 const REQUEST_PERIOD: Duration = Duration::from_millis(100);
--- a/review/second/machine.rs
+++ b/review/second/machine.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use crate::fleet::{Fleet, Record, Vm};
+use crate::fleet::{Fleet, Record, Site, Vm};
 
 /// Delay after which an ended process is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
@@ -25,9 +25,11 @@
 }
 
 impl Machine {
-    /// Watches the processes of all front machines until `stop` is set.
-    pub fn watch_all(fleet: &Fleet, memory_mb: u64, stop: &Arc<AtomicBool>, record: &Arc<Record>) -> Vec<Machine> {
-        let machines = fleet.fronts.iter().map(|vm| {
+    /// Watches the processes of all machines until `stop` is set.
+    pub fn watch_all(fleet: &Fleet, site: Site, stop: &Arc<AtomicBool>, record: &Arc<Record>) -> Vec<Machine> {
+        let fronts = fleet.fronts.iter().map(|vm| (vm, site.front_mb));
+        let workers = fleet.workers.iter().map(|vm| (vm, site.storage_mb));
+        let machines = fronts.chain(workers).map(|(vm, memory_mb)| {
             let ends = Arc::new(AtomicU64::new(0));
             let (vm, counted, stop, record) = (vm.clone(), ends.clone(), stop.clone(), record.clone());
             let name = vm.name.clone();
--- a/review/second/main.rs
+++ b/review/second/main.rs
@@ -10,8 +10,8 @@
 mod json;
 mod kept_jobs;
 mod late_intake;
-mod lengthless;
 mod machine;
+mod old_jobs;
 mod removed_route;
 mod server;
 mod store;
@@ -31,7 +31,7 @@
         "costly-job" => costly_job::run,
         "kept-jobs" => kept_jobs::run,
         "late-intake" => late_intake::run,
-        "lengthless" => lengthless::run,
+        "old-jobs" => old_jobs::run,
         "removed-route" => removed_route::run,
         _ => fleet::fail_to_run("unknown case"),
     };
--- a/review/second/removed_route.rs
+++ b/review/second/removed_route.rs
@@ -13,7 +13,7 @@
     },
     http::{call, Response},
     json::Json,
-    server::{whole_text, Framing, Output, Server},
+    server::{whole_text, Output, Server},
     store::Store,
     wire,
 };
@@ -27,7 +27,7 @@
     let store = Store::start();
     let streams = || vec![stream_route("alarm", false, 1), stream_route("state", true, 2)];
     store.write("config", "main", config(7, [streams(), vec![batch_route()]].concat()));
-    let output = |_: &_| Output { events: EVENTS, pause: Duration::from_millis(5), framing: Framing::Chunks };
+    let output = |_: &_| Output { events: EVENTS, pause: Duration::from_millis(5) };
     let _servers: Vec<_> = (0..3)
         .map(|index| {
             let id = format!("i-{index}");
--- a/review/second/server.rs
+++ b/review/second/server.rs
@@ -8,7 +8,7 @@
         Arc, Mutex,
     },
     thread,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -24,20 +24,11 @@
 /// Time between two writes of a server to the store.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 
-/// How the output of a server ends.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Framing {
-    Chunks,
-    /// Neither a length nor chunks: the stream ends with its connection.
-    Connection,
-}
-
 /// What a server generates for a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Output {
     pub events: u64,
     pub pause: Duration,
-    pub framing: Framing,
 }
 
 /// A request that a server ran.
@@ -45,7 +36,6 @@
 pub struct Run {
     pub id: String,
     pub server: String,
-    pub ended: Option<Instant>, // When the whole output had been written and its connection was ended regularly.
 }
 
 pub struct Server {
@@ -114,54 +104,41 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut reader) {
-            match self.answer(&request, &mut writer) {
-                Ok(true) => {}
-                Ok(false) | Err(_) => return,
+            if self.answer(&request, &mut writer).is_err() {
+                return;
             }
         }
     }
 
-    /// Answers a request, and returns whether the connection is kept.
-    fn answer(&self, request: &Request, writer: &mut TcpStream) -> io::Result<bool> {
+    /// Answers a request.
+    fn answer(&self, request: &Request, writer: &mut TcpStream) -> io::Result<()> {
         let id = header(&request.headers, wire::name("id")).unwrap_or_default();
         let own = format!("{}: {id}\r\nKeep-Alive: timeout={}\r\n", wire::name("id"), self.idle.as_secs());
         if request.target == "/health" {
             let headers = format!("Instance-Id: {}\r\n", self.id);
-            return respond(writer, "200 OK", &headers, b"").map(|()| true);
+            return respond(writer, "200 OK", &headers, b"");
         }
         if header(&request.headers, wire::name("expected")).is_some_and(|named| named != self.id) {
             let headers = format!("{own}Instance-Id: {}\r\n{}: 1\r\n", self.id, wire::name("not-run"));
-            return respond(writer, "421 Misdirected Request", &headers, b"").map(|()| true);
+            return respond(writer, "421 Misdirected Request", &headers, b"");
         }
         if self.running.fetch_add(1, Ordering::SeqCst) >= SLOTS {
             self.running.fetch_sub(1, Ordering::SeqCst);
             let headers = format!("{own}{}: 1\r\n", wire::name("not-run"));
-            return respond(writer, "503 Service Unavailable", &headers, b"").map(|()| true);
+            return respond(writer, "503 Service Unavailable", &headers, b"");
         }
-        let index = {
-            let mut runs = self.runs.lock().unwrap();
-            let (id, server) = (id.to_owned(), self.id.clone());
-            runs.push(Run { id, server, ended: None });
-            runs.len() - 1
-        };
+        let run = Run { id: id.to_owned(), server: self.id.clone() };
+        self.runs.lock().unwrap().push(run);
         let written = self.generate(request, &own, writer);
         self.running.fetch_sub(1, Ordering::SeqCst);
-        if written.is_ok() {
-            self.runs.lock().unwrap()[index].ended = Some(Instant::now());
-        }
         written
     }
 
-    fn generate(&self, request: &Request, own: &str, writer: &mut TcpStream) -> io::Result<bool> {
+    fn generate(&self, request: &Request, own: &str, writer: &mut TcpStream) -> io::Result<()> {
         let output = (self.output)(request);
-        let is_chunked = output.framing == Framing::Chunks;
-        let framing = match is_chunked {
-            true => "Transfer-Encoding: chunked\r\n",
-            false => "Connection: close\r\n",
-        };
         let signature = wire::name("signature");
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{own}{framing}{signature}: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
+            "HTTP/1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n{signature}: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
              Content-Type: text/event-stream\r\nWeight-Versions: 1\r\n\r\n"
         );
         writer.write_all(head.as_bytes())?;
@@ -169,21 +146,12 @@
         for number in last.map_or(1, |last: u64| last + 1)..=output.events {
             thread::sleep(output.pause);
             let event = format!("id: {number}\ndata: token {number}\n\n");
-            let piece = match is_chunked {
-                true => format!("{:x}\r\n{event}\r\n", event.len()),
-                false => event,
-            };
-            writer.write_all(piece.as_bytes())?;
+            writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
             if is_closed(writer) {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
         }
-        if is_chunked {
-            writer.write_all(b"0\r\n\r\n")?;
-        } else {
-            writer.shutdown(std::net::Shutdown::Write)?;
-        }
-        Ok(is_chunked)
+        writer.write_all(b"0\r\n\r\n")
     }
 }
 
--- a/review/second/store.rs
+++ b/review/second/store.rs
@@ -34,6 +34,7 @@
     revision: u64,
     objects: Vec<Object>, // Sorted by kind and name.
     history: Vec<(bool, Object)>,
+    compacted: u64, // History up to this revision is gone.
 }
 
 pub struct Store {
@@ -68,6 +69,27 @@
         self.changed.notify_all();
     }
 
+    /// Returns the spec of an object.
+    pub fn read(&self, kind: &str, name: &str) -> Option<Json> {
+        let state = self.state.lock().unwrap();
+        let index = state.find(kind, name).ok()?;
+        Some(state.objects[index].spec.clone())
+    }
+
+    /// Adds objects of a kind that were written long ago, so that their history is gone.
+    pub fn add_old(&self, kind: &str, objects: Vec<(String, Json)>) {
+        let mut state = self.state.lock().unwrap();
+        for (name, spec) in objects {
+            state.revision += 1;
+            let revision = state.revision;
+            let (kind, status) = (kind.to_owned(), Json::Null);
+            state.objects.push(Object { kind, name, revision, created: revision, spec, status });
+        }
+        state.objects.sort_by(|one, other| (&one.kind, &one.name).cmp(&(&other.kind, &other.name)));
+        state.history.clear();
+        state.compacted = state.revision;
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
@@ -161,6 +183,9 @@
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
+            if after < state.compacted {
+                return (410, Json::object(vec![]));
+            }
             let newer = state.history.iter();
             let newer = newer.filter(|(_, object)| object.kind == kind && object.revision > after);
             let events: Vec<Json> = newer
