--- a/review/second/fleet.rs
+++ b/review/second/fleet.rs
@@ -6,7 +6,10 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc, Mutex,
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -67,11 +70,6 @@
 }
 
 impl Vm {
-    /// Sends a signal, such as `TERM`.
-    pub fn signal(&self, name: &str) {
-        send_signal(name, self.child.lock().unwrap().id());
-    }
-
     /// Starts the process again after its end, with the settings of a later start.
     pub fn start_again(&self) {
         let settings = fs::read_to_string(&self.settings).expect("settings");
@@ -122,32 +120,61 @@
     /// template, for the first time, and waits until they are ready.
     pub fn start(store: &Store, record: &Record, site: Site, zones: &[&'static str]) -> Fleet {
         let fleet = Fleet::launch(store, site, zones, true);
+        fleet.wait_ready(record);
+        fleet
+    }
+
+    /// Waits until all front machines are ready.
+    pub fn wait_ready(&self, record: &Record) {
         let until = Instant::now() + Duration::from_secs(15);
-        while !fleet.fronts.iter().all(|vm| vm.is_ready()) {
+        while !self.fronts.iter().all(|vm| vm.is_ready()) {
             if Instant::now() > until {
                 fail_to_run("the processes aren't ready in time");
             }
             thread::sleep(Duration::from_millis(50));
         }
-        record.write(&format!("{} front and 3 storage machines are ready", zones.len()));
-        fleet
+        record.write(&format!("{} front and 3 storage machines are ready", self.fronts.len()));
     }
 
     /// Starts the processes without waiting for them.
     pub fn launch(store: &Store, site: Site, zones: &[&'static str], is_first: bool) -> Fleet {
+        Fleet::launch_behind(store.address, site, zones, is_first, |_, _| None)
+    }
+
+    /// Starts the processes; `links` returns the host by which the others reach each one and the address of its path to
+    /// the store, given its own host and the port between machines, if these lead through proxies.
+    pub fn launch_behind(
+        store: SocketAddr,
+        site: Site,
+        zones: &[&'static str],
+        is_first: bool,
+        links: impl Fn(&[String], u16) -> Option<Vec<(String, SocketAddr)>>,
+    ) -> Fleet {
         let fronts = zones.len();
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("temporary folder");
         let hosts: Vec<String> = (1..=fronts + 3).map(|host| format!("127.0.0.{}", host + 10)).collect();
         let port = common_port(&hosts);
+        let direct = || hosts.iter().map(|host| (host.clone(), store)).collect();
+        let links: Vec<(String, SocketAddr)> = links(&hosts, port).unwrap_or_else(direct);
         let start = |index: usize| {
             let (name, zone) = match index < fronts {
                 true => (format!("front-{}", index + 1), zones[index]),
                 false => (format!("storage-{}", index - fronts + 1), ZONES[(index - fronts) % 3]),
             };
             let is_front = index < fronts;
-            let settings = Settings { name, site, zone, is_front, host: &hosts[index], port, hosts: &hosts, is_first };
-            Arc::new(settings.start(store, &folder))
+            let settings = Settings {
+                name,
+                site,
+                zone,
+                is_front,
+                host: &hosts[index],
+                port,
+                links: &links,
+                link: &links[index],
+                is_first,
+            };
+            Arc::new(settings.start(&folder))
         };
         Fleet {
             fronts: (0..fronts).map(start).collect(),
@@ -171,12 +198,13 @@
     is_front: bool,
     host: &'a str,
     port: u16,
-    hosts: &'a [String],
+    links: &'a [(String, SocketAddr)], // Hosts by which machines reach each other, and their paths to the store.
+    link: &'a (String, SocketAddr),
     is_first: bool, // Whether the whole system starts for the first time.
 }
 
 impl Settings<'_> {
-    fn start(&self, store: &Store, folder: &Path) -> Vm {
+    fn start(&self, folder: &Path) -> Vm {
         let address = || {
             let text = format!("{}:{}", self.host, free_port(self.host));
             text.parse::<SocketAddr>().expect("address")
@@ -187,13 +215,13 @@
             false => Json::text(""),
         };
         let zones = ZONES.iter().map(|zone| (*zone, Json::text("region-1")));
-        let seeds = self.hosts.iter().take(3).map(|host| Json::text(&format!("{host}:8683")));
+        let seeds = self.links.iter().take(3).map(|(host, _)| Json::text(&format!("{host}:8683")));
         let number = |text: &str| Json::Number(text.to_owned());
         let (memory, fds) = match self.is_front {
             true => (self.site.front_mb, self.site.front_fds),
             false => (self.site.storage_mb, self.site.storage_fds),
         };
-        let settings = Json::object(vec![
+        let mut settings = vec![
             ("vm", Json::text(&self.name)),
             ("domain", Json::text(self.zone)),
             ("region", Json::text("region-1")),
@@ -204,7 +232,7 @@
             ("peer_port", Json::number(self.port.into())),
             ("seeds", Json::List(seeds.collect())),
             ("metrics_port", Json::number(free_port(self.host).into())),
-            ("platform", Json::text(&format!("http://{}", store.address))),
+            ("platform", Json::text(&format!("http://{}", self.link.1))),
             ("first_start", Json::Bool(self.is_first)),
             ("grace_s", Json::number(GRACE.as_secs())),
             ("rate_window_s", number("5")),
@@ -214,9 +242,12 @@
             ("memory_mb", Json::number(memory)),
             ("max_fds", Json::number(fds)),
             ("value_bytes", number("1048576")),
-        ]);
+        ];
+        if self.link.0 != self.host {
+            settings.push(("advertised_address", Json::text(&self.link.0)));
+        }
         let path = folder.join(format!("{}.json", self.name));
-        fs::write(&path, settings.to_string()).expect("settings");
+        fs::write(&path, Json::object(settings).to_string()).expect("settings");
         let child = Mutex::new(spawn(&path));
         Vm { name: self.name.clone(), callers, ready, settings: path, child }
     }
@@ -257,9 +288,24 @@
     std::process::exit(2);
 }
 
+/// First port that is tried, and number of ports: below those that outgoing connections take, so that a port stays free
+/// while a process is started again.
+const FIRST_PORT: u32 = 12_000;
+const PORTS: u32 = 18_000;
+
+/// Number of ports that were tried.
+static TRIED: AtomicU32 = AtomicU32::new(0);
+
+/// Returns the next port that is free at a host.
 fn free_port(host: &str) -> u16 {
-    let listener = TcpListener::bind((host, 0)).expect("free port");
-    listener.local_addr().expect("address").port()
+    loop {
+        let tried = TRIED.fetch_add(1, Ordering::SeqCst);
+        let offset = std::process::id().wrapping_mul(101).wrapping_add(tried) % PORTS;
+        let port = u16::try_from(FIRST_PORT + offset).expect("port");
+        if TcpListener::bind((host, port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// Returns a port that is free at all hosts.
--- a/review/second/kept_jobs.rs
+++ b/review/second/kept_jobs.rs
@@ -19,7 +19,7 @@
     http::{call, Request},
     json::Json,
     machine::{broken_machines, Machine},
-    server::{Output, Server},
+    server::{record_runs, Output, Server},
     store::Store,
     wire,
 };
@@ -45,7 +45,7 @@
     let routes = vec![stream_route("alarm", false, 1), batch_route()];
     store.write("config", "main", config(7, routes));
     let output = |_: &_| Output { events: 10, pause: Duration::from_millis(5) };
-    let _servers: Vec<_> = (0..6)
+    let servers: Vec<_> = (0..6)
         .map(|index| {
             let id = format!("i-{index}");
             Server::start((&id, ZONES[index % 3], SERVICE), &store, Duration::from_secs(5), output)
@@ -112,6 +112,7 @@
     machines.into_iter().for_each(|machine| machine.finish(&record));
     record.write(&format!("ends of processes by their memory: {before:?} while jobs were submitted, {after:?} in all"));
     let is_broken = broken_machines(&after);
+    record_runs(&servers, &record);
     record.write(if is_broken { "Fault is broken" } else { "Fault held" });
     is_broken
 }
--- a/review/second/main.rs
+++ b/review/second/main.rs
@@ -6,14 +6,14 @@
 mod costly_job;
 mod fleet;
 mod http;
-mod ingress;
 mod json;
 mod kept_jobs;
-mod late_intake;
+mod links;
 mod machine;
 mod old_jobs;
 mod removed_route;
 mod server;
+mod short_list;
 mod store;
 mod wire;
 
@@ -30,9 +30,9 @@
     let run: fn(&std::path::Path, bool) -> bool = match case.as_str() {
         "costly-job" => costly_job::run,
         "kept-jobs" => kept_jobs::run,
-        "late-intake" => late_intake::run,
         "old-jobs" => old_jobs::run,
         "removed-route" => removed_route::run,
+        "short-list" => short_list::run,
         _ => fleet::fail_to_run("unknown case"),
     };
     let running = thread::spawn(move || run(&folder, has_trouble));
--- a/review/second/old_jobs.rs
+++ b/review/second/old_jobs.rs
@@ -16,7 +16,7 @@
     http::call,
     json::Json,
     machine::{broken_machines, Machine},
-    server::{Output, Server},
+    server::{record_runs, Output, Server},
     store::Store,
 };
 
@@ -42,7 +42,7 @@
     let store = Store::start();
     store.write("config", "main", config(7, vec![stream_route("alarm", false, 1), batch_route()]));
     let output = |_: &_| Output { events: 10, pause: Duration::from_millis(5) };
-    let _servers: Vec<_> = (0..6)
+    let servers: Vec<_> = (0..6)
         .map(|index| {
             let id = format!("i-{index}");
             Server::start((&id, ZONES[index % 3], SERVICE), &store, Duration::from_secs(5), output)
@@ -89,6 +89,7 @@
     let ends: Vec<u64> = machines.iter().map(Machine::ends).collect();
     machines.into_iter().for_each(|machine| machine.finish(&record));
     let is_broken = broken_machines(&ends);
+    record_runs(&servers, &record);
     record.write(if is_broken { "Fault is broken" } else { "Fault held" });
     is_broken
 }
--- a/review/second/removed_route.rs
+++ b/review/second/removed_route.rs
@@ -13,7 +13,7 @@
     },
     http::{call, Response},
     json::Json,
-    server::{whole_text, Output, Server},
+    server::{record_runs, whole_text, Output, Server},
     store::Store,
     wire,
 };
@@ -28,7 +28,7 @@
     let streams = || vec![stream_route("alarm", false, 1), stream_route("state", true, 2)];
     store.write("config", "main", config(7, [streams(), vec![batch_route()]].concat()));
     let output = |_: &_| Output { events: EVENTS, pause: Duration::from_millis(5) };
-    let _servers: Vec<_> = (0..3)
+    let servers: Vec<_> = (0..3)
         .map(|index| {
             let id = format!("i-{index}");
             Server::start((&id, ZONES[index], SERVICE), &store, Duration::from_secs(5), output)
@@ -81,6 +81,7 @@
         record.write(&format!("the same with an id at {}: {}", front.name, describe(&response)));
         lost += usize::from(!is_whole(&response));
     }
+    record_runs(&servers, &record);
     let age = accepted_at.elapsed().as_secs();
     record.write(&format!("{age} s after its 202, {lost} of 18 reads got no results of the job"));
     record.write(if lost > 0 { "LOST is broken" } else { "LOST held" });
--- a/review/second/server.rs
+++ b/review/second/server.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    fleet::Record,
     http::{header, read_request, respond, Request},
     json::Json,
     store::Store,
@@ -31,20 +32,13 @@
     pub pause: Duration,
 }
 
-/// A request that a server ran.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub id: String,
-    pub server: String,
-}
-
 pub struct Server {
     pub id: String,
     pub address: SocketAddr,
     idle: Duration, // Time after which idle connections are closed.
     output: Box<dyn Fn(&Request) -> Output + Send + Sync>,
     running: AtomicUsize,
-    pub runs: Mutex<Vec<Run>>,
+    runs: Mutex<Vec<String>>, // Ids of the requests that it ran.
 }
 
 impl Server {
@@ -127,8 +121,7 @@
             let headers = format!("{own}{}: 1\r\n", wire::name("not-run"));
             return respond(writer, "503 Service Unavailable", &headers, b"");
         }
-        let run = Run { id: id.to_owned(), server: self.id.clone() };
-        self.runs.lock().unwrap().push(run);
+        self.runs.lock().unwrap().push(id.to_owned());
         let written = self.generate(request, &own, writer);
         self.running.fetch_sub(1, Ordering::SeqCst);
         written
@@ -155,6 +148,14 @@
     }
 }
 
+/// Writes to the record what the servers ran.
+pub fn record_runs(servers: &[Arc<Server>], record: &Record) {
+    for server in servers {
+        let runs = server.runs.lock().unwrap();
+        record.write(&format!("server {} ran {} requests: {}", server.id, runs.len(), runs.join(" ")));
+    }
+}
+
 /// Returns whether the caller has closed the connection.
 fn is_closed(stream: &TcpStream) -> bool {
     let _ = stream.set_nonblocking(true);
