--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -o target/review-2/review-2 review/second/main.rs
+rustc --edition 2021 -O -o target/review-2/review-2 review/second.rs
--- a/review/second/main.rs
+++ b/review/second.rs
@@ -3,18 +3,31 @@
 //! `review-2 CASE FOLDER` exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run. With
 //! `TROUBLE=0` the disruption is left out.
 
+#[path = "second_costly_job.rs"]
 mod costly_job;
+#[path = "second_fleet.rs"]
 mod fleet;
+#[path = "second_http.rs"]
 mod http;
+#[path = "second_json.rs"]
 mod json;
+#[path = "second_kept_jobs.rs"]
 mod kept_jobs;
+#[path = "second_links.rs"]
 mod links;
+#[path = "second_machine.rs"]
 mod machine;
+#[path = "second_old_jobs.rs"]
 mod old_jobs;
+#[path = "second_removed_route.rs"]
 mod removed_route;
+#[path = "second_server.rs"]
 mod server;
+#[path = "second_short_list.rs"]
 mod short_list;
+#[path = "second_store.rs"]
 mod store;
+#[path = "second_wire.rs"]
 mod wire;
 
 use std::{path::PathBuf, process::exit, thread, time::Duration};
