Log method, host and path of refused requests

A refused read of a batch job logged reason request_malformed, detail attempt-id and an empty request id: neither that it was a read nor which job it was about. Whether a call was taken for one about a job, or for a request to a route, could not be told from whether the job, the key or the route was missing. The line has the method, the host and the path now, without the query.

--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -113,7 +113,7 @@
         Ok(caller) => caller,
         Err(refused) => return refusal(names, &refused, ""),
     };
-    let id = caller.id.clone();
+    let (id, host) = (caller.id.clone(), caller.host.clone());
     let mut logger = DisconnectLogger::new(&id, arrived);
     let result = handle_request(state, caller, &parts, body).await;
     logger.responded = true;
@@ -122,6 +122,9 @@
         let fetches = &state.fetches;
         info!(
             request = id.as_str(),
+            method = parts.method.as_str(),
+            host = host.as_str(),
+            path = parts.uri.path(),
             reason = refused.reason.name(),
             outcome = refused.state.name(),
             detail = refused.detail.as_str(),
