--- a/boragerill/src/catalog.rs
+++ b/boragerill/src/catalog.rs
@@ -257,14 +257,6 @@
             .max_by_key(|route| route.prefix.len())
     }
 
-    /// Returns whether `host` has any route.
-    pub fn has_host(&self, host: &str) -> bool {
-        let found = self
-            .routes
-            .binary_search_by(|route| route.host.as_str().cmp(host));
-        found.is_ok()
-    }
-
     /// Returns the service with the given name.
     pub fn find_service(&self, name: &str) -> Option<&CatalogService> {
         let found = self
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -177,8 +177,9 @@
         let detail = "no configuration received yet";
         RefusalResponse::not_run(RefusalReason::ConfigMissing, detail).retry_after(CONFIG_RETRY)
     })?;
+    // A job outlives its route, so the routes in force don't decide whether a call is about one.
     let operation = (state.format.classify)(parts);
-    if operation != CallerOperation::Request && catalog.has_host(&caller.host) {
+    if operation != CallerOperation::Request {
         let workspace = authenticate(state, &catalog, &caller)?;
         return jobs::serve_call(state, &caller, operation, &workspace.name).await;
     }
