Acknowledge repeated submissions of a job whose route was removed

What callers saw: a batch job that was handed in again, since its 202 was lost, got 404 (route_unknown) at every VM once its route was removed from the configuration, though it had been accepted and run.

A submission was checked against the routes in force before anything asked whether its job exists.

Change: a POST for which there is no route, with a valid key, no stated prompt and a body of items, is looked up by its id at the VM, then in the store. It gets 202 if the job is of the workspace and has the same content, 409 for other content, 404 if there is no such job, and 502 if the store can't be read: a 503 would promise that nothing of the job runs. All else is refused as before, and at once. The comparison moved from jobs.rs to resubmission.rs, for both cases.

Why it works: the manifest in the store is written before the 202 and outlives the route. No new job is accepted without a route: nothing is stored on this path.

--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -67,6 +67,10 @@
         refusal,
         CallerResponse, //
     },
+    resubmission::{
+        confirm_without_route,
+        find_submitter, //
+    },
     state::{
         workspace_rate,
         FleetState, //
@@ -202,7 +206,12 @@
             field,
         ));
     }
-    authorize(state, &catalog, &caller)?;
+    if let Err(refused) = authorize(state, &catalog, &caller) {
+        // The body shows whether it is the submission of a job that was accepted while there was a route.
+        if find_submitter(state, &catalog, &caller).is_none() {
+            return Err(refused);
+        }
+    }
     let body = read_body(&catalog, &state.caller_bytes, parts, body).await?;
     if let Some(timer) = parts.extensions.get::<Arc<HeadTimer>>() {
         timer.end_body();
@@ -210,11 +219,16 @@
     // The body may be complete long after the head.
     let known = catalog.version();
     let catalog = state.catalog.load().unwrap_or(catalog);
-    let authorized = authorize(state, &catalog, &caller);
-    let (route, workspace) = authorized.map_err(|refused| match catalog.version() == known {
-        true => refused,
-        false => refuse_withdrawn(&refused, catalog.version()),
-    })?;
+    let (route, workspace) = match authorize(state, &catalog, &caller) {
+        Ok(authorized) => authorized,
+        Err(refused) => {
+            let refused = match catalog.version() == known {
+                true => refused,
+                false => refuse_withdrawn(&refused, catalog.version()),
+            };
+            return confirm_without_route(state, &catalog, &caller, &body, refused).await;
+        }
+    };
     if let RouteKind::Batch(terms) = &route.kind {
         let name = workspace.map_or("", |workspace| workspace.name.as_str());
         return jobs::submit(state, &caller, (route.as_ref(), terms), name, body).await;
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -74,9 +74,12 @@
     byte_budget::ByteReservation,
     caller::CallerRequest,
     job_reads,
-    job_watch,
     request_body::refuse_shed,
-    response::local_response,
+    response::{
+        local_response,
+        CallerResponse, //
+    },
+    resubmission::confirm_stored,
     state::{
         wall_ms,
         FleetState, //
@@ -113,7 +116,7 @@
 const BACKLOG_RETRY: Duration = Duration::from_millis(1500);
 
 /// Longest time for which a write of a submission is retried, and for which a client waits for a cancellation.
-const SUBMIT_LIMIT: Duration = Duration::from_millis(3000);
+pub(crate) const SUBMIT_LIMIT: Duration = Duration::from_millis(3000);
 
 /// Longest time for which a write of a cancellation is retried. Longer than its caller waits, since the job has stopped.
 const CANCEL_LIMIT: Duration = Duration::from_secs(30);
@@ -380,7 +383,7 @@
         parts: 0,
         input: format_compact!("{}.{:08x}", caller.id, rand::random::<u32>()),
         submitted_ms: wall_ms(),
-        digest: hash_name(&String::from_utf8_lossy(&body)),
+        digest: submission_digest(&body),
     };
     let job = SubmittedJob {
         id: caller.id.as_str().into(),
@@ -398,6 +401,11 @@
     })
 }
 
+/// Returns the digest by which submissions with the same id are compared.
+pub(crate) fn submission_digest(body: &Bytes) -> u64 {
+    hash_name(&String::from_utf8_lossy(body))
+}
+
 /// A job that passed the checks of its submission.
 struct SubmittedJob {
     id: JobId,
@@ -433,7 +441,7 @@
     let value = serde_json::to_value(&manifest).unwrap_or_default();
     match create_object(&state, JOB_KIND, &id, &value, until).await {
         Ok(_) => {}
-        Err(ServeError::Conflict(..)) => return confirm_existing(&state, &id, &manifest).await,
+        Err(ServeError::Conflict(..)) => return confirm_stored(&state, &id, &manifest).await,
         Err(error) if error.is_ambiguous() => {
             return Err(RefusalResponse::unknown(
                 RefusalReason::JobUnsettled,
@@ -458,21 +466,6 @@
     Ok(accepted(&id))
 }
 
-/// Acknowledges the submission of a job whose manifest exists already if both have the same content.
-async fn confirm_existing(state: &FleetState, id: &str, manifest: &JobManifest) -> CallerResult {
-    let known = state.platform.get(JOB_KIND, id).await;
-    let known = known.map_err(|error| {
-        RefusalResponse::unknown(RefusalReason::JobUnsettled, error.to_string())
-    })?;
-    let known: JobManifest = serde_json::from_value(known.spec).unwrap_or_default();
-    if known.workspace != manifest.workspace || known.digest != manifest.digest {
-        let detail = "a job with this id and different content exists";
-        return Err(RefusalResponse::not_run(RefusalReason::JobConflict, detail));
-    }
-    job_watch::record_manifest(state, id, &known);
-    Ok(accepted(id))
-}
-
 /// Creates an object, with retries until a deadline, and returns its revision. Lost responses do no harm, since an existing object of that
 /// name has the same content or is reported as a conflict.
 ///
@@ -520,7 +513,8 @@
         .retry_after(STORE_RETRY)
 }
 
-fn accepted(id: &str) -> crate::response::CallerResponse {
+/// Makes the response to the submission of an accepted job.
+pub(crate) fn accepted(id: &str) -> CallerResponse {
     local_response(
         202,
         "application/json",
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -38,6 +38,7 @@
 mod request_body;
 mod response;
 mod response_end;
+mod resubmission;
 mod retirement;
 mod server_limits;
 mod server_load;
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -126,6 +126,8 @@
     pub kinds: ObjectKinds,
     /// Classifies a caller's request by method and path.
     pub classify: fn(&Parts) -> CallerOperation,
+    /// Returns whether a body is a submission, without decoding its items.
+    pub is_submission: fn(&[u8]) -> bool,
     /// Decodes the items of a submission.
     pub decode_items: fn(&[u8]) -> Result<Vec<JobItem>, CompactString>,
     /// Encodes a page of results.
