Find a repeated job of the own interface whose route was removed

What callers saw: PUT /v1/batches/NAME for a job that had been accepted got 404 (route_unknown) when it was repeated after the service's route was removed.

Evidence: batch::resubmitted_job_is_found_without_its_route fails without this change: 404 for the same content and for other content, at both VMs.

Why it works: the job's object is the acceptance. With one of the same service and path the submission goes on as before and compares the content. If the platform doesn't say whether there is one, the response doesn't claim that nothing runs.

--- a/entry/src/batches.rs
+++ b/entry/src/batches.rs
@@ -15,7 +15,8 @@
     },
     refusal::{
         RefusalReason,
-        RefusalResponse, //
+        RefusalResponse,
+        RunState, //
     },
     submit::{
         read_progress,
@@ -135,9 +136,16 @@
     data: Data<'_>,
 ) -> HandlerResult {
     let identity = identify_caller(state, caller)?;
-    check_target(state, &identity, service, path)?;
+    let job = job_name(&identity, name);
+    if let Err(refused) = check_target(state, &identity, service, path) {
+        // A job outlives its route, and its submission may be repeated.
+        let is_routeless = refused.reason == RefusalReason::RouteUnknown;
+        if !is_routeless || !has_job(&state.platform, &job, (service, path)).await? {
+            return Err(refused);
+        }
+    }
     let request = JobRequest {
-        name: job_name(&identity, name),
+        name: job,
         workspace: identity.workspace.name.clone(),
         service: service.into(),
         path: path.into(),
@@ -180,6 +188,26 @@
     check_workspace_access(record, &identity.workspace.name)
 }
 
+/// Returns whether a job with this name and target exists.
+///
+/// # Errors
+///
+/// Returns a refusal without a statement on whether the job runs if the platform doesn't say.
+async fn has_job(
+    platform: &PlatformClient,
+    name: &str,
+    target: (&str, &str),
+) -> Result<bool, RefusalResponse> {
+    match find_job(platform, name).await {
+        Ok((_, spec)) => Ok((spec.service.as_str(), spec.path.as_str()) == target),
+        Err(refused) if refused.reason == RefusalReason::RouteUnknown => Ok(false),
+        Err(refused) => Err(RefusalResponse {
+            state: RunState::Unknown,
+            ..refused
+        }),
+    }
+}
+
 async fn read_status(state: &EntryState, caller: &CallerRequest, name: &str) -> HandlerResult {
     let identity = identify_caller(state, caller)?;
     let name = job_name(&identity, name);
--- a/standins/tests/batch.rs
+++ b/standins/tests/batch.rs
@@ -2,9 +2,15 @@
 
 mod system;
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    sync::atomic::{
+        AtomicU32,
+        Ordering, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use futures_util::StreamExt;
@@ -151,6 +157,45 @@
     assert_eq!(count(&outcomes, "answer"), 3000);
 }
 
+// Guards against a job that looks lost: its submission was refused with 404 when it was repeated after its route was removed.
+#[tokio::test]
+async fn resubmitted_job_is_found_without_its_route() {
+    // Arrange.
+    let fleet = SystemFleet::start("batch-routeless", 2).await;
+    let target = ("order-desk", "/stock");
+    let first = submit(&fleet, 0, "night", target, chat_items(3, 1)).await;
+    eventually(JOB_LIMIT, "job complete", || async {
+        state(&fleet, 1, "night").await == "complete"
+    })
+    .await;
+
+    // Act.
+    let mut service = fleet.object("service", "order-desk").await["spec"].take();
+    let routes = service["routes"].as_array_mut().expect("routes");
+    routes.retain(|route| route["path"] != "/stock");
+    fleet.declare("service", "order-desk", &service).await;
+    let probes = AtomicU32::new(0);
+    let mut statuses = Vec::new();
+    for vm in 0..2 {
+        eventually(JOB_LIMIT, "route removed", || async {
+            // A job of its own each time: one that was accepted before would be found.
+            let name = format!("probe-{}", probes.fetch_add(1, Ordering::Relaxed));
+            submit(&fleet, vm, &name, target, chat_items(1, 1)).await.0 == 404
+        })
+        .await;
+        let resubmitted = submit(&fleet, vm, "night", target, chat_items(3, 1)).await;
+        let different = submit(&fleet, vm, "night", target, chat_items(4, 1)).await;
+        let gone = ("order-desk", "/gone");
+        let elsewhere = submit(&fleet, vm, "night", gone, chat_items(3, 1)).await;
+        statuses.push([resubmitted.0, different.0, elsewhere.0]);
+    }
+
+    // Assert.
+    assert_eq!(first.0, 201);
+    assert_eq!(statuses, [[200, 409, 404]; 2]);
+    assert_complete(&outcomes(&fleet, 0, "night").await, 3);
+}
+
 #[tokio::test]
 async fn resubmitted_job_is_found_and_different_content_is_rejected() {
     // Arrange.
