Break off responses without a length whose server doesn't take the request

Cause: the end of a connection counted as the end of such a response if the server's process outlived it. The kernel ends the server's side first and resets the connection when the rest of the upload arrives; the VM saw the end, and nobody looked at the upload. A reset without such an end was seen before, too.

Marked ends are unaffected.

Why it works: a server that hasn't taken the request can't have answered it in full unless the response has a length, and its reset or the failed write is seen on the connection itself.

Toward callers all responses have a length or chunks.

--- a/boragerill/src/response_end.rs
+++ b/boragerill/src/response_end.rs
@@ -1,7 +1,8 @@
 //! Decides whether the end of a response's body is the end of the response.
 //!
 //! A response without length or chunks ends with its connection. The kernel ends the connections of a process that is
-//! killed in the same way, so such an end counts only if the server's process has outlived it.
+//! killed in the same way, so such an end counts only if the server's process has outlived it. A connection that is reset,
+//! or whose server has not taken the whole request, marks no end either.
 
 /// What marks the end of a response's body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,9 +28,22 @@
     Unknown,
 }
 
+/// How a connection ended whose server had ended its side.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectionEnd {
+    /// The request was written to its end, and the server didn't reset the connection.
+    Regular,
+    /// The server reset the connection.
+    Reset,
+    /// The request wasn't written to its end in time, since the server doesn't read it.
+    Unfinished,
+}
+
 /// Why the end of a response isn't accepted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndFault {
+    /// The server reset the connection, or ended it before it had taken the whole request.
+    ConnectionReset,
     /// The process that sent the response is gone.
     ProcessGone,
     /// Nothing shows whether it is gone.
@@ -52,6 +66,8 @@
 pub struct ResponseEnd {
     /// What marks it.
     pub framing: BodyFraming,
+    /// How its connection ended, once known.
+    pub connection: Option<ConnectionEnd>,
     /// State of the server's process after it, once known.
     pub process: Option<ProcessState>,
     /// Whether the request may run again, here or when its caller sends it again, which shows whether the response was
@@ -62,14 +78,22 @@
 impl ResponseEnd {
     /// Decides whether the response is complete.
     pub fn decide(&self) -> EndVerdict {
-        match (self.framing, self.process) {
-            (BodyFraming::Marked, _) | (_, Some(ProcessState::Running)) => EndVerdict::Complete,
-            (_, None) => EndVerdict::Undecided,
-            (_, Some(ProcessState::Listening)) if !self.may_run_again => EndVerdict::Complete,
-            (_, Some(ProcessState::Gone | ProcessState::Replaced)) => {
+        match (self.framing, self.connection) {
+            (BodyFraming::Marked, _) => return EndVerdict::Complete,
+            (_, None) => return EndVerdict::Undecided,
+            (_, Some(ConnectionEnd::Reset | ConnectionEnd::Unfinished)) => {
+                return EndVerdict::BrokenOff(EndFault::ConnectionReset);
+            }
+            (_, Some(ConnectionEnd::Regular)) => {}
+        }
+        match self.process {
+            Some(ProcessState::Running) => EndVerdict::Complete,
+            None => EndVerdict::Undecided,
+            Some(ProcessState::Listening) if !self.may_run_again => EndVerdict::Complete,
+            Some(ProcessState::Gone | ProcessState::Replaced) => {
                 EndVerdict::BrokenOff(EndFault::ProcessGone)
             }
-            (_, Some(ProcessState::Listening | ProcessState::Unknown)) => {
+            Some(ProcessState::Listening | ProcessState::Unknown) => {
                 EndVerdict::BrokenOff(EndFault::ProcessUnknown)
             }
         }
@@ -99,10 +123,24 @@
     }
 }
 
+impl ConnectionEnd {
+    /// Returns the name used in logs and as a metric label.
+    pub fn name(self) -> &'static str {
+        match self {
+            ConnectionEnd::Regular => "regular",
+            ConnectionEnd::Reset => "reset",
+            ConnectionEnd::Unfinished => "unfinished",
+        }
+    }
+}
+
 impl EndFault {
     /// Returns the cause as text for logs.
     pub fn text(self) -> &'static str {
         match self {
+            EndFault::ConnectionReset => {
+                "response ended with its connection before the server had taken the whole request"
+            }
             EndFault::ProcessGone => "response ended with its server's process",
             EndFault::ProcessUnknown => {
                 "response ended with its connection, whose server may be gone"
--- a/boragerill/tests/response_end.rs
+++ b/boragerill/tests/response_end.rs
@@ -2,6 +2,7 @@
 
 use boragerill::response_end::{
     BodyFraming,
+    ConnectionEnd,
     EndFault,
     EndVerdict,
     ProcessState,
@@ -12,6 +13,7 @@
 fn end_by_connection(process: ProcessState, may_run_again: bool) -> EndVerdict {
     let end = ResponseEnd {
         framing: BodyFraming::Connection,
+        connection: Some(ConnectionEnd::Regular),
         process: Some(process),
         may_run_again,
     };
@@ -74,7 +76,7 @@
     #[test]
     fn marked_ends_need_no_check(may_run_again: bool) {
         // arrange
-        let end = ResponseEnd { framing: BodyFraming::Marked, process: None, may_run_again };
+        let end = ResponseEnd { framing: BodyFraming::Marked, connection: None, process: None, may_run_again };
 
         // act
         let verdict = end.decide();
@@ -91,6 +93,7 @@
         // arrange
         let end = ResponseEnd {
             framing: BodyFraming::Connection,
+            connection: Some(ConnectionEnd::Regular),
             process: None,
             may_run_again,
         };
@@ -103,6 +106,38 @@
     }
 }
 
+/// Guards against MIXED: a part of a response whose server resets the connection, or never reads the whole request, is taken
+/// for the whole since the server's process goes on.
+#[test]
+fn response_to_a_request_that_was_not_taken_is_not_complete() {
+    for (connection, may_run_again) in [
+        (ConnectionEnd::Reset, false),
+        (ConnectionEnd::Reset, true),
+        (ConnectionEnd::Unfinished, false),
+        (ConnectionEnd::Unfinished, true),
+    ] {
+        for process in [
+            None,
+            Some(ProcessState::Running),
+            Some(ProcessState::Listening),
+        ] {
+            // arrange
+            let end = ResponseEnd {
+                framing: BodyFraming::Connection,
+                connection: Some(connection),
+                process,
+                may_run_again,
+            };
+
+            // act
+            let verdict = end.decide();
+
+            // assert
+            assert_eq!(verdict, EndVerdict::BrokenOff(EndFault::ConnectionReset));
+        }
+    }
+}
+
 /// Guards against a log that can't tell a crash from a server that is cut off.
 #[test]
 fn a_refused_connection_is_told_from_silence() {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -43,6 +43,7 @@
 mod server_limits;
 mod server_load;
 mod server_selection;
+mod server_stream;
 mod state;
 mod state_fetch;
 mod store_watch;
--- a/fleet/src/pool.rs
+++ b/fleet/src/pool.rs
@@ -4,7 +4,10 @@
     collections::VecDeque,
     io::ErrorKind,
     net::SocketAddr,
-    sync::Mutex,
+    sync::{
+        atomic::Ordering,
+        Mutex, //
+    },
     time::{
         Duration,
         Instant, //
@@ -17,6 +20,7 @@
         Step, //
     },
     rank::hash_name,
+    response_end::ConnectionEnd,
     sync::lock, //
 };
 use bytes::Bytes;
@@ -33,10 +37,16 @@
 };
 use tokio::{
     net::TcpStream,
+    sync::oneshot,
     task::AbortHandle,
     time::timeout, //
 };
 
+use crate::server_stream::{
+    ResponseFlag,
+    ServerStream, //
+};
+
 /// Time limit for opening a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 
@@ -65,11 +75,16 @@
 /// Most bytes of a response that are buffered before its caller takes them, and largest head of a response.
 const BUFFER_BYTES: usize = 64 * 1024;
 
+/// Time within which a connection whose server has ended its side ends, unless the request isn't written to its end.
+const END_TIME: Duration = Duration::from_millis(50);
+
 /// An open connection. Dropping it closes the connection at once, even while a request is running.
 #[derive(Debug)]
 pub(crate) struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    ended: oneshot::Receiver<ConnectionEnd>,
+    expects_response: ResponseFlag,
     idle_limit: Duration,
     requests: VecDeque<u64>, // Hashes of the ids of the last requests that may have run, in the order of sending.
 }
@@ -97,13 +112,25 @@
         set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT).map_err(|error| unreachable(&error))?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES);
+        let expects_response = ResponseFlag::default();
+        let stream = ServerStream::new(stream, expects_response.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| unreachable(&error))?;
-        // Errors are reported to the request that uses the connection.
-        let task = tokio::spawn(async move { drop(connection.await) });
+        let (end, ended) = oneshot::channel();
+        let task = tokio::spawn(async move {
+            // Errors before the end of a response are reported to the request that uses the connection.
+            let seen = match connection.await {
+                Ok(()) => ConnectionEnd::Regular,
+                Err(_) => ConnectionEnd::Reset,
+            };
+            // The receiver is gone if nobody uses the connection any more.
+            let _ = end.send(seen);
+        });
         Ok(BackendConnection {
             sender,
             task: task.abort_handle(),
+            ended,
+            expects_response,
             idle_limit: MAX_IDLE_LIMIT,
             requests: VecDeque::new(),
         })
@@ -116,6 +143,7 @@
 
     /// Records that a request is sent.
     pub(crate) fn record_request(&mut self, id: &str) {
+        self.expects_response.store(true, Ordering::Relaxed);
         if self.requests.len() >= MAX_LATE_REQUESTS {
             self.requests.pop_front();
         }
@@ -127,6 +155,15 @@
         self.requests.pop_back();
     }
 
+    /// Returns how the connection ended after its server has ended its side. To be called once.
+    pub(crate) async fn wait_end(&mut self) -> ConnectionEnd {
+        match timeout(END_TIME, &mut self.ended).await {
+            Ok(Ok(end)) => end,
+            // The request isn't written to its end, or this process ends.
+            Ok(Err(_)) | Err(_) => ConnectionEnd::Unfinished,
+        }
+    }
+
     /// Returns whether the server has left the connection open.
     pub(crate) fn is_open(&self) -> bool {
         !self.sender.is_closed()
@@ -204,6 +241,7 @@
 
     /// Adds a connection whose last response was read completely; closes the oldest one if the pool is full.
     pub(crate) fn put(&self, connection: BackendConnection, now: Instant) {
+        connection.expects_response.store(false, Ordering::Relaxed);
         let mut idle = lock(&self.idle);
         if idle.len() >= MAX_IDLE_CONNECTIONS {
             idle.remove(0);
--- a/fleet/src/response_end.rs
+++ b/fleet/src/response_end.rs
@@ -156,21 +156,32 @@
 ) -> Result<Option<ProcessState>, CompactString> {
     let mut end = ResponseEnd {
         framing: response.framing,
+        connection: None,
         process: None,
         may_run_again: request.repeatable,
     };
     let mut verdict = end.decide();
     if verdict == EndVerdict::Undecided {
         let asked = Instant::now();
-        let process = find_process_state(response).await;
-        end.process = Some(process);
+        let connection = response.connection.wait_end().await;
+        end.connection = Some(connection);
+        if end.decide() == EndVerdict::Undecided {
+            end.process = Some(find_process_state(response).await);
+        }
         verdict = end.decide();
-        counter!("connection_ends_total", "process" => process.name(), "verdict" => verdict.name())
-            .increment(1);
+        let process = end.process.map(ProcessState::name);
+        counter!(
+            "connection_ends_total",
+            "connection" => connection.name(),
+            "process" => process.unwrap_or_default(),
+            "verdict" => verdict.name()
+        )
+        .increment(1);
         info!(
             request = request.id.as_str(),
             server = response.server.server.id.as_str(),
-            process = process.name(),
+            connection = connection.name(),
+            process,
             verdict = verdict.name(),
             may_run_again = end.may_run_again,
             check_ms = millis(asked.elapsed());
--- a/standins/src/standard_server.rs
+++ b/standins/src/standard_server.rs
@@ -30,6 +30,7 @@
             OwnedWriteHalf, //
         },
         TcpListener,
+        TcpSocket,
         TcpStream, //
     },
     sync::watch,
@@ -41,6 +42,22 @@
 /// Value of the `Server-Signature` header in every response.
 pub const SIGNATURE: &str = "3e1b.07.5a2";
 
+/// Receive buffer of a server that leaves bodies unread, so that a long one can't be sent to its end.
+const SMALL_BUFFER_BYTES: u32 = 16 * 1024;
+
+/// Segments of its connections. The kernel gives the other end a send buffer of some of them.
+const SMALL_SEGMENT_BYTES: u32 = 536;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 128;
+
+/// How much of a request a server reads before it responds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RequestReading {
+    Whole,
+    HeadOnly,
+}
+
 /// A request as the server received it.
 #[derive(Clone, Debug, Default)]
 pub struct ReceivedRequest {
@@ -103,6 +120,7 @@
     aborted_responses: Arc<Mutex<u32>>, // Connections that the caller closed during a response.
     endless: Arc<AtomicU64>,            // Bytes written by endless steps.
     connections: Arc<AtomicU64>,        // Number of connections that were accepted.
+    reading: RequestReading,
     script: Arc<Mutex<ResponseScript>>,
     crash: watch::Sender<Option<Duration>>, // Downtime of the last crash.
     stop: watch::Sender<()>,                // Signals that the listener has to be closed for good.
@@ -118,16 +136,31 @@
     pub async fn start(
         script: impl Fn(&ReceivedRequest) -> Vec<ResponseStep> + Send + Sync + 'static,
     ) -> StandardServer {
+        StandardServer::start_reading(RequestReading::Whole, Arc::new(script))
+    }
+
+    /// Starts a server that responds as soon as it has a request's head, and never reads the body.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no port can be bound.
+    pub async fn start_early(
+        script: impl Fn(&ReceivedRequest) -> Vec<ResponseStep> + Send + Sync + 'static,
+    ) -> StandardServer {
+        StandardServer::start_reading(RequestReading::HeadOnly, Arc::new(script))
+    }
+
+    fn start_reading(reading: RequestReading, script: ResponseScript) -> StandardServer {
         // Not an ephemeral port: another process could take it while the server is down.
         let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
-        let listener = TcpListener::bind(address).await.expect("free port");
-        let script: ResponseScript = Arc::new(script);
+        let listener = listen(address, reading);
         let server = StandardServer {
             address,
             received: Arc::default(),
             aborted_responses: Arc::default(),
             endless: Arc::default(),
             connections: Arc::default(),
+            reading,
             script: Arc::new(Mutex::new(script)),
             crash: watch::Sender::new(None),
             stop: watch::Sender::new(()),
@@ -159,7 +192,7 @@
                     drop(listener);
                     self.down.send_replace(());
                     sleep(downtime).await;
-                    listener = TcpListener::bind(self.address).await.expect("same port");
+                    listener = listen(self.address, self.reading);
                     crash.mark_unchanged();
                 }
             }
@@ -203,7 +236,7 @@
         let (reader, mut writer) = stream.into_split();
         let mut reader = BufReader::new(reader);
         let connection = self.connections.fetch_add(1, Ordering::Relaxed);
-        while let Some(request) = read_request(&mut reader).await {
+        while let Some(request) = read_request(&mut reader, self.reading).await {
             let request = ReceivedRequest {
                 connection,
                 ..request
@@ -213,7 +246,8 @@
             let steps = script(&request);
             let end = tokio::select! {
                 end = self.respond(&mut writer, &request, steps) => end,
-                _ = reader.fill_buf() => {
+                // Bytes of an unread body don't show that the caller has left.
+                _ = reader.fill_buf(), if self.reading == RequestReading::Whole => {
                     *lock(&self.aborted_responses) += 1;
                     ResponseEnd::Close
                 }
@@ -278,8 +312,26 @@
     }
 }
 
+/// Binds a listener.
+fn listen(address: SocketAddr, reading: RequestReading) -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket.set_reuseaddr(true).expect("open socket");
+    if reading == RequestReading::HeadOnly {
+        // Connections take both over from their listener.
+        let sized = socket.set_recv_buffer_size(SMALL_BUFFER_BYTES);
+        sized.expect("open socket");
+        let sized = SockRef::from(&socket).set_tcp_mss(SMALL_SEGMENT_BYTES);
+        sized.expect("open socket");
+    }
+    socket.bind(address).expect("free port");
+    socket.listen(BACKLOG).expect("bound socket")
+}
+
 /// Reads a request; returns `None` when the connection ends.
-async fn read_request(reader: &mut BufReader<OwnedReadHalf>) -> Option<ReceivedRequest> {
+async fn read_request(
+    reader: &mut BufReader<OwnedReadHalf>,
+    reading: RequestReading,
+) -> Option<ReceivedRequest> {
     let mut request = ReceivedRequest::default();
     let mut line = String::new();
     loop {
@@ -296,6 +348,9 @@
             None => request.line = text.trim_end_matches(" HTTP/1.1").to_owned(),
         }
     }
+    if reading == RequestReading::HeadOnly {
+        return Some(request);
+    }
     let length = request.header("content-length");
     let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
     request.body = vec![0; length];
