Own interface: long requests need responses with a marked end

Callers of the entry process got the part as the whole response; an item whose part is valid JSON was completed with it.

The HTTP client of these programs shows the end of a connection only, not the reset that follows.

Change: a success with neither a length nor chunks to a request of more than 16 kB is a failed attempt. Responses with either, short requests and error responses are as before. BodyFraming::of moved to the library, for all three.

Why it works: up to that length the connection takes the whole request whether the server reads it or not, so the end doesn't come in the middle of an upload.

The stand-in can end its side before it closes; early_responses has that case.

--- a/batch/src/item.rs
+++ b/batch/src/item.rs
@@ -24,6 +24,7 @@
     generated::messages::LoadReport,
     headroom::HeadroomTable, //
     platform::root_cause,
+    response_end::BodyFraming,
     snapshot::{
         ServiceRecord,
         Snapshot, //
@@ -294,14 +295,21 @@
             .header("x-request-id", request_id.as_str());
         let request = request
             .header("x-boragerill-workspace", target.workspace.as_str())
-            .json(&item.body);
-        let sent = request.send().await;
+            .header("content-type", "application/json");
+        let body = serde_json::to_vec(&item.body).unwrap_or_default();
+        let request_bytes = body.len();
+        let sent = request.body(body).send().await;
         let response = sent.map_err(|error| AttemptFailure {
             sent: !error.is_connect(),
             cause: root_cause(&error),
         })?;
         let failed = |cause: CompactString| AttemptFailure { sent: true, cause };
         let status = response.status();
+        let framing = BodyFraming::of(response.headers(), response.content_length() == Some(0));
+        if status.is_success() && framing.may_be_partial(request_bytes) {
+            let cause = "answer without a length to a request that the server may not have read";
+            return Err(failed(cause.into()));
+        }
         let body = response
             .bytes()
             .await
--- a/boragerill/src/response_end.rs
+++ b/boragerill/src/response_end.rs
@@ -4,6 +4,15 @@
 //! killed in the same way, so such an end counts only if the server's process has outlived it. A connection that is reset,
 //! or whose server has not taken the whole request, marks no end either.
 
+use reqwest::header::{
+    HeaderMap,
+    CONTENT_LENGTH,
+    TRANSFER_ENCODING, //
+};
+
+/// Length of a request up to which a connection takes it whole, whether the server reads it or not.
+const SHORT_REQUEST_BYTES: usize = 16 * 1024;
+
 /// What marks the end of a response's body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyFraming {
@@ -101,6 +110,25 @@
 }
 
 impl BodyFraming {
+    /// Returns what marks the end of a response's body.
+    pub fn of(headers: &HeaderMap, is_without_body: bool) -> BodyFraming {
+        let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+        let is_chunked = encodings.next_back().is_some_and(|value| {
+            let last = value.to_str().unwrap_or_default().rsplit(',').next();
+            last.is_some_and(|name| name.trim().eq_ignore_ascii_case("chunked"))
+        });
+        match is_chunked || is_without_body || headers.contains_key(CONTENT_LENGTH) {
+            true => BodyFraming::Marked,
+            false => BodyFraming::Connection,
+        }
+    }
+
+    /// Returns whether a response that has ended may be a part of one, whose server closed the connection before it had
+    /// read a request of some length. For clients that see nothing of a connection but its end.
+    pub fn may_be_partial(self, request_bytes: usize) -> bool {
+        self == BodyFraming::Connection && request_bytes > SHORT_REQUEST_BYTES
+    }
+
     /// Returns the name used in logs.
     pub fn name(self) -> &'static str {
         match self {
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -27,7 +27,10 @@
 };
 use http_body_util::Full;
 use hyper::{
-    body::Incoming,
+    body::{
+        Body,
+        Incoming, //
+    },
     header::{
         HeaderMap,
         HeaderValue,
@@ -56,10 +59,7 @@
         LostRequest, //
     },
     pool::BackendConnection,
-    response_end::{
-        body_framing,
-        EndWitness, //
-    },
+    response_end::EndWitness,
     server_limits::SendPermit,
     server_load::RequestCost,
     state::FleetState,
@@ -231,8 +231,8 @@
     let now = Instant::now();
     match result {
         Ok((response, connection)) => {
-            let framing = body_framing(&response);
             let (head, body) = response.into_parts();
+            let framing = BodyFraming::of(&head.headers, body.is_end_stream());
             let response = ServerResponse {
                 head,
                 body,
--- a/fleet/src/response_end.rs
+++ b/fleet/src/response_end.rs
@@ -11,7 +11,6 @@
 use boragerill::{
     error::ServeError,
     response_end::{
-        BodyFraming,
         EndVerdict,
         ProcessState,
         ResponseEnd, //
@@ -19,17 +18,6 @@
     timer::millis, //
 };
 use compact_str::CompactString;
-use hyper::{
-    body::{
-        Body,
-        Incoming, //
-    },
-    header::{
-        CONTENT_LENGTH,
-        TRANSFER_ENCODING, //
-    },
-    Response, //
-};
 use log::info;
 use metrics::counter;
 use tokio::{
@@ -130,21 +118,6 @@
     }
 }
 
-/// Returns what marks the end of a response's body, of which nothing has been read.
-pub(crate) fn body_framing(response: &Response<Incoming>) -> BodyFraming {
-    let headers = response.headers();
-    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
-    let is_chunked = encodings.next_back().is_some_and(|value| {
-        let last = value.to_str().unwrap_or_default().rsplit(',').next();
-        last.is_some_and(|name| name.trim().eq_ignore_ascii_case("chunked"))
-    });
-    let is_without_body = response.body().is_end_stream();
-    match is_chunked || is_without_body || headers.contains_key(CONTENT_LENGTH) {
-        true => BodyFraming::Marked,
-        false => BodyFraming::Connection,
-    }
-}
-
 /// Checks whether a response whose body has ended is complete. Returns the state of the server's process if it was needed.
 ///
 /// # Errors
--- a/standins/src/standard_server.rs
+++ b/standins/src/standard_server.rs
@@ -89,6 +89,8 @@
     Wait(Duration),
     /// Writes a text repeatedly until the caller closes the connection.
     Endless(String),
+    /// Ends this side of the connection.
+    EndSide,
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -289,6 +291,10 @@
                 ResponseStep::StopListening => {
                     self.stop.send_replace(());
                 }
+                ResponseStep::EndSide => {
+                    // An error means that the caller has left.
+                    let _ = writer.shutdown().await;
+                }
                 ResponseStep::Close => return ResponseEnd::Close,
                 ResponseStep::Reset => {
                     let socket = SockRef::from(writer.as_ref());
--- a/standins/tests/batch.rs
+++ b/standins/tests/batch.rs
@@ -18,6 +18,10 @@
     json,
     Value, //
 };
+use standins::standard_server::{
+    ResponseStep,
+    StandardServer, //
+};
 use system::{
     eventually,
     pause,
@@ -29,6 +33,12 @@
 /// Maximum time until a job of these tests is complete, faults included.
 const JOB_LIMIT: Duration = Duration::from_secs(60);
 
+/// Number of items whose server responds early.
+const EARLY_ITEMS: usize = 5;
+
+/// Time after the end of its side at which a server closes a connection with unread bytes, which resets it.
+const RESET_DELAY: Duration = Duration::from_millis(5);
+
 /// Returns the items of a job, one per line: chat completions of the given number of tokens.
 fn chat_items(count: usize, tokens: u64) -> String {
     let line = |index| {
@@ -463,3 +473,46 @@
     assert_complete(&outcomes, 1500);
     assert_eq!(count(&outcomes, "answer"), 1500);
 }
+
+// Guards against MIXED: a part of an item's response without a length passed for the whole when its server closed the
+// connection during the upload.
+#[tokio::test]
+async fn item_whose_server_closes_during_the_upload_has_no_answer() {
+    // Arrange: the part by itself is valid.
+    let fleet = SystemFleet::start("batch-early", 1).await;
+    let server = StandardServer::start_early(|_| {
+        let part = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n12";
+        vec![
+            ResponseStep::Write(part.to_owned()),
+            ResponseStep::EndSide,
+            ResponseStep::Wait(RESET_DELAY),
+            ResponseStep::Close,
+        ]
+    })
+    .await;
+    let service = json!({
+        "type": "plain",
+        "routes": [{"path": "/early"}],
+        "servers": [{"address": server.address().to_string(), "domain": "zaragoza-a"}],
+    });
+    fleet.declare("service", "early", &service).await;
+    let text = "x".repeat(200 * 1024);
+    let line = |index| json!({"id": format!("item-{index}"), "body": {"text": text}}).to_string();
+    let items: String = (0..EARLY_ITEMS).map(|index| line(index) + "\n").collect();
+    let target = ("early", "/early");
+
+    // Act.
+    eventually(JOB_LIMIT, "job accepted", || async {
+        submit(&fleet, 0, "night", target, items.clone()).await.0 < 300
+    })
+    .await;
+    eventually(JOB_LIMIT, "job complete", || async {
+        state(&fleet, 0, "night").await == "complete"
+    })
+    .await;
+
+    // Assert.
+    let outcomes = outcomes(&fleet, 0, "night").await;
+    assert_complete(&outcomes, EARLY_ITEMS);
+    assert_eq!(count(&outcomes, "unknown"), EARLY_ITEMS);
+}
--- a/standins/tests/online.rs
+++ b/standins/tests/online.rs
@@ -12,6 +12,10 @@
     json,
     Value, //
 };
+use standins::standard_server::{
+    ResponseStep,
+    StandardServer, //
+};
 use system::{
     eventually,
     key_spec,
@@ -25,6 +29,12 @@
 /// Maximum time until a change is in force on every VM.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(3);
 
+/// Number of early responses of each kind.
+const EARLY_RESPONSES: usize = 5;
+
+/// Time after the end of its side at which a server closes a connection with unread bytes, which resets it.
+const RESET_DELAY: Duration = Duration::from_millis(5);
+
 #[tokio::test]
 async fn withdrawn_key_is_rejected_within_seconds() {
     // Arrange: a long stream is running on each VM.
@@ -539,3 +549,47 @@
     // Assert.
     assert_eq!((after_kill, after_freeze), (30, 30));
 }
+
+// Guards against MIXED: a part of a plain service's response without a length passed for the whole when its server closed
+// the connection during the upload.
+#[tokio::test]
+async fn response_whose_server_closes_during_the_upload_is_not_complete() {
+    // Arrange.
+    let fleet = SystemFleet::start("early-response", 1).await;
+    let server = StandardServer::start_early(|request| {
+        let part = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf".to_owned();
+        match request.line.contains("/reset") {
+            true => vec![ResponseStep::Write(part), ResponseStep::Reset],
+            false => vec![
+                ResponseStep::Write(part),
+                ResponseStep::EndSide,
+                ResponseStep::Wait(RESET_DELAY),
+                ResponseStep::Close,
+            ],
+        }
+    })
+    .await;
+    let service = json!({
+        "type": "plain",
+        "routes": [{"path": "/reset"}, {"path": "/close"}],
+        "servers": [{"address": server.address().to_string(), "domain": "zaragoza-a"}],
+    });
+    fleet.declare("service", "early", &service).await;
+    let send = |path| {
+        let request = fleet.post(0, path, KEY).body(vec![b'x'; 400 * 1024]);
+        async move { request.send().await.expect("response").status().as_u16() }
+    };
+    eventually(IN_FORCE_LIMIT, "service declared", || async {
+        send("/reset").await != 404
+    })
+    .await;
+
+    // Act.
+    let mut statuses = Vec::new();
+    for _ in 0..EARLY_RESPONSES {
+        statuses.push([send("/reset").await, send("/close").await]);
+    }
+
+    // Assert.
+    assert_eq!(statuses, [[502, 502]; EARLY_RESPONSES]);
+}
