Take over restricted jobs whose route was removed

What callers saw: with allowed_regions anywhere in the configuration, a job whose VM was lost and whose route had been removed was taken over by no VM. Its items ended neither as completed nor as failed.

A VM asked the job's route for the regions in which the job's bodies may be; without the route it knew none and declined, as docs/design/residency.md said.

Change: the manifest names the regions that the route allowed when the job was accepted. They hold while the configuration has no route for the job.

Why it works: the job runs where it was allowed to when it was accepted, so that one of these VMs takes it over and ends its items. Manifests of earlier versions have no such field; their jobs are declined as before.

--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -86,6 +86,10 @@
     pub submitted_ms: u64,
     /// Digest of the items, which distinguishes a repeated submission from another job with the same id.
     pub digest: u64,
+    /// Regions that the route allowed, sorted; empty without a restriction, `None` in manifests of earlier versions. They
+    /// hold once the route is removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allowed_regions: Option<Vec<CompactString>>,
 }
 
 /// Final outcome of an item.
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -384,6 +384,7 @@
         input: format_compact!("{}.{:08x}", caller.id, rand::random::<u32>()),
         submitted_ms: wall_ms(),
         digest: submission_digest(&body),
+        allowed_regions: Some(route.allowed_regions.clone()),
     };
     let job = SubmittedJob {
         id: caller.id.as_str().into(),
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -291,16 +291,23 @@
         }
     }
 
-    /// Returns the regions that the items of a job may be sent to; `None` without a configuration, or without the job's
-    /// route while any restriction is configured.
+    /// Returns the regions that the items of a job may be sent to; `None` without a configuration, or if nothing states
+    /// the regions of a route that was removed while any restriction is configured.
     pub(crate) fn job_residency(&self, manifest: &JobManifest) -> Option<ResidencyRule> {
         let catalog = self.catalog.load()?;
         if !catalog.is_restricted() {
             return Some(ResidencyRule::default());
         }
-        let route = catalog.find_route(&manifest.host, &manifest.path)?;
         let workspace = catalog.find_workspace(&manifest.workspace);
-        Some(catalog.residency(route, workspace))
+        if let Some(route) = catalog.find_route(&manifest.host, &manifest.path) {
+            return Some(catalog.residency(route, workspace));
+        }
+        // A job outlives its route.
+        let allowed = workspace.map_or(&[][..], |workspace| &workspace.allowed_regions);
+        Some(ResidencyRule::new(
+            manifest.allowed_regions.as_deref()?,
+            allowed,
+        ))
     }
 
     /// Returns whether this VM may run a job, whose bodies it then holds.
