--- a/standins/tests/batch.rs
+++ b/standins/tests/batch.rs
@@ -474,12 +474,35 @@
     assert_eq!(count(&outcomes, "answer"), 1500);
 }
 
+/// Runs a job of items with long bodies at a plain service whose server responds by a script, and returns the outcomes.
+async fn run_at(server: &StandardServer, name: &str, items: usize) -> Vec<(String, String)> {
+    let fleet = SystemFleet::start(name, 1).await;
+    let service = json!({
+        "type": "plain",
+        "routes": [{"path": "/plain"}],
+        "servers": [{"address": server.address().to_string(), "domain": "zaragoza-a"}],
+    });
+    fleet.declare("service", "plain", &service).await;
+    let text = "x".repeat(200 * 1024);
+    let line = |index| json!({"id": format!("item-{index}"), "body": {"text": text}}).to_string();
+    let lines: String = (0..items).map(|index| line(index) + "\n").collect();
+    eventually(JOB_LIMIT, "job accepted", || async {
+        let target = ("plain", "/plain");
+        submit(&fleet, 0, "night", target, lines.clone()).await.0 < 300
+    })
+    .await;
+    eventually(JOB_LIMIT, "job complete", || async {
+        state(&fleet, 0, "night").await == "complete"
+    })
+    .await;
+    outcomes(&fleet, 0, "night").await
+}
+
 // Guards against MIXED: a part of an item's response without a length passed for the whole when its server closed the
 // connection during the upload.
 #[tokio::test]
 async fn item_whose_server_closes_during_the_upload_has_no_answer() {
     // Arrange: the part by itself is valid.
-    let fleet = SystemFleet::start("batch-early", 1).await;
     let server = StandardServer::start_early(|_| {
         let part = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n12";
         vec![
@@ -490,29 +513,25 @@
         ]
     })
     .await;
-    let service = json!({
-        "type": "plain",
-        "routes": [{"path": "/early"}],
-        "servers": [{"address": server.address().to_string(), "domain": "zaragoza-a"}],
-    });
-    fleet.declare("service", "early", &service).await;
-    let text = "x".repeat(200 * 1024);
-    let line = |index| json!({"id": format!("item-{index}"), "body": {"text": text}}).to_string();
-    let items: String = (0..EARLY_ITEMS).map(|index| line(index) + "\n").collect();
-    let target = ("early", "/early");
 
     // Act.
-    eventually(JOB_LIMIT, "job accepted", || async {
-        submit(&fleet, 0, "night", target, items.clone()).await.0 < 300
-    })
-    .await;
-    eventually(JOB_LIMIT, "job complete", || async {
-        state(&fleet, 0, "night").await == "complete"
-    })
-    .await;
+    let outcomes = run_at(&server, "batch-early", EARLY_ITEMS).await;
 
     // Assert.
-    let outcomes = outcomes(&fleet, 0, "night").await;
     assert_complete(&outcomes, EARLY_ITEMS);
     assert_eq!(count(&outcomes, "unknown"), EARLY_ITEMS);
 }
+
+// Guards against MIXED: a response with the status 000 counts as an item's answer.
+#[tokio::test]
+async fn item_whose_response_has_the_status_000_has_no_answer() {
+    // Arrange.
+    let zero = "HTTP/1.1 000 Unknown\r\nContent-Length: 2\r\n\r\n12";
+    let server = StandardServer::start(move |_| vec![ResponseStep::Write(zero.to_owned())]).await;
+
+    // Act.
+    let outcomes = run_at(&server, "batch-zero-status", 1).await;
+
+    // Assert.
+    assert_eq!(outcomes, [("item-0".to_owned(), "unknown".to_owned())]);
+}
--- a/standins/tests/online.rs
+++ b/standins/tests/online.rs
@@ -550,6 +550,39 @@
     assert_eq!((after_kill, after_freeze), (30, 30));
 }
 
+/// Returns the spec of a plain service with one server.
+fn plain_service(server: &StandardServer, paths: &[&str]) -> Value {
+    let routes = paths.iter().map(|path| json!({ "path": path }));
+    json!({
+        "type": "plain",
+        "routes": routes.collect::<Value>(),
+        "servers": [{"address": server.address().to_string(), "domain": "zaragoza-a"}],
+    })
+}
+
+// Guards against MIXED: a response with the status 000 is forwarded as a response.
+#[tokio::test]
+async fn response_with_the_status_000_is_a_failed_attempt() {
+    // Arrange.
+    let fleet = SystemFleet::start("zero-status", 1).await;
+    let zero = "HTTP/1.1 000 Unknown\r\nContent-Length: 4\r\n\r\nhalf";
+    let server = StandardServer::start(move |_| vec![ResponseStep::Write(zero.to_owned())]).await;
+    let service = plain_service(&server, &["/zero"]);
+    fleet.declare("service", "zero", &service).await;
+
+    // Act.
+    eventually(IN_FORCE_LIMIT, "service declared", || async {
+        let sent = fleet.post(0, "/zero", KEY).body("question").send().await;
+        sent.expect("response").status() != 404
+    })
+    .await;
+    let response = fleet.post(0, "/zero", KEY).body("question").send().await;
+
+    // Assert.
+    assert_eq!(response.expect("response").status(), 502);
+    assert!(!server.received().is_empty());
+}
+
 // Guards against MIXED: a part of a plain service's response without a length passed for the whole when its server closed
 // the connection during the upload.
 #[tokio::test]
@@ -569,11 +602,7 @@
         }
     })
     .await;
-    let service = json!({
-        "type": "plain",
-        "routes": [{"path": "/reset"}, {"path": "/close"}],
-        "servers": [{"address": server.address().to_string(), "domain": "zaragoza-a"}],
-    });
+    let service = plain_service(&server, &["/reset", "/close"]);
     fleet.declare("service", "early", &service).await;
     let send = |path| {
         let request = fleet.post(0, path, KEY).body(vec![b'x'; 400 * 1024]);
