--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -187,25 +187,7 @@
         let workspace = authenticate(state, &catalog, &caller)?;
         return jobs::serve_call(state, &caller, operation, &workspace.name).await;
     }
-    if state.rejects_new_requests() {
-        let detail = "VM is shutting down";
-        return Err(
-            RefusalResponse::not_run(RefusalReason::ShuttingDown, detail)
-                .retry_after(SHUTDOWN_RETRY),
-        );
-    }
-    if !state.evacuations.is_known() {
-        let detail = "no list of evacuated failure domains received yet";
-        let refused = RefusalResponse::not_run(RefusalReason::EvacuationsMissing, detail);
-        return Err(refused.retry_after(CONFIG_RETRY));
-    }
-    if caller.id.is_empty() {
-        let field = state.format.names.request_id.as_str();
-        return Err(RefusalResponse::not_run(
-            RefusalReason::RequestMalformed,
-            field,
-        ));
-    }
+    check_intake(state, &caller)?;
     if let Err(refused) = authorize(state, &catalog, &caller) {
         // The body shows whether it is the submission of a job that was accepted while there was a route.
         if find_submitter(state, &catalog, &caller).is_none() {
@@ -251,6 +233,30 @@
     result
 }
 
+/// Checks that this VM takes requests now, and that a request has an id.
+fn check_intake(state: &FleetState, caller: &CallerRequest) -> Result<(), RefusalResponse> {
+    if state.rejects_new_requests() {
+        let detail = "VM is shutting down";
+        return Err(
+            RefusalResponse::not_run(RefusalReason::ShuttingDown, detail)
+                .retry_after(SHUTDOWN_RETRY),
+        );
+    }
+    if !state.evacuations.is_known() {
+        let detail = "no list of evacuated failure domains received yet";
+        let refused = RefusalResponse::not_run(RefusalReason::EvacuationsMissing, detail);
+        return Err(refused.retry_after(CONFIG_RETRY));
+    }
+    if caller.id.is_empty() {
+        let field = state.format.names.request_id.as_str();
+        return Err(RefusalResponse::not_run(
+            RefusalReason::RequestMalformed,
+            field,
+        ));
+    }
+    Ok(())
+}
+
 /// Refuses a stream to a caller of HTTP/1.0, which has no chunks: a stream would end with its connection, and one that is
 /// aborted, or whose VM ends, would look complete.
 fn check_protocol(version: Version, kind: &RouteKind) -> Result<(), RefusalResponse> {
