One check of responses without a length for the own interface's clients

entry and batch each derived the framing of a response and compared the length of the request. response_end::check_marked serves both; the cause that batch states begins with "response" like that of entry. No other change of behaviour.

--- a/batch/src/item.rs
+++ b/batch/src/item.rs
@@ -24,7 +24,7 @@
     generated::messages::LoadReport,
     headroom::HeadroomTable, //
     platform::root_cause,
-    response_end::BodyFraming,
+    response_end::check_marked,
     snapshot::{
         ServiceRecord,
         Snapshot, //
@@ -305,11 +305,7 @@
         })?;
         let failed = |cause: CompactString| AttemptFailure { sent: true, cause };
         let status = response.status();
-        let framing = BodyFraming::of(response.headers(), response.content_length() == Some(0));
-        if status.is_success() && framing.may_be_partial(request_bytes) {
-            let cause = "answer without a length to a request that the server may not have read";
-            return Err(failed(cause.into()));
-        }
+        check_marked(&response, request_bytes).map_err(|cause| failed(cause.into()))?;
         let body = response
             .bytes()
             .await
--- a/boragerill/src/response_end.rs
+++ b/boragerill/src/response_end.rs
@@ -4,15 +4,34 @@
 //! killed in the same way, so such an end counts only if the server's process has outlived it. A connection that is reset,
 //! or whose server has not taken the whole request, marks no end either.
 
-use reqwest::header::{
-    HeaderMap,
-    CONTENT_LENGTH,
-    TRANSFER_ENCODING, //
+use reqwest::{
+    header::{
+        HeaderMap,
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING, //
+    },
+    Response, //
 };
 
 /// Length of a request up to which a connection takes it whole, whether the server reads it or not.
 const SHORT_REQUEST_BYTES: usize = 16 * 1024;
 
+/// Checks, for clients that see nothing of a connection but its end, that a success can't be a part of a response whose
+/// server closed the connection before it had read the request.
+///
+/// # Errors
+///
+/// Returns the cause if the end of the response isn't marked and the request was long.
+pub fn check_marked(response: &Response, request_bytes: usize) -> Result<(), &'static str> {
+    let is_without_body = response.content_length() == Some(0);
+    let framing = BodyFraming::of(response.headers(), is_without_body);
+    let is_long = request_bytes > SHORT_REQUEST_BYTES;
+    match response.status().is_success() && framing == BodyFraming::Connection && is_long {
+        true => Err("response without a length to a request that the server may not have read"),
+        false => Ok(()),
+    }
+}
+
 /// What marks the end of a response's body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyFraming {
@@ -123,12 +142,6 @@
         }
     }
 
-    /// Returns whether a response that has ended may be a part of one, whose server closed the connection before it had
-    /// read a request of some length. For clients that see nothing of a connection but its end.
-    pub fn may_be_partial(self, request_bytes: usize) -> bool {
-        self == BodyFraming::Connection && request_bytes > SHORT_REQUEST_BYTES
-    }
-
     /// Returns the name used in logs.
     pub fn name(self) -> &'static str {
         match self {
--- a/entry/src/forward.rs
+++ b/entry/src/forward.rs
@@ -24,7 +24,7 @@
         RefusalReason,
         RefusalResponse, //
     },
-    response_end::BodyFraming,
+    response_end::check_marked,
     retry::{
         AttemptProgress,
         FailedAttempt,
@@ -367,11 +367,7 @@
     request: &OutgoingRequest,
 ) -> Result<CheckedResponse, AttemptFailure> {
     let status = response.status();
-    let framing = BodyFraming::of(response.headers(), response.content_length() == Some(0));
-    if status.is_success() && framing.may_be_partial(request.body.len()) {
-        let cause = "response without a length to a request that the server may not have read";
-        return Err(sent_failure(cause.into()));
-    }
+    check_marked(&response, request.body.len()).map_err(|cause| sent_failure(cause.into()))?;
     let content_type = response
         .headers()
         .get("content-type")
