Make the residency rule of a job in one place

job_residency made the rule twice, by Catalog::residency with the route and by hand without it. Catalog::residency takes the allowed regions of a route, which are the manifest's once the route is removed. No change of behaviour.

--- a/boragerill/src/catalog.rs
+++ b/boragerill/src/catalog.rs
@@ -206,17 +206,17 @@
         self.is_restricted
     }
 
-    /// Returns the rule for requests of a route and a workspace.
+    /// Returns the rule for requests of a route with these allowed regions and a workspace.
     pub fn residency(
         &self,
-        route: &CatalogRoute,
+        route: &[CompactString],
         workspace: Option<&CatalogWorkspace>,
     ) -> ResidencyRule {
         if !self.is_restricted {
             return ResidencyRule::default();
         }
         let workspace = workspace.map_or(&[][..], |entry| &entry.allowed_regions);
-        ResidencyRule::new(&route.allowed_regions, workspace)
+        ResidencyRule::new(route, workspace)
     }
 
     /// Returns the limits for callers.
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -216,7 +216,7 @@
         return jobs::submit(state, &caller, (route.as_ref(), terms), name, body).await;
     }
     check_protocol(parts.version, &route.kind)?;
-    let residency = catalog.residency(route, workspace);
+    let residency = catalog.residency(&route.allowed_regions, workspace);
     let mut request = admit(state, caller, route, workspace, body)?;
     request.outgoing.residency = residency;
     pin_version(state, &mut request).await?;
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -242,7 +242,7 @@
                 continue;
             };
             let workspace = catalog.find_workspace(&entry.manifest.workspace);
-            let residency = catalog.residency(route, workspace);
+            let residency = catalog.residency(&route.allowed_regions, workspace);
             for index in startable_items(state, entry, priority, now) {
                 let service = route.choose_service(&entry.items[index].id);
                 let Some(service) = service.filter(|name| hash_name(name) == slots.service) else {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -298,16 +298,13 @@
         if !catalog.is_restricted() {
             return Some(ResidencyRule::default());
         }
+        let regions = match catalog.find_route(&manifest.host, &manifest.path) {
+            Some(route) => &route.allowed_regions,
+            // A job outlives its route.
+            None => manifest.allowed_regions.as_ref()?,
+        };
         let workspace = catalog.find_workspace(&manifest.workspace);
-        if let Some(route) = catalog.find_route(&manifest.host, &manifest.path) {
-            return Some(catalog.residency(route, workspace));
-        }
-        // A job outlives its route.
-        let allowed = workspace.map_or(&[][..], |workspace| &workspace.allowed_regions);
-        Some(ResidencyRule::new(
-            manifest.allowed_regions.as_deref()?,
-            allowed,
-        ))
+        Some(catalog.residency(regions, workspace))
     }
 
     /// Returns whether this VM may run a job, whose bodies it then holds.
