--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -56,6 +56,7 @@
     },
     backends::RequestClass,
     caller::{
+        parse_host,
         set_workspace,
         CallerRequest, //
     },
@@ -117,7 +118,7 @@
         Ok(caller) => caller,
         Err(refused) => return refusal(names, &refused, ""),
     };
-    let (id, host) = (caller.id.clone(), caller.host.clone());
+    let id = caller.id.clone();
     let mut logger = DisconnectLogger::new(&id, arrived);
     let result = handle_request(state, caller, &parts, body).await;
     logger.responded = true;
@@ -127,7 +128,7 @@
         info!(
             request = id.as_str(),
             method = parts.method.as_str(),
-            host = host.as_str(),
+            host = parse_host(&parts),
             path = parts.uri.path(),
             reason = refused.reason.name(),
             outcome = refused.state.name(),
--- a/fleet/src/caller.rs
+++ b/fleet/src/caller.rs
@@ -97,10 +97,7 @@
             |field: &str| RefusalResponse::not_run(RefusalReason::RequestMalformed, field);
         let headers = &parts.headers;
         let id = header_text(headers, &names.request_id).unwrap_or_default();
-        let authority = parts.uri.authority().map(|authority| authority.as_str());
-        let host = authority.or_else(|| header_text(headers, &HOST));
-        let host = host.ok_or_else(|| malformed("host"))?;
-        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let host = parse_host(parts).ok_or_else(|| malformed("host"))?;
         let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let remaining = header_number(headers, &names.remaining_ms).map(Duration::from_millis);
         Ok(CallerRequest {
@@ -124,6 +121,13 @@
     }
 }
 
+/// Returns the host that a request addresses, without the port.
+pub(crate) fn parse_host(parts: &Parts) -> Option<&str> {
+    let authority = parts.uri.authority().map(|authority| authority.as_str());
+    let host = authority.or_else(|| header_text(&parts.headers, &HOST))?;
+    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+}
+
 /// Returns a header's value as text.
 pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
