Log ignored reports of runners with more results, count pages by source

Four hypotheses couldn't be told apart: the VM answers from its own memory, since it ignores the new runner's report; it asks a runner that is no longer one; the reader's cache is old; the write that meets the new runner's fence never comes. The log had no line for a report that changes nothing, and no metric said where a page came from.

Now `report of a runner with more results ignored` and `job_pages_total{source}` do.

--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -85,6 +85,7 @@
     let page = match state.jobs.find(id) {
         Some(entry) if entry.manifest.workspace == workspace => {
             wait_for_results(&entry, after, until).await;
+            count_page("memory");
             local_page(state, &entry, after)
         }
         Some(_) => return Err(unknown_job(id)),
@@ -156,6 +157,7 @@
     };
     if let Some(runner) = state.jobs.runner(id) {
         if let Some(page) = request_page(state, runner.vm, request.clone(), wait).await {
+            count_page("runner");
             return Ok(page);
         }
     }
@@ -166,10 +168,18 @@
             ..request
         };
         if let Some(page) = request_page(state, reader, request, Duration::ZERO).await {
+            count_page("reader");
             return Ok(page);
         }
     }
-    load_page(state, id, after, workspace).await
+    let page = load_page(state, id, after, workspace).await?;
+    count_page("store");
+    Ok(page)
+}
+
+/// Counts a page of results by where it came from.
+fn count_page(source: &'static str) {
+    counter!("job_pages_total", "source" => source).increment(1);
 }
 
 async fn request_page(
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -323,11 +323,18 @@
     let Some(entry) = state.jobs.find(&report.id) else {
         return;
     };
-    let (closed, chunks) = {
+    let (closed, cancelled, chunks) = {
         let progress = lock(&entry.progress);
-        (progress.is_closed(), progress.chunks())
+        (
+            progress.is_closed(),
+            progress.is_cancelled(),
+            progress.chunks(),
+        )
     };
     if closed || entry.released.load(Ordering::Relaxed) {
+        if report.chunks > chunks {
+            info!(job = report.id.as_str(), chunks, theirs = report.chunks, cancelled; "report of a runner with more results ignored");
+        }
         return;
     }
     let other_preferred = report
