--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -305,6 +305,15 @@
         self.cancelled
     }
 
+    /// Returns whether this runner gives the job up to another VM, which reports `chunks` stored chunks: the one that has
+    /// stored more goes on, with equal numbers and while the job is open the preferred one. This also holds for a cancelled
+    /// job, of which the other one may have listed more results; a complete list can't grow.
+    pub fn yields_to(&self, chunks: u32, is_preferred: bool) -> bool {
+        let is_behind = chunks > self.chunks;
+        let is_even = chunks == self.chunks;
+        !self.is_complete() && (is_behind || is_even && is_preferred && !self.cancelled)
+    }
+
     /// Cancels the job: no more items start, and results that aren't stored yet stay so.
     pub fn cancel(&mut self) {
         self.cancelled = true;
--- a/boragerill/tests/jobs.rs
+++ b/boragerill/tests/jobs.rs
@@ -13,6 +13,7 @@
     JobItem,
     JobOutcome,
     JobProgress,
+    JobResult,
     OutputFault,
     PartialOutput,
     ResultChunk,
@@ -72,6 +73,40 @@
     events.join("\n")
 }
 
+// Guards against LOST: a VM that had stopped a cancelled job kept it, and its shorter list, although another VM had listed
+// more of its results.
+#[test]
+fn job_is_given_up_to_the_runner_that_has_stored_more() {
+    // arrange
+    let result = |item| JobResult {
+        id: item_id(item),
+        outcome: JobOutcome::Completed,
+        text: "0.0".into(),
+    };
+    let chunk = |items: std::ops::Range<usize>| ResultChunk {
+        runner: "vm-1.1".into(),
+        results: items.map(result).collect(),
+    };
+    let mut open = new_progress();
+    open.adopt_chunk(0, &chunk(0..1));
+    let mut cancelled = open.clone();
+    cancelled.cancel();
+    let mut complete = open.clone();
+    complete.adopt_chunk(1, &chunk(1..ITEMS));
+
+    // act
+    let yields = |progress: &JobProgress| {
+        let cases = [(0, true), (1, false), (1, true), (2, false)];
+        cases.map(|(chunks, is_preferred)| progress.yields_to(chunks, is_preferred))
+    };
+
+    // assert
+    assert_eq!(yields(&open), [false, false, true, true]);
+    assert_eq!(yields(&cancelled), [false, false, false, true]);
+    assert_eq!(yields(&complete), [false; 4]);
+    assert!(!complete.yields_to(3, true));
+}
+
 // Guards against ORDER: a comment counted as an event. Before the first event it made an item go on after event 0, which
 // was never received; later it added an empty line to the text.
 #[test]
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -318,30 +318,25 @@
 }
 
 /// Resolves a conflict with another VM that reports a job of this VM: the VM with more stored chunks continues,
-/// with equal numbers the one with the greater hash.
-pub(crate) fn resolve_duplicate(state: &Arc<FleetState>, report: &JobRecord) {
+/// with equal numbers the one with the greater hash. A job that this VM has stopped is given up as well, since the other VM
+/// may list more results.
+pub(crate) fn resolve_duplicate(state: &FleetState, report: &JobRecord) {
     let Some(entry) = state.jobs.find(&report.id) else {
         return;
     };
-    let (closed, cancelled, chunks) = {
+    let is_preferred = report
+        .runner
+        .is_some_and(|runner| runner.vm > state.vm_hash);
+    let (yields, cancelled, chunks) = {
         let progress = lock(&entry.progress);
         (
-            progress.is_closed(),
+            progress.yields_to(report.chunks, is_preferred),
             progress.is_cancelled(),
             progress.chunks(),
         )
     };
-    if closed || entry.released.load(Ordering::Relaxed) {
-        if report.chunks > chunks {
-            info!(job = report.id.as_str(), chunks, theirs = report.chunks, cancelled; "report of a runner with more results ignored");
-        }
-        return;
-    }
-    let other_preferred = report
-        .runner
-        .is_some_and(|runner| runner.vm > state.vm_hash);
-    if report.chunks > chunks || (report.chunks == chunks && other_preferred) {
-        info!(job = report.id.as_str(), chunks, theirs = report.chunks; "job released to a competing runner");
+    if yields && !entry.released.load(Ordering::Relaxed) {
+        info!(job = report.id.as_str(), chunks, theirs = report.chunks, cancelled; "job released to a competing runner");
         release(state, &entry);
     }
 }
