Answer from a list of results only with evidence that it is current

Cause: read_results and job_results_response serve any job of the registry from memory. Nothing asks whether another VM may have taken it over since.

Change: ListEvidence holds when the number of the job's next chunk was last known to be free. It stands as long as MemberTable::has_kept_contact says that the VM was told of every takeover since: it has heard more than half of the fleet without interruption, and missed no VM for 6.5 s. A VM takes a job over only if it reaches half of the fleet, or after it was isolated for that long. Without evidence an incomplete list is compared with the store once (list_check.rs): the next chunk is missing, and the list is served; or it is another runner's, the job is released and the read goes to that VM or the store; or the store can't be read, and the response is 503 with Retry-After. Complete lists, bodies of items and repeated submissions need no evidence: they can't change.

Why it works: every list is a prefix of the numbered chunks, and a new runner stores its fence under the next number before it lists anything. It costs no call at VMs in touch, also while a minority is silent; one call in 0.4 s for a job that is read at a VM that isn't.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -39,6 +39,7 @@
 mod lease;
 pub mod link_reuse;
 pub mod links;
+pub mod list_evidence;
 pub mod load;
 pub mod logger;
 pub mod member;
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -67,6 +67,8 @@
     pub last_heartbeat: Option<Instant>,
     /// Start of the time in which the VM's present process has been reachable without interruption.
     pub since: Instant,
+    /// When the VM was last heard again after a silence of [`ISOLATION_GRACE`] or longer.
+    returned: Option<Instant>,
     /// Period of heartbeats that the VM stated in the last one; none if it sends them as within a cell.
     pub period: Option<Duration>,
     /// Number of cells that the VM last stated; zero if it hasn't stated any.
@@ -95,6 +97,7 @@
 pub struct MemberTable {
     own: MemberInfo,
     members: Vec<FleetMember>, // Sorted by the hash of the name.
+    removed: Option<Instant>,  // When a VM was last removed that hadn't announced its shutdown.
     is_divided: bool,          // Whether the fleet has several cells.
     generation: u64,           // Increases when the division into cells may change.
 }
@@ -130,6 +133,7 @@
             hash,
             last_heartbeat: None,
             since: now,
+            returned: None,
             period: None,
             cells: 0,
             sequence: 0,
@@ -308,6 +312,26 @@
         2 * (1 + heard.count()) >= self.fleet_size()
     }
 
+    /// Returns whether this VM has been told of every takeover of its jobs since `since`. Whichever VM takes a job over either
+    /// reaches half of the fleet, and thereby a VM that this one has heard ever since, or has been isolated for
+    /// [`ISOLATION_GRACE`].
+    pub fn has_kept_contact(&self, since: Instant, now: Instant) -> bool {
+        let active = self.members.iter().filter(|member| !member.info.leaving);
+        let heard = active.filter(|member| member.is_reachable(now) && member.since <= since);
+        2 * (1 + heard.count()) > self.fleet_size() && !self.misses_isolated(since, now)
+    }
+
+    /// Returns whether a VM has been silent for [`ISOLATION_GRACE`], now or since `since`.
+    fn misses_isolated(&self, since: Instant, now: Instant) -> bool {
+        let mut active = self.members.iter().filter(|member| !member.info.leaving);
+        self.removed.is_some_and(|removed| removed > since)
+            || active.any(|member| {
+                let heard = member.last_heartbeat.unwrap_or(member.added);
+                now >= heard + ISOLATION_GRACE
+                    || member.returned.is_some_and(|returned| returned > since)
+            })
+    }
+
     /// Returns the number of VMs whose usage of rates is known, this VM included.
     pub fn reporting_size(&self, now: Instant) -> usize {
         let domains = self.near_reports(USAGE_TIMEOUT, now);
@@ -401,6 +425,10 @@
         };
         let expired = self.members.iter().filter(|member| is_expired(member));
         let expired: Vec<u64> = expired.map(|member| member.hash).collect();
+        let mut lost = self.members.iter().filter(|member| is_expired(member));
+        if lost.any(|member| !member.info.leaving) {
+            self.removed = Some(now);
+        }
         self.members.retain(|member| !is_expired(member));
         self.generation += u64::from(!expired.is_empty());
         expired
@@ -513,6 +541,9 @@
         let was_unreachable = self.last_heartbeat.is_none() || silence >= timeout;
         self.sequence = sequence;
         self.last_heartbeat = Some(now);
+        if silence >= ISOLATION_GRACE {
+            self.returned = Some(now);
+        }
         if !restarted && !was_unreachable {
             return HeartbeatOutcome::Current;
         }
--- a/fleet/src/commit.rs
+++ b/fleet/src/commit.rs
@@ -32,6 +32,7 @@
 };
 
 use crate::{
+    job_reads::parse_object,
     jobs::{
         JobEntry,
         RESULT_KIND, //
@@ -46,32 +47,27 @@
 /// Longest back-off before storing is retried.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
 
+/// Outcome of one attempt to store results.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StoreOutcome {
+    /// No results wait to be stored, or some were.
+    Done,
+    /// Another VM runs the job, or the job is closed and all results are stored.
+    Ended,
+    /// The store didn't respond or refused the write.
+    Failed,
+}
+
 /// Stores results until the job is finished or cancelled and the results of all ended items are stored, or until
 /// another runner's chunk fences this one.
 pub(crate) async fn commit_results(state: Arc<FleetState>, entry: Arc<JobEntry>) {
     let mut backoff = BACKOFF_MIN;
     loop {
         wait_for_results(&state, &entry).await;
-        let next = lock(&entry.progress).next_chunk(&state.runner);
-        let Some((number, chunk)) = next else {
-            if lock(&entry.progress).is_closed() {
-                return;
-            }
-            continue;
-        };
-        match store_chunk(&state, &entry.id, number, &chunk).await {
-            Ok(stored) if stored.runner != state.runner => {
-                info!(job = entry.id.as_str(), chunk = number, runner = stored.runner.as_str(); "job runs on another VM");
-                release(&state, &entry);
-                return;
-            }
-            Ok(stored) => {
-                lock(&entry.progress).adopt_chunk(number, &stored);
-                entry.changed.notify_waiters();
-                backoff = BACKOFF_MIN;
-            }
-            Err(error) => {
-                warn!(job = entry.id.as_str(), chunk = number, error = error.to_string().as_str(); "storing results failed");
+        match store_results(&state, &entry).await {
+            StoreOutcome::Done => backoff = BACKOFF_MIN,
+            StoreOutcome::Ended => return,
+            StoreOutcome::Failed => {
                 sleep(backoff).await;
                 backoff = (backoff * 2).min(BACKOFF_MAX);
             }
@@ -79,6 +75,36 @@
     }
 }
 
+/// Stores the next chunk of results and lists them.
+async fn store_results(state: &FleetState, entry: &JobEntry) -> StoreOutcome {
+    let _storing = entry.storing.lock().await;
+    if entry.is_released() {
+        return StoreOutcome::Ended;
+    }
+    let next = lock(&entry.progress).next_chunk(&state.runner);
+    let Some((number, chunk)) = next else {
+        return match lock(&entry.progress).is_closed() {
+            true => StoreOutcome::Ended,
+            false => StoreOutcome::Done,
+        };
+    };
+    match store_chunk(state, &entry.id, number, &chunk).await {
+        Ok(stored) if stored.runner != state.runner => {
+            info!(job = entry.id.as_str(), chunk = number, runner = stored.runner.as_str(); "job runs on another VM");
+            release(state, entry);
+            StoreOutcome::Ended
+        }
+        Ok(stored) => {
+            entry.list_chunk(number, &stored);
+            StoreOutcome::Done
+        }
+        Err(error) => {
+            warn!(job = entry.id.as_str(), chunk = number, error = error.to_string().as_str(); "storing results failed");
+            StoreOutcome::Failed
+        }
+    }
+}
+
 /// Waits until results can be stored: all items ended, the oldest result has waited for the [`collect_time`] of the job, or
 /// the job is closed.
 async fn wait_for_results(state: &FleetState, entry: &JobEntry) {
@@ -131,13 +157,7 @@
         }
         Err(ServeError::Conflict(..)) => {
             let object = state.platform.get(RESULT_KIND, &name).await?;
-            serde_json::from_value(object.spec).map_err(|error| {
-                ServeError::Malformed(
-                    boragerill::error::Step::PlatformRead,
-                    name,
-                    error.to_string().into(),
-                )
-            })
+            parse_object(&name, object.spec)
         }
         Err(error) => Err(error),
     }
--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -51,6 +51,10 @@
         JOB_KIND,
         RESULT_KIND, //
     },
+    list_check::{
+        check_list,
+        ListStatus, //
+    },
     read_cache::StoredJob,
     response::local_response,
     state::FleetState,
@@ -72,6 +76,19 @@
 /// Divides the limit on the size of a page; the JSON text of results is longer.
 const PAGE_DIVISOR: u64 = 2;
 
+/// A read of a job's results.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResultsRead<'a> {
+    /// The job.
+    pub(crate) id: &'a str,
+    /// Workspace of the caller.
+    pub(crate) workspace: &'a str,
+    /// Position of the first result.
+    pub(crate) after: u64,
+    /// End of the wait for a result.
+    pub(crate) until: Instant,
+}
+
 /// Serves a caller's read of results.
 pub(crate) async fn read_results(
     state: &Arc<FleetState>,
@@ -80,23 +97,49 @@
     after: u64,
     workspace: &str,
 ) -> CallerResult {
-    let wait = caller.wait.min(MAX_READ_WAIT);
-    let until = Instant::now() + wait;
-    let page = match state.jobs.find(id) {
-        Some(entry) if entry.manifest.workspace == workspace => {
-            wait_for_results(&entry, after, until).await;
+    let read = ResultsRead {
+        id,
+        workspace,
+        after,
+        until: Instant::now() + caller.wait.min(MAX_READ_WAIT),
+    };
+    let page = match kept_page(state, read).await? {
+        Some(page) => {
             count_page("memory");
-            local_page(state, &entry, after)
+            page
         }
-        Some(_) => return Err(unknown_job(id)),
-        None => read_remote(state, id, after, workspace, wait).await?,
+        None => read_remote(state, read).await?,
     };
     let body = (state.format.encode_page)(&page);
     Ok(local_response(200, "application/json", body))
 }
 
+/// Returns a page of the results that this VM keeps, after a wait for a result; `None` if it doesn't have the job, or
+/// another VM runs the job.
+///
+/// # Errors
+///
+/// Returns a refusal if the job belongs to another workspace, or if other VMs may have listed more results.
+pub(crate) async fn kept_page(
+    state: &FleetState,
+    read: ResultsRead<'_>,
+) -> Result<Option<ResultPage>, RefusalResponse> {
+    let Some(entry) = state.jobs.find(read.id) else {
+        return Ok(None);
+    };
+    if entry.manifest.workspace != read.workspace {
+        return Err(unknown_job(read.id));
+    }
+    let status = check_list(state, &entry).await.map_err(store_unavailable)?;
+    if status == ListStatus::Released {
+        return Ok(None);
+    }
+    wait_for_results(&entry, read.after, read.until).await;
+    Ok(Some(local_page(state, &entry, read.after)))
+}
+
 /// Waits until a job has results from position `after`, is closed, or `until` has passed.
-pub(crate) async fn wait_for_results(entry: &JobEntry, after: u64, until: Instant) {
+async fn wait_for_results(entry: &JobEntry, after: u64, until: Instant) {
     loop {
         let changed = entry.changed.notified();
         {
@@ -113,7 +156,7 @@
 }
 
 /// Returns a page of the results that this VM knows to be stored.
-pub(crate) fn local_page(state: &FleetState, entry: &JobEntry, after: u64) -> ResultPage {
+fn local_page(state: &FleetState, entry: &JobEntry, after: u64) -> ResultPage {
     let progress = lock(&entry.progress);
     limit_page(state, progress.total() as u64, after, progress.listed())
 }
@@ -142,26 +185,24 @@
 /// Reads a job that this VM doesn't have: from the VM that reports it, else from the VM that ranks first for
 /// reading it from the store on behalf of all, else directly from the store.
 async fn read_remote(
-    state: &Arc<FleetState>,
-    id: &str,
-    after: u64,
-    workspace: &str,
-    wait: Duration,
+    state: &FleetState,
+    read: ResultsRead<'_>,
 ) -> Result<ResultPage, RefusalResponse> {
+    let wait = read.until.saturating_duration_since(Instant::now());
     let request = JobResultsRequest {
-        id: id.to_owned(),
-        workspace: workspace.to_owned(),
-        after,
+        id: read.id.to_owned(),
+        workspace: read.workspace.to_owned(),
+        after: read.after,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(0),
         load: false,
     };
-    if let Some(runner) = state.jobs.runner(id) {
+    if let Some(runner) = state.jobs.runner(read.id) {
         if let Some(page) = request_page(state, runner.vm, request.clone(), wait).await {
             count_page("runner");
             return Ok(page);
         }
     }
-    let reader = lock(&state.members).first_ranked(hash_name(id), Instant::now());
+    let reader = lock(&state.members).first_ranked(hash_name(read.id), Instant::now());
     if let Some(reader) = reader {
         let request = JobResultsRequest {
             load: true,
@@ -172,7 +213,7 @@
             return Ok(page);
         }
     }
-    let page = load_page(state, id, after, workspace).await?;
+    let page = load_page(state, read).await?;
     count_page("store");
     Ok(page)
 }
@@ -183,7 +224,7 @@
 }
 
 async fn request_page(
-    state: &Arc<FleetState>,
+    state: &FleetState,
     vm: u64,
     request: JobResultsRequest,
     wait: Duration,
@@ -234,10 +275,9 @@
 /// Reads a page of results from the store through the read cache.
 pub(crate) async fn load_page(
     state: &FleetState,
-    id: &str,
-    after: u64,
-    workspace: &str,
+    read: ResultsRead<'_>,
 ) -> Result<ResultPage, RefusalResponse> {
+    let (id, workspace) = (read.id, read.workspace);
     let cached = state.read_cache.find(id);
     let mut stored = match cached {
         Some(stored) => stored,
@@ -265,7 +305,7 @@
     Ok(limit_page(
         state,
         stored.manifest.items as u64,
-        after,
+        read.after,
         &listed,
     ))
 }
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::{
     sync::{
+        atomic::Ordering,
         Arc,
         Mutex, //
     },
@@ -27,12 +28,14 @@
         JobId,
         JobItem,
         JobManifest,
-        JobProgress, //
+        JobProgress,
+        ResultChunk, //
     },
     job_directory::{
         JobDirectory,
         JobRunner, //
     },
+    list_evidence::ListEvidence,
     rank::{
         hash_name,
         score, //
@@ -150,6 +153,10 @@
     pub(crate) ended: Notify,
     /// Whether another VM runs the job now.
     pub(crate) released: std::sync::atomic::AtomicBool,
+    /// Shows until when the list of results is known to be current.
+    pub(crate) evidence: Mutex<ListEvidence>,
+    /// Held while a chunk of results is written or looked for, and while the job is handed over.
+    pub(crate) storing: tokio::sync::Mutex<()>,
 }
 
 /// Registry of the jobs of this VM and of those of other VMs.
@@ -257,7 +264,7 @@
 }
 
 impl JobEntry {
-    /// Creates the entry of a job without any progress.
+    /// Creates the entry of a job without any progress, of which no VM has listed a result.
     pub(crate) fn new(
         id: &str,
         manifest: JobManifest,
@@ -273,9 +280,22 @@
             changed: Notify::new(),
             ended: Notify::new(),
             released: Default::default(),
+            evidence: Mutex::new(ListEvidence::new(submitted)),
+            storing: Default::default(),
         }
     }
 
+    /// Lists the results of a chunk that this VM wrote and that is stored.
+    pub(crate) fn list_chunk(&self, number: u32, chunk: &ResultChunk) {
+        lock(&self.progress).adopt_chunk(number, chunk);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns whether another VM runs the job now.
+    pub(crate) fn is_released(&self) -> bool {
+        self.released.load(Ordering::Relaxed)
+    }
+
     /// Returns the time until the job is due, zero if it is overdue; `None` if its route sets no due time or is gone.
     pub(crate) fn time_left(&self, state: &FleetState, now: Instant) -> Option<Duration> {
         let catalog = state.catalog.load()?;
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 mod job_watch;
 mod jobs;
 mod links;
+mod list_check;
 mod listener;
 mod peers;
 mod pool;
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -76,7 +76,10 @@
     evacuations::apply_changes,
     handover,
     head_timer::HeadTimer,
-    job_reads,
+    job_reads::{
+        self,
+        ResultsRead, //
+    },
     jobs,
     pool::{
         set_socket_options,
@@ -318,23 +321,21 @@
     state: &Arc<FleetState>,
     request: JobResultsRequest,
 ) -> JobResultsResponse {
-    let kept = state.jobs.find(&request.id);
-    let page = match kept.filter(|entry| entry.manifest.workspace == request.workspace) {
-        Some(entry) => {
-            let until = Instant::now() + Duration::from_millis(request.wait_ms.into());
-            job_reads::wait_for_results(&entry, request.after, until).await;
-            job_reads::local_page(state, &entry, request.after)
-        }
-        None if request.load => {
-            match job_reads::load_page(state, &request.id, request.after, &request.workspace).await
-            {
-                Ok(page) => page,
-                Err(_) => return JobResultsResponse::default(),
-            }
-        }
-        None => return JobResultsResponse::default(),
+    let read = ResultsRead {
+        id: &request.id,
+        workspace: &request.workspace,
+        after: request.after,
+        until: Instant::now() + Duration::from_millis(request.wait_ms.into()),
+    };
+    let page = match job_reads::kept_page(state, read).await {
+        Ok(None) if request.load => job_reads::load_page(state, read).await.map(Some),
+        kept => kept,
     };
-    job_reads::encode_page(page)
+    // Without a page the other VM asks another one, or the store.
+    match page {
+        Ok(Some(page)) => job_reads::encode_page(page),
+        Ok(None) | Err(_) => JobResultsResponse::default(),
+    }
 }
 
 fn item_body_response(state: &FleetState, request: &ItemBodyRequest) -> ItemBodyResponse {
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -261,6 +261,7 @@
         let cause = "this VM is not in an allowed region".into();
         return Err(ServeError::Rejected(Step::PlatformRead, id.into(), cause));
     }
+    let started = Instant::now();
     let chunks = load_results(state, id).await?;
     let listed: usize = chunks.iter().map(|chunk| chunk.results.len()).sum();
     let is_finished = listed >= manifest.items;
@@ -283,6 +284,7 @@
     let entry = JobEntry::new(id, manifest, items, submitted.min(by_clock));
     restore(&mut lock(&entry.progress), &chunks);
     lock(&entry.progress).adopt_checkpoint(checkpoint);
+    lock(&entry.evidence).record(started);
     Ok(Some(Arc::new(entry)))
 }
 
@@ -335,7 +337,7 @@
             progress.chunks(),
         )
     };
-    if yields && !entry.released.load(Ordering::Relaxed) {
+    if yields && !entry.is_released() {
         info!(job = report.id.as_str(), chunks, theirs = report.chunks, cancelled; "job released to a competing runner");
         release(state, &entry);
     }
