Don't answer a read that waited from a list that was released meanwhile

What callers saw (LOST): a read with a wait, kept at the former runner of a job while the job was released to another VM, returned at once with an empty page at a position that the other VM had listed.

Cause: a release closes the entry, which ends the wait, and the page was made of the released entry. The same at a VM that lost touch during the wait.

Change: whether the VM may answer from its list is asked again after the wait. A released job is read at its new runner or from the store.

Evidence: outdated_lists::read_that_waits_is_answered_by_the_new_runners_list got (200, []) before and gets the result now.

--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -130,11 +130,15 @@
     if entry.manifest.workspace != read.workspace {
         return Err(unknown_job(read.id));
     }
-    let status = check_list(state, &entry).await.map_err(store_unavailable)?;
-    if status == ListStatus::Released {
+    let check = async || check_list(state, &entry).await.map_err(store_unavailable);
+    if check().await? == ListStatus::Released {
         return Ok(None);
     }
     wait_for_results(&entry, read.after, read.until).await;
+    // Another VM may have taken the job over meanwhile.
+    if check().await? == ListStatus::Released {
+        return Ok(None);
+    }
     Ok(Some(local_page(state, &entry, read.after)))
 }
 
