Count a list as current only while the outcome of its VM's writes is known

What callers saw (LOST): a VM stores a result and the response is lost. Any other VM that reads the job from the store lists the result, and the VM that wrote it doesn't, for as long as its write waits for a response (up to some seconds) and is tried again.

Cause: results are listed once the response to their write has arrived. Until then the VM answered from its list as before.

Whichever attempt stores a chunk, its number was free when the first one began, so that each write is new evidence from then on and VMs in touch make no further call.

--- a/boragerill/tests/list_evidence.rs
+++ b/boragerill/tests/list_evidence.rs
@@ -231,11 +231,42 @@
     assert!(fleet.is_sure(evidence));
 }
 
+// Guards against LOST: a VM whose write was stored without a response went on serving its list without these results, while
+// other VMs read them from the store.
+#[test]
+fn list_needs_new_evidence_while_the_outcome_of_a_write_is_unknown() {
+    // arrange
+    let mut fleet = HeardFleet::new();
+    let all = [1, 2, 3, 4];
+    let mut evidence = ListEvidence::new(fleet.now);
+    fleet.run(EVIDENCE_LIFETIME, &all);
+
+    // act
+    evidence.begin_write(fleet.now);
+    let begun = fleet.is_sure(evidence);
+    fleet.run(EVIDENCE_LIFETIME, &all);
+    let unanswered = fleet.is_sure(evidence);
+    evidence.fail_write(true);
+    evidence.begin_write(fleet.now);
+    evidence.fail_write(false);
+    let ambiguous = fleet.is_sure(evidence);
+    evidence.end_write();
+    let ended = fleet.is_sure(evidence);
+    evidence.begin_write(fleet.now);
+    evidence.fail_write(false);
+    fleet.run(EVIDENCE_LIFETIME * 2, &all);
+    let refused = fleet.is_sure(evidence);
+
+    // assert
+    assert!(begun && ended && refused);
+    assert!(!unanswered && !ambiguous);
+}
+
 /// Events of the fleet.
 #[derive(Clone, Debug)]
 enum ListEvent {
-    /// One of the VMs that have the job stores the result of one more item.
-    Store { keeper: usize },
+    /// One of the VMs that have the job stores the result of one more item; the response to the write may be lost.
+    Store { keeper: usize, answered: bool },
     /// A client reads the job at a VM.
     Read { vm: usize },
     /// Clients read the job at all VMs.
@@ -276,7 +307,8 @@
         let vm = 0..VMS;
         let cut = prop::bool::weighted(0.6);
         prop_oneof![
-            6 => vm.clone().prop_map(|keeper| ListEvent::Store { keeper }),
+            6 => (0..VMS, prop::bool::weighted(0.85))
+                .prop_map(|(keeper, answered)| ListEvent::Store { keeper, answered }),
             3 => vm.clone().prop_map(|vm| ListEvent::Read { vm }),
             8 => Just(ListEvent::ReadAll),
             1 => vm.clone().prop_map(|vm| ListEvent::End { vm }),
@@ -303,6 +335,14 @@
     evidence: ListEvidence,
 }
 
+impl KeptJob {
+    /// Lists the results of a chunk that the VM wrote.
+    fn list(&mut self, number: u32, chunk: &ResultChunk) {
+        self.progress.adopt_chunk(number, chunk);
+        self.evidence.end_write();
+    }
+}
+
 /// What a heartbeat carries in the model.
 #[derive(Clone)]
 struct ModelHeartbeat {
@@ -602,7 +642,7 @@
     }
 
     /// Stores one more result, if this VM's next chunk is free; else finds out who stored that one.
-    fn store_result(&mut self, vm: usize) {
+    fn store_result(&mut self, vm: usize, is_answered: bool) {
         let runner = self.runner_name(vm);
         if !self.reaches_store(vm) {
             return;
@@ -614,7 +654,7 @@
         let position = usize::try_from(number).expect("small");
         if let Some(stored) = self.chunks.get(position) {
             match stored.runner == runner {
-                true => kept.progress.adopt_chunk(number, stored),
+                true => kept.list(number, stored),
                 false => self.release(vm),
             }
             return;
@@ -632,7 +672,11 @@
                 text: "token 0".into(),
             }],
         };
-        kept.progress.adopt_chunk(number, &chunk);
+        kept.evidence.begin_write(self.now);
+        match is_answered {
+            true => kept.list(number, &chunk),
+            false => kept.evidence.fail_write(true),
+        }
         self.chunks.push(chunk);
     }
 
@@ -657,7 +701,7 @@
                     job.evidence.record(now);
                     return Ok(Some(job.progress.listed().len()));
                 }
-                Some(chunk) if chunk.runner == runner => job.progress.adopt_chunk(number, chunk),
+                Some(chunk) if chunk.runner == runner => job.list(number, chunk),
                 Some(_) => self.release(vm),
             }
         }
@@ -768,9 +812,9 @@
 
     fn apply(mut model: ListModel, _state: &(), event: ListEvent) -> ListModel {
         match event {
-            ListEvent::Store { keeper } => {
+            ListEvent::Store { keeper, answered } => {
                 if let Some(vm) = model.keeper(keeper) {
-                    model.store_result(vm);
+                    model.store_result(vm, answered);
                 }
             }
             ListEvent::Read { vm } => model.check_read(vm),
--- a/fleet/src/commit.rs
+++ b/fleet/src/commit.rs
@@ -88,6 +88,7 @@
             false => StoreOutcome::Done,
         };
     };
+    lock(&entry.evidence).begin_write(Instant::now());
     match store_chunk(state, &entry.id, number, &chunk).await {
         Ok(stored) if stored.runner != state.runner => {
             info!(job = entry.id.as_str(), chunk = number, runner = stored.runner.as_str(); "job runs on another VM");
@@ -99,6 +100,7 @@
             StoreOutcome::Done
         }
         Err(error) => {
+            lock(&entry.evidence).fail_write(error.is_ambiguous());
             warn!(job = entry.id.as_str(), chunk = number, error = error.to_string().as_str(); "storing results failed");
             StoreOutcome::Failed
         }
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -288,6 +288,7 @@
     /// Lists the results of a chunk that this VM wrote and that is stored.
     pub(crate) fn list_chunk(&self, number: u32, chunk: &ResultChunk) {
         lock(&self.progress).adopt_chunk(number, chunk);
+        lock(&self.evidence).end_write();
         self.changed.notify_waiters();
     }
 
