Tell a runner that can't hear its successor that it is outdated

What callers saw (LOST): two VMs don't hear each other, but both hear most others and the store. The one takes the job of the other over after a second and lists more; the former runner is in touch with half of the fleet, so that its list counts as current, and it has nothing to store for as long as its items run.

Cause: a competing report was heard only from the new runner itself. Every VM that hears both had the contradiction in its directory and kept it there.

Change: JobDirectory::record_report returns the runner that two reports show to be outdated, and up to four VMs of the highest rank for the job send it a notice (JobClaim) at once, and again with each of its reports until it gives the job up. It gives way as to a report, and leaves the job to the other one for 6.5 s. A release counts as a report of the new runner: a record of a VM that has been silent for long made the job an orphan again at once.

Why it works: a VM that reaches half of the fleet and one that has kept more than half of it have a VM in common. So whoever takes a job over, except in isolation, the former runner is told of it, which has_kept_contact relies on.

--- a/boragerill/src/job_directory.rs
+++ b/boragerill/src/job_directory.rs
@@ -34,6 +34,10 @@
 /// more often than lost, and its VMs continue to run their jobs during a partition.
 const DOMAIN_TIMEOUT: Duration = Duration::from_millis(6500);
 
+/// Time for which a VM leaves a job to a runner that it has been told of by a third VM and may not hear itself. VMs that
+/// hear the runner take the job over earlier.
+pub const CLAIM_HOLD_TIME: Duration = Duration::from_millis(6500);
+
 /// Time within which a reachable VM reports every job that it runs.
 const JOB_REPORT_PERIOD: Duration = Duration::from_millis(2500);
 
@@ -82,6 +86,15 @@
     pub refreshed: Instant,
 }
 
+/// A VM that reports a job although another one has stored more of its results.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OutdatedRunner {
+    /// Hash of the VM's name.
+    pub vm: u64,
+    /// Report of the runner that has stored more.
+    pub current: JobRecord,
+}
+
 /// What a VM has to know of the fleet to decide on a takeover.
 #[derive(Clone, Copy, Debug)]
 pub struct TakeoverView<'a> {
@@ -109,14 +122,24 @@
         Some(&self.records[self.search(id).ok()?])
     }
 
-    /// Records a report of a job's runner, unless the known report supersedes it.
-    pub fn record_report(&mut self, report: JobRecord) {
+    /// Records a report of a job's runner, unless the known report supersedes it. Returns the runner of which the two
+    /// reports show that it is outdated, which may not hear the other one.
+    pub fn record_report(&mut self, report: JobRecord) -> Option<OutdatedRunner> {
         self.found.retain(|found| found.0 != report.id);
-        match self.search(&report.id) {
-            Ok(index) if self.records[index].supersedes(&report) => {}
-            Ok(index) => self.records[index] = report,
-            Err(index) => self.records.insert(index, report),
+        let index = match self.search(&report.id) {
+            Ok(index) => index,
+            Err(index) => {
+                self.records.insert(index, report);
+                return None;
+            }
+        };
+        let known = &mut self.records[index];
+        if known.supersedes(&report) {
+            return known.outdates(&report);
         }
+        let outdated = report.outdates(known);
+        *known = report;
+        outdated
     }
 
     /// Records a job that is in the store or was announced by another VM, unless it is known. `refreshed` of the
@@ -148,10 +171,10 @@
         due.filter_map(|found| self.find(&found.0))
     }
 
-    /// Postpones the takeover of a job as if its runner had just reported it.
-    pub fn postpone_takeover(&mut self, id: &str, now: Instant) {
+    /// Postpones the takeover of a job as if its runner reported it at `time`, which may be in the future.
+    pub fn postpone_takeover(&mut self, id: &str, time: Instant) {
         if let Ok(index) = self.search(id) {
-            self.records[index].refreshed = now;
+            self.records[index].refreshed = time;
         }
     }
 
@@ -221,6 +244,16 @@
             && other.refreshed < self.refreshed + COMPETING_REPORT_LIFETIME
     }
 
+    /// Returns the runner of another report of the job if it has stored fewer chunks than the one of this report.
+    fn outdates(&self, other: &JobRecord) -> Option<OutdatedRunner> {
+        let vm = other.runner?.vm;
+        let is_other = self.runner.is_some_and(|runner| runner.vm != vm);
+        (is_other && self.chunks > other.chunks).then(|| OutdatedRunner {
+            vm,
+            current: self.clone(),
+        })
+    }
+
     /// Returns whether the VM with this view has to take the job over now.
     fn is_orphaned(&self, view: TakeoverView<'_>, now: Instant) -> bool {
         if self.closed {
--- a/boragerill/tests/list_evidence.rs
+++ b/boragerill/tests/list_evidence.rs
@@ -17,7 +17,9 @@
         JobDirectory,
         JobRecord,
         JobRunner,
+        OutdatedRunner,
         TakeoverView,
+        CLAIM_HOLD_TIME,
         UNREPORTED_TIMEOUT, //
     },
     list_evidence::{
@@ -275,6 +277,12 @@
     End { vm: usize },
     /// A VM learns that the job was ended, if that is stored.
     LearnEnd { vm: usize },
+    /// One of the VMs that have the job and another VM no longer hear each other.
+    CutPair { keeper: usize, other: usize },
+    /// All VMs hear each other again.
+    HealPairs,
+    /// A VM no longer hears another one, or does again.
+    CutWay { from: usize, to: usize, cut: bool },
     /// A VM is cut off from all others, or no longer.
     CutVm { vm: usize, cut: bool },
     /// A VM is cut off from the store, or no longer.
@@ -305,6 +313,7 @@
 
     fn transitions(_state: &()) -> BoxedStrategy<ListEvent> {
         let vm = 0..VMS;
+        let pair = (0..VMS, 1..VMS).prop_map(|(a, step)| (a, (a + step) % VMS));
         let cut = prop::bool::weighted(0.6);
         prop_oneof![
             6 => (0..VMS, prop::bool::weighted(0.85))
@@ -313,6 +322,11 @@
             8 => Just(ListEvent::ReadAll),
             1 => vm.clone().prop_map(|vm| ListEvent::End { vm }),
             3 => vm.clone().prop_map(|vm| ListEvent::LearnEnd { vm }),
+            2 => (vm.clone(), vm.clone())
+                .prop_map(|(keeper, other)| ListEvent::CutPair { keeper, other }),
+            1 => Just(ListEvent::HealPairs),
+            1 => (pair, cut)
+                .prop_map(|((from, to), cut)| ListEvent::CutWay { from, to, cut }),
             2 => (vm.clone(), cut).prop_map(|(vm, cut)| ListEvent::CutVm { vm, cut }),
             1 => (vm.clone(), cut).prop_map(|(vm, cut)| ListEvent::CutStore { vm, cut }),
             1 => (vm.clone(), 1..MAX_FAULT_TICKS)
@@ -402,11 +416,12 @@
     }
 }
 
-/// VMs, and the objects of one job in the store.
+/// VMs, the links between them, and the objects of one job in the store.
 struct ListModel {
     now: Instant,
     tick: u64,
     vms: Vec<ModelVm>,
+    cut_ways: Vec<(usize, usize)>,
     isolated: Vec<usize>,
     chunks: Vec<ResultChunk>,
     is_ended: bool,
@@ -422,6 +437,7 @@
             now,
             tick: 0,
             vms: (0..VMS).map(|vm| ModelVm::new(vm, 1, now)).collect(),
+            cut_ways: Vec::new(),
             isolated: Vec::new(),
             chunks: Vec::new(),
             is_ended: false,
@@ -453,7 +469,9 @@
     }
 
     fn hears(&self, to: usize, from: usize) -> bool {
-        !self.isolated.contains(&from) && !self.isolated.contains(&to)
+        !self.cut_ways.contains(&(from, to))
+            && !self.isolated.contains(&from)
+            && !self.isolated.contains(&to)
     }
 
     /// Returns whether requests between two VMs are answered.
@@ -541,7 +559,9 @@
             abandoned: Vec::new(),
             refreshed: now,
         };
-        self.vms[vm].directory.record_report(report);
+        if let Some(outdated) = self.vms[vm].directory.record_report(report) {
+            self.notify(vm, &outdated);
+        }
     }
 
     fn resolve_duplicate(&mut self, vm: usize, other: usize, chunks: u32) {
@@ -553,7 +573,22 @@
     }
 
     fn release(&mut self, vm: usize) {
+        let now = self.now;
         self.vms[vm].kept = None;
+        self.vms[vm].directory.postpone_takeover(JOB, now);
+    }
+
+    /// Tells an outdated runner of the one that has stored more.
+    fn notify(&mut self, vm: usize, outdated: &OutdatedRunner) {
+        let find = |hash: u64| (0..VMS).find(|&vm| vm_hash(vm) == hash).expect("VM");
+        let target = find(outdated.vm);
+        let current = outdated.current.runner.expect("runner");
+        let is_reachable = self.vms[vm].members.reaches(outdated.vm, self.now);
+        if target != vm && is_reachable && self.is_linked(vm, target) {
+            self.resolve_duplicate(target, find(current.vm), outdated.current.chunks);
+            let until = self.now + CLAIM_HOLD_TIME;
+            self.vms[target].directory.postpone_takeover(JOB, until);
+        }
     }
 
     /// Begins or ends the takeover of the job by a VM.
@@ -771,8 +806,16 @@
         }
     }
 
+    fn set_way(&mut self, from: usize, to: usize, cut: bool) {
+        self.cut_ways.retain(|way| *way != (from, to));
+        if cut {
+            self.cut_ways.push((from, to));
+        }
+    }
+
     /// Ends all faults, and waits until all VMs are in touch.
     fn heal(&mut self) {
+        self.cut_ways.clear();
         self.isolated.clear();
         for vm in 0..VMS {
             self.vms[vm].cut_from_store = false;
@@ -825,6 +868,14 @@
                     model.stop(vm);
                 }
             }
+            ListEvent::CutPair { keeper, other } => {
+                if let Some(vm) = model.keeper(keeper).filter(|&vm| vm != other) {
+                    model.set_way(vm, other, true);
+                    model.set_way(other, vm, true);
+                }
+            }
+            ListEvent::HealPairs => model.cut_ways.clear(),
+            ListEvent::CutWay { from, to, cut } => model.set_way(from, to, cut),
             ListEvent::CutVm { vm, cut } => {
                 model.isolated.retain(|known| *known != vm);
                 if cut {
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -51,7 +51,10 @@
         FetchedState,
         StatedNumber, //
     },
-    takeover, //
+    takeover::{
+        self,
+        RunnerReport, //
+    }, //
 };
 
 /// Interval of the checks for missed heartbeats; equals the period of heartbeats, which trigger the checks.
@@ -339,9 +342,17 @@
             abandoned: item_positions(&job.abandoned),
             refreshed: now,
         };
-        takeover::resolve_duplicate(&self.state, &report);
+        let competing = RunnerReport {
+            job: &job.id,
+            vm: heartbeat.sender,
+            chunks: job.chunks,
+        };
+        takeover::resolve_duplicate(&self.state, competing);
         let jobs = &self.state.jobs;
-        jobs.update_directory(|directory| directory.record_report(report));
+        let outdated = jobs.update_directory(|directory| directory.record_report(report));
+        if let Some(outdated) = outdated {
+            takeover::notify_outdated(&self.state, outdated);
+        }
     }
 
     /// Records a job that the sender found in the store and that no VM has reported to it. The runner reports it
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -203,8 +203,8 @@
     }
 
     /// Changes what is known of the jobs of other VMs.
-    pub(crate) fn update_directory(&self, change: impl FnOnce(&mut JobDirectory)) {
-        change(&mut lock(&self.directory));
+    pub(crate) fn update_directory<T>(&self, change: impl FnOnce(&mut JobDirectory) -> T) -> T {
+        change(&mut lock(&self.directory))
     }
 
     /// Reads what is known of the jobs of other VMs.
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -38,6 +38,7 @@
         ItemBodyResponse,
         JobAck,
         JobCancelRequest,
+        JobClaim,
         JobResultsRequest,
         JobResultsResponse,
         StoreRequest,
@@ -47,6 +48,7 @@
         is_refusal,
         merge_failures, //
     },
+    job_directory::CLAIM_HOLD_TIME,
     link_reuse::LinkChoice,
     rank::score,
     sync::lock,
@@ -90,7 +92,11 @@
         log_changes,
         record_own_revisions, //
     },
-    stream_versions, //
+    stream_versions,
+    takeover::{
+        self,
+        RunnerReport, //
+    }, //
 };
 
 /// Timeout of a request that announces a cancellation to another VM.
@@ -213,6 +219,7 @@
         }
         Body::JobBodyAsk(request) => Body::JobBody(item_body_response(state, &request)),
         Body::JobEnd(request) => Body::JobDone(handle_cancellation(state, &request)),
+        Body::JobClaim(claim) => Body::JobDone(handle_claim(state, &claim)),
         Body::JobHandover(request) => Body::JobDone(JobAck {
             done: handover::accept_handover(state, request).await,
         }),
@@ -356,6 +363,20 @@
     JobAck { done: true }
 }
 
+fn handle_claim(state: &FleetState, claim: &JobClaim) -> JobAck {
+    let report = RunnerReport {
+        job: &claim.id,
+        vm: claim.vm,
+        chunks: claim.chunks,
+    };
+    takeover::resolve_duplicate(state, report);
+    let until = Instant::now() + CLAIM_HOLD_TIME;
+    state
+        .jobs
+        .update_directory(|directory| directory.postpone_takeover(&claim.id, until));
+    JobAck { done: true }
+}
+
 async fn store_response(state: &FleetState, call: StoreRequest) -> StoreResponse {
     let Ok(method) = call.method.parse() else {
         return StoreResponse::default();
