Hand a job over only after its pending results are stored

What callers saw (LOST): a VM that shuts down hands its jobs over while a chunk of results is on its way to the store. The next runner reads the job without this chunk, the former one lists it to a reader that waits, and the next runner lacks it until it stores a chunk itself and finds the number taken.

Cause: the task that stores results and the handover didn't know of each other. A takeover isn't concerned, as it stores a fence first.

Evidence: outdated_lists::job_is_handed_over_after_its_results_are_stored, with a store that takes 0.3 s for each call, failed before: the handover arrived while the chunk wasn't in the store.

--- a/fleet/src/handover.rs
+++ b/fleet/src/handover.rs
@@ -26,6 +26,7 @@
     info,
     warn, //
 };
+use tokio::time::timeout_at;
 
 use crate::{
     jobs::JobEntry,
@@ -68,13 +69,20 @@
     let Some(target) = target else {
         return;
     };
+    let until = now + HANDOVER_TIMEOUT;
+    // The other VM has to find every result that this one lists.
+    let Ok(_storing) = timeout_at(until.into(), entry.storing.lock()).await else {
+        warn!(job = entry.id.as_str(); "job handover timed out");
+        return;
+    };
     let body = Body::JobHandover(JobHandover {
         id: entry.id.to_string(),
         age_ms: u32::try_from(millis(entry.submitted.elapsed())).unwrap_or(u32::MAX),
         partials: partials(entry),
         abandoned: encode_positions(&lock(&entry.progress).abandoned()),
     });
-    match peers::request(state, target, body, HANDOVER_TIMEOUT).await {
+    let limit = until.saturating_duration_since(Instant::now());
+    match peers::request(state, target, body, limit).await {
         Ok(Body::JobDone(done)) if done.done => {
             info!(job = entry.id.as_str(); "job handed over");
             release(state, entry);
