Notices only to the process that is outdated; taken numbers aren't refused writes

The notice goes to a VM only while it runs the process that reported the job. - A write that found its number taken, and couldn't read the chunk there, counted as refused by the store, which leaves the list as current as it was. It counts as one whose outcome isn't known now. - remove_expired looks for the expired VMs once.

--- a/boragerill/src/job_directory.rs
+++ b/boragerill/src/job_directory.rs
@@ -86,11 +86,11 @@
     pub refreshed: Instant,
 }
 
-/// A VM that reports a job although another one has stored more of its results.
+/// A process that reports a job although another one has stored more of its results.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OutdatedRunner {
-    /// Hash of the VM's name.
-    pub vm: u64,
+    /// Process that reports the job.
+    pub runner: JobRunner,
     /// Report of the runner that has stored more.
     pub current: JobRecord,
 }
@@ -246,10 +246,10 @@
 
     /// Returns the runner of another report of the job if it has stored fewer chunks than the one of this report.
     fn outdates(&self, other: &JobRecord) -> Option<OutdatedRunner> {
-        let vm = other.runner?.vm;
-        let is_other = self.runner.is_some_and(|runner| runner.vm != vm);
+        let runner = other.runner?;
+        let is_other = self.runner.is_some_and(|own| own.vm != runner.vm);
         (is_other && self.chunks > other.chunks).then(|| OutdatedRunner {
-            vm,
+            runner,
             current: self.clone(),
         })
     }
--- a/boragerill/src/list_evidence.rs
+++ b/boragerill/src/list_evidence.rs
@@ -51,11 +51,11 @@
         });
     }
 
-    /// Records that an attempt to write the next chunk failed. After an ambiguous error the chunk may be stored, or be
-    /// stored later.
-    pub fn fail_write(&mut self, is_ambiguous: bool) {
+    /// Records that an attempt to write the next chunk failed, after which a chunk of that number may be stored, now or
+    /// later.
+    pub fn fail_write(&mut self, may_be_stored: bool) {
         if let Some(write) = &mut self.write {
-            write.may_be_stored |= is_ambiguous;
+            write.may_be_stored |= may_be_stored;
         }
         self.write = self.write.filter(|write| write.may_be_stored);
     }
--- a/boragerill/src/member.rs
+++ b/boragerill/src/member.rs
@@ -67,14 +67,13 @@
     pub last_heartbeat: Option<Instant>,
     /// Start of the time in which the VM's present process has been reachable without interruption.
     pub since: Instant,
-    /// When the VM was last heard again after a silence of [`ISOLATION_GRACE`] or longer.
-    returned: Option<Instant>,
     /// Period of heartbeats that the VM stated in the last one; none if it sends them as within a cell.
     pub period: Option<Duration>,
     /// Number of cells that the VM last stated; zero if it hasn't stated any.
     pub cells: usize,
     sequence: u64,
     added: Instant,
+    returned: Option<Instant>, // When it was last heard again after a silence of `ISOLATION_GRACE` or longer.
     vouched: Instant, // When some VM last received a message of the VM, as other VMs state.
     is_near: bool,    // Whether it belongs to this VM's cell.
     is_legacy: bool,  // Whether its build doesn't know cells.
@@ -133,11 +132,11 @@
             hash,
             last_heartbeat: None,
             since: now,
-            returned: None,
             period: None,
             cells: 0,
             sequence: 0,
             added: now,
+            returned: None,
             vouched: now,
             is_near: !self.is_divided,
             is_legacy: false,
@@ -424,11 +423,11 @@
             now >= since + limit
         };
         let expired = self.members.iter().filter(|member| is_expired(member));
-        let expired: Vec<u64> = expired.map(|member| member.hash).collect();
-        let mut lost = self.members.iter().filter(|member| is_expired(member));
-        if lost.any(|member| !member.info.leaving) {
+        let expired: Vec<&FleetMember> = expired.collect();
+        if expired.iter().any(|member| !member.info.leaving) {
             self.removed = Some(now);
         }
+        let expired: Vec<u64> = expired.iter().map(|member| member.hash).collect();
         self.members.retain(|member| !is_expired(member));
         self.generation += u64::from(!expired.is_empty());
         expired
--- a/boragerill/tests/list_evidence.rs
+++ b/boragerill/tests/list_evidence.rs
@@ -581,9 +581,9 @@
     /// Tells an outdated runner of the one that has stored more.
     fn notify(&mut self, vm: usize, outdated: &OutdatedRunner) {
         let find = |hash: u64| (0..VMS).find(|&vm| vm_hash(vm) == hash).expect("VM");
-        let target = find(outdated.vm);
+        let target = find(outdated.runner.vm);
         let current = outdated.current.runner.expect("runner");
-        let is_reachable = self.vms[vm].members.reaches(outdated.vm, self.now);
+        let is_reachable = self.vms[vm].members.reaches(outdated.runner.vm, self.now);
         if target != vm && is_reachable && self.is_linked(vm, target) {
             self.resolve_duplicate(target, find(current.vm), outdated.current.chunks);
             let until = self.now + CLAIM_HOLD_TIME;
--- a/fleet/src/commit.rs
+++ b/fleet/src/commit.rs
@@ -100,7 +100,9 @@
             StoreOutcome::Done
         }
         Err(error) => {
-            lock(&entry.evidence).fail_write(error.is_ambiguous());
+            // A conflict: the number is taken, by this VM's own chunk or another one.
+            let may_be_stored = error.is_ambiguous() || matches!(error, ServeError::Conflict(..));
+            lock(&entry.evidence).fail_write(may_be_stored);
             warn!(job = entry.id.as_str(), chunk = number, error = error.to_string().as_str(); "storing results failed");
             StoreOutcome::Failed
         }
@@ -157,9 +159,10 @@
             counter!("results_stored_total").increment(chunk.results.len() as u64);
             Ok(chunk.clone())
         }
-        Err(ServeError::Conflict(..)) => {
-            let object = state.platform.get(RESULT_KIND, &name).await?;
-            parse_object(&name, object.spec)
+        Err(conflict @ ServeError::Conflict(..)) => {
+            let object = state.platform.get(RESULT_KIND, &name).await;
+            // Without the other chunk it is still known that there is one.
+            parse_object(&name, object.map_err(|_| conflict)?.spec)
         }
         Err(error) => Err(error),
     }
--- a/fleet/src/takeover.rs
+++ b/fleet/src/takeover.rs
@@ -367,24 +367,28 @@
 
 /// Tells a VM that another one has stored more of a job's results, unless enough VMs of higher rank do so.
 pub(crate) fn notify_outdated(state: &Arc<FleetState>, outdated: OutdatedRunner) {
-    let job = outdated.current.id.clone();
+    let OutdatedRunner { runner, current } = outdated;
+    let job = current.id;
     let is_due = {
         let members = lock(&state.members);
         let now = Instant::now();
-        members.reaches(outdated.vm, now) && members.own_rank(hash_name(&job), now) < NOTIFIERS
+        let member = members.member(runner.vm);
+        member.is_some_and(|member| {
+            member.is_reachable(now) && member.info.incarnation == runner.incarnation
+        }) && members.own_rank(hash_name(&job), now) < NOTIFIERS
     };
-    let Some(runner) = outdated.current.runner.filter(|_| is_due) else {
+    let Some(successor) = current.runner.filter(|_| is_due) else {
         return;
     };
     let claim = JobClaim {
         id: job.to_string(),
-        vm: runner.vm,
-        chunks: outdated.current.chunks,
+        vm: successor.vm,
+        chunks: current.chunks,
     };
     let state = state.clone();
     tokio::spawn(async move {
         // The next report of the outdated runner repeats a lost notice.
-        let sent = peers::request(&state, outdated.vm, Body::JobClaim(claim), NOTICE_TIMEOUT);
+        let sent = peers::request(&state, runner.vm, Body::JobClaim(claim), NOTICE_TIMEOUT);
         if let Err(error) = sent.await {
             info!(job = job.as_str(), error = error.to_string().as_str(); "notifying an outdated runner failed");
         }
