--- a/fleet/src/commit.rs
+++ b/fleet/src/commit.rs
@@ -50,7 +50,7 @@
 /// Outcome of one attempt to store results.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreOutcome {
-    /// No results wait to be stored, or some were.
+    /// A chunk was stored, or none waits.
     Done,
     /// Another VM runs the job, or the job is closed and all results are stored.
     Ended,
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -45,15 +45,16 @@
 use crate::{
     handover::item_positions,
     quarantine_notice::read_news,
+    runner_conflicts::{
+        notify_outdated,
+        resolve_duplicate,
+        RunnerReport, //
+    },
     state::FleetState,
     state_fetch::{
         record_number,
         FetchedState,
         StatedNumber, //
-    },
-    takeover::{
-        self,
-        RunnerReport, //
     }, //
 };
 
@@ -347,11 +348,11 @@
             vm: heartbeat.sender,
             chunks: job.chunks,
         };
-        takeover::resolve_duplicate(&self.state, competing);
+        resolve_duplicate(&self.state, competing);
         let jobs = &self.state.jobs;
         let outdated = jobs.update_directory(|directory| directory.record_report(report));
         if let Some(outdated) = outdated {
-            takeover::notify_outdated(&self.state, outdated);
+            notify_outdated(&self.state, outdated);
         }
     }
 
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -41,6 +41,7 @@
 mod response_end;
 mod resubmission;
 mod retirement;
+mod runner_conflicts;
 mod server_limits;
 mod server_load;
 mod server_selection;
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -38,7 +38,6 @@
         ItemBodyResponse,
         JobAck,
         JobCancelRequest,
-        JobClaim,
         JobResultsRequest,
         JobResultsResponse,
         StoreRequest,
@@ -48,7 +47,6 @@
         is_refusal,
         merge_failures, //
     },
-    job_directory::CLAIM_HOLD_TIME,
     link_reuse::LinkChoice,
     rank::score,
     sync::lock,
@@ -87,16 +85,13 @@
         set_socket_options,
         UNACKNOWLEDGED_TIMEOUT, //
     },
+    runner_conflicts,
     state::FleetState,
     store_watch::{
         log_changes,
         record_own_revisions, //
     },
-    stream_versions,
-    takeover::{
-        self,
-        RunnerReport, //
-    }, //
+    stream_versions, //
 };
 
 /// Timeout of a request that announces a cancellation to another VM.
@@ -219,7 +214,7 @@
         }
         Body::JobBodyAsk(request) => Body::JobBody(item_body_response(state, &request)),
         Body::JobEnd(request) => Body::JobDone(handle_cancellation(state, &request)),
-        Body::JobClaim(claim) => Body::JobDone(handle_claim(state, &claim)),
+        Body::JobClaim(claim) => Body::JobDone(runner_conflicts::handle_claim(state, &claim)),
         Body::JobHandover(request) => Body::JobDone(JobAck {
             done: handover::accept_handover(state, request).await,
         }),
@@ -363,20 +358,6 @@
     JobAck { done: true }
 }
 
-fn handle_claim(state: &FleetState, claim: &JobClaim) -> JobAck {
-    let report = RunnerReport {
-        job: &claim.id,
-        vm: claim.vm,
-        chunks: claim.chunks,
-    };
-    takeover::resolve_duplicate(state, report);
-    let until = Instant::now() + CLAIM_HOLD_TIME;
-    state
-        .jobs
-        .update_directory(|directory| directory.postpone_takeover(&claim.id, until));
-    JobAck { done: true }
-}
-
 async fn store_response(state: &FleetState, call: StoreRequest) -> StoreResponse {
     let Ok(method) = call.method.parse() else {
         return StoreResponse::default();
