One way to list a chunk or release its job; smaller signatures

The write of results and the comparison with the store both told an own chunk from another runner's, logged and released: commit::list_chunk serves both, in place of JobEntry::list_chunk. JobRecord::outdates repeated a comparison of supersedes; both use has_stored_more. RunnerReport repeated three fields that its callers have; resolve_duplicate takes them.

--- a/boragerill/src/job_directory.rs
+++ b/boragerill/src/job_directory.rs
@@ -239,16 +239,19 @@
     /// Returns whether this report takes precedence over one of a competing runner: of two runners, the one that
     /// has stored more chunks continues.
     fn supersedes(&self, other: &JobRecord) -> bool {
+        self.has_stored_more(other) && other.refreshed < self.refreshed + COMPETING_REPORT_LIFETIME
+    }
+
+    /// Returns whether the other report is of another runner, which has stored fewer chunks.
+    fn has_stored_more(&self, other: &JobRecord) -> bool {
         self.runner.map(|runner| runner.vm) != other.runner.map(|runner| runner.vm)
             && self.chunks > other.chunks
-            && other.refreshed < self.refreshed + COMPETING_REPORT_LIFETIME
     }
 
     /// Returns the runner of another report of the job if it has stored fewer chunks than the one of this report.
     fn outdates(&self, other: &JobRecord) -> Option<OutdatedRunner> {
-        let runner = other.runner?;
-        let is_other = self.runner.is_some_and(|own| own.vm != runner.vm);
-        (is_other && self.chunks > other.chunks).then(|| OutdatedRunner {
+        let runner = other.runner.filter(|_| self.has_stored_more(other))?;
+        Some(OutdatedRunner {
             runner,
             current: self.clone(),
         })
--- a/fleet/src/commit.rs
+++ b/fleet/src/commit.rs
@@ -90,15 +90,10 @@
     };
     lock(&entry.evidence).begin_write(Instant::now());
     match store_chunk(state, &entry.id, number, &chunk).await {
-        Ok(stored) if stored.runner != state.runner => {
-            info!(job = entry.id.as_str(), chunk = number, runner = stored.runner.as_str(); "job runs on another VM");
-            release(state, entry);
-            StoreOutcome::Ended
-        }
-        Ok(stored) => {
-            entry.list_chunk(number, &stored);
-            StoreOutcome::Done
-        }
+        Ok(stored) => match list_chunk(state, entry, number, &stored) {
+            true => StoreOutcome::Done,
+            false => StoreOutcome::Ended,
+        },
         Err(error) => {
             // A conflict: the number is taken, by this VM's own chunk or another one.
             let may_be_stored = error.is_ambiguous() || matches!(error, ServeError::Conflict(..));
@@ -109,6 +104,25 @@
     }
 }
 
+/// Lists the results of the chunk that is stored under this VM's next number. Returns `false` if another runner stored it,
+/// to which the job is released.
+pub(crate) fn list_chunk(
+    state: &FleetState,
+    entry: &JobEntry,
+    number: u32,
+    chunk: &ResultChunk,
+) -> bool {
+    if chunk.runner != state.runner {
+        info!(job = entry.id.as_str(), chunk = number, runner = chunk.runner.as_str(); "job runs on another VM");
+        release(state, entry);
+        return false;
+    }
+    lock(&entry.progress).adopt_chunk(number, chunk);
+    lock(&entry.evidence).end_write();
+    entry.changed.notify_waiters();
+    true
+}
+
 /// Waits until results can be stored: all items ended, the oldest result has waited for the [`collect_time`] of the job, or
 /// the job is closed.
 async fn wait_for_results(state: &FleetState, entry: &JobEntry) {
--- a/fleet/src/heartbeat_receiver.rs
+++ b/fleet/src/heartbeat_receiver.rs
@@ -47,8 +47,7 @@
     quarantine_notice::read_news,
     runner_conflicts::{
         notify_outdated,
-        resolve_duplicate,
-        RunnerReport, //
+        resolve_duplicate, //
     },
     state::FleetState,
     state_fetch::{
@@ -343,12 +342,7 @@
             abandoned: item_positions(&job.abandoned),
             refreshed: now,
         };
-        let competing = RunnerReport {
-            job: &job.id,
-            vm: heartbeat.sender,
-            chunks: job.chunks,
-        };
-        resolve_duplicate(&self.state, competing);
+        resolve_duplicate(&self.state, &job.id, heartbeat.sender, job.chunks);
         let jobs = &self.state.jobs;
         let outdated = jobs.update_directory(|directory| directory.record_report(report));
         if let Some(outdated) = outdated {
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -28,8 +28,7 @@
         JobId,
         JobItem,
         JobManifest,
-        JobProgress,
-        ResultChunk, //
+        JobProgress, //
     },
     job_directory::{
         JobDirectory,
@@ -285,13 +284,6 @@
         }
     }
 
-    /// Lists the results of a chunk that this VM wrote and that is stored.
-    pub(crate) fn list_chunk(&self, number: u32, chunk: &ResultChunk) {
-        lock(&self.progress).adopt_chunk(number, chunk);
-        lock(&self.evidence).end_write();
-        self.changed.notify_waiters();
-    }
-
     /// Returns whether another VM runs the job now.
     pub(crate) fn is_released(&self) -> bool {
         self.released.load(Ordering::Relaxed)
--- a/fleet/src/list_check.rs
+++ b/fleet/src/list_check.rs
@@ -19,18 +19,17 @@
     },
     sync::lock,
 };
-use log::info;
 use metrics::counter;
 use tokio::time::timeout;
 
 use crate::{
+    commit::list_chunk,
     job_reads::parse_object,
     jobs::{
         JobEntry,
         RESULT_KIND, //
     },
-    state::FleetState,
-    takeover::release, //
+    state::FleetState, //
 };
 
 /// Timeout of a check. Clients wait longer for a response to a read.
@@ -102,12 +101,7 @@
             Err(error) => return Err(error),
         };
         let chunk: ResultChunk = parse_object(&name, object.spec)?;
-        if chunk.runner != state.runner {
-            info!(job = entry.id.as_str(), chunk = number, runner = chunk.runner.as_str(); "job runs on another VM");
-            release(state, entry);
-            return Ok(ListStatus::Released);
-        }
-        // This VM's own write, whose response was lost.
-        entry.list_chunk(number, &chunk);
+        // Listed if it is this VM's own, of a write whose response was lost.
+        list_chunk(state, entry, number, &chunk);
     }
 }
--- a/fleet/src/runner_conflicts.rs
+++ b/fleet/src/runner_conflicts.rs
@@ -37,35 +37,24 @@
 /// Number of VMs that notify an outdated runner. Some of them may not reach it, or be the two runners themselves.
 const NOTIFIERS: usize = 4;
 
-/// What another VM has stored of a job that it reports.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct RunnerReport<'a> {
-    /// The job.
-    pub(crate) job: &'a str,
-    /// Hash of the name of the other VM.
-    pub(crate) vm: u64,
-    /// Number of chunks of results that the other VM has stored.
-    pub(crate) chunks: u32,
-}
-
-/// Resolves a conflict with another VM that reports a job of this VM: the VM with more stored chunks continues,
+/// Resolves a conflict with another VM that reports a job of this VM with `theirs` stored chunks: the VM with more stored chunks continues,
 /// with equal numbers the one with the greater hash. A job that this VM has stopped is given up as well, since the other VM
 /// may list more results.
-pub(crate) fn resolve_duplicate(state: &FleetState, report: RunnerReport<'_>) {
-    let Some(entry) = state.jobs.find(report.job) else {
+pub(crate) fn resolve_duplicate(state: &FleetState, job: &str, vm: u64, theirs: u32) {
+    let Some(entry) = state.jobs.find(job) else {
         return;
     };
-    let is_preferred = report.vm > state.vm_hash;
+    let is_preferred = vm > state.vm_hash;
     let (yields, cancelled, chunks) = {
         let progress = lock(&entry.progress);
         (
-            progress.yields_to(report.chunks, is_preferred),
+            progress.yields_to(theirs, is_preferred),
             progress.is_cancelled(),
             progress.chunks(),
         )
     };
     if yields && !entry.is_released() {
-        info!(job = report.job, chunks, theirs = report.chunks, cancelled; "job released to a competing runner");
+        info!(job, chunks, theirs, cancelled; "job released to a competing runner");
         release(state, &entry);
     }
 }
@@ -102,12 +91,7 @@
 
 /// Gives a job up to a VM that has stored more of its results, as a third VM has stated, and leaves it to that VM for a while.
 pub(crate) fn handle_claim(state: &FleetState, claim: &JobClaim) -> JobAck {
-    let report = RunnerReport {
-        job: &claim.id,
-        vm: claim.vm,
-        chunks: claim.chunks,
-    };
-    resolve_duplicate(state, report);
+    resolve_duplicate(state, &claim.id, claim.vm, claim.chunks);
     let until = Instant::now() + CLAIM_HOLD_TIME;
     state
         .jobs
