--- a/fleet/src/commit.rs
+++ b/fleet/src/commit.rs
@@ -174,9 +174,13 @@
             Ok(chunk.clone())
         }
         Err(conflict @ ServeError::Conflict(..)) => {
-            let object = state.platform.get(RESULT_KIND, &name).await;
-            // Without the other chunk it is still known that there is one.
-            parse_object(&name, object.map_err(|_| conflict)?.spec)
+            let read = state.platform.get(RESULT_KIND, &name).await;
+            let object = read.map_err(|error| {
+                warn!(job, chunk = number, error = error.to_string().as_str(); "reading a stored chunk failed");
+                // It is still known that there is one.
+                conflict
+            })?;
+            parse_object(&name, object.spec)
         }
         Err(error) => Err(error),
     }
