--- a/review/third.rs
+++ b/review/third.rs
@@ -15,6 +15,8 @@
 mod json;
 #[path = "third_open_route.rs"]
 mod open_route;
+#[path = "third_release.rs"]
+mod release;
 #[path = "third_restarts.rs"]
 mod restarts;
 #[path = "third_server.rs"]
@@ -46,7 +48,9 @@
     let folder = Path::new(rest.first().map_or(".", String::as_str));
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = match case.as_str() {
-        "restarts" => restarts::run(folder, has_trouble),
+        "release" => release::run(folder, has_trouble),
+        "restarts" => restarts::run(folder, has_trouble, restarts::IN_TURN),
+        "without-length" => restarts::run(folder, has_trouble, restarts::WITHOUT_LENGTH),
         "versions" => versions::run(folder, has_trouble),
         "empty-answers" => empty_answers::run(folder, has_trouble),
         "open-route" => open_route::run(folder, has_trouble),
--- a/review/third_fleet.rs
+++ b/review/third_fleet.rs
@@ -64,6 +64,13 @@
 }
 
 impl Process {
+    /// Makes a server drain and leave.
+    pub fn drain(&mut self) {
+        if let Some(input) = &mut self.child.stdin {
+            let _ = input.write_all(b"drain\n");
+        }
+    }
+
     pub fn signal(&self, signal: i32) {
         let id = self.child.id().to_string();
         let _ = Command::new("kill")
@@ -272,8 +279,13 @@
             server.pause.as_millis().to_string(),
             server.events.to_string(),
             server.truncates.to_string(),
+            server.idle_limit.to_string(),
         ]);
-        let mut child = command.stdout(Stdio::piped()).spawn().expect("server");
+        let mut child = command
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("server");
         let output = BufReader::new(child.stdout.take().expect("output"));
         let record = self.record.clone();
         thread::spawn(move || {
@@ -317,6 +329,7 @@
     pub pause: Duration,
     pub events: u64,
     pub truncates: usize, // It breaks each so many-th answer off; 0 for none.
+    pub idle_limit: u64,  // Seconds after which it closes an idle connection; 0 for never.
 }
 
 impl ServerPlan {
@@ -328,6 +341,7 @@
             pause,
             events,
             truncates: 0,
+            idle_limit: 0,
         }
     }
 }
--- a/review/third_open_route.rs
+++ b/review/third_open_route.rs
@@ -22,7 +22,7 @@
 const SETTLED: Duration = Duration::from_millis(1000);
 
 /// Time after the acceptance within which all items have to be listed.
-const FINISHED: Duration = Duration::from_secs(25);
+const FINISHED: Duration = Duration::from_secs(12);
 
 pub fn run(folder: &Path, has_trouble: bool) -> Outcome {
     let machines = [
--- a/review/third_restarts.rs
+++ b/review/third_restarts.rs
@@ -1,5 +1,8 @@
-//! Rolling restart of two of a zone's three fronts. Streams whose requests arrive late in the time that a front has for its
-//! shutdown are begun and then cut off.
+//! Restarts of a zone's fronts by SIGTERM, and the streams that are cut off beside them.
+//!
+//! With two of three fronts restarted one after the other, streams whose requests arrive late in the time that a front has for
+//! its shutdown are begun and then cut off. With one front restarted, and servers whose answers have no length and that close
+//! idle connections after 2 s, complete streams are cut off at their end.
 
 use std::{
     path::Path,
@@ -18,8 +21,30 @@
     Outcome,
 };
 
-/// Fronts that are restarted, one after the other.
-const RESTARTED: usize = 2;
+/// What is restarted, and how the servers answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Fronts that are restarted, one after the other.
+    pub restarted: usize,
+    /// Events of a stream, one each 100 ms.
+    pub events: u64,
+    /// Seconds after which servers close idle connections; 0 for never.
+    pub idle_limit: u64,
+}
+
+/// Two fronts in turn, and streams of 4.5 s.
+pub const IN_TURN: Plan = Plan {
+    restarted: 2,
+    events: 45,
+    idle_limit: 0,
+};
+
+/// One front, and streams of 2.5 s that end with their connections.
+pub const WITHOUT_LENGTH: Plan = Plan {
+    restarted: 1,
+    events: 25,
+    idle_limit: 2,
+};
 
 /// Time between two restarts.
 const GAP: Duration = Duration::from_millis(1300);
@@ -47,7 +72,7 @@
     stream: StreamRecord,
 }
 
-pub fn run(folder: &Path, has_trouble: bool) -> Outcome {
+pub fn run(folder: &Path, has_trouble: bool, plan: Plan) -> Outcome {
     let fronts = [
         ("front-a-1", "a", true),
         ("front-a-2", "a", true),
@@ -59,12 +84,11 @@
     deployment.write_config(|_| {});
     let servers: Vec<ServerPlan> = (0..9)
         .map(|number| {
-            ServerPlan::new(
-                number,
-                ["a", "b"][number % 2],
-                Duration::from_millis(100),
-                45,
-            )
+            let (zone, pause) = (["a", "b"][number % 2], Duration::from_millis(100));
+            ServerPlan {
+                idle_limit: plan.idle_limit,
+                ..ServerPlan::new(number, zone, pause, plan.events)
+            }
         })
         .collect();
     let _servers: Vec<Process> = servers
@@ -92,7 +116,7 @@
     thread::sleep(Duration::from_secs(3));
     let mut terminated = Vec::new();
     let begun = Instant::now();
-    for index in 0..RESTARTED {
+    for index in 0..plan.restarted {
         thread::sleep((begun + GAP * index as u32).saturating_duration_since(Instant::now()));
         if has_trouble {
             deployment
@@ -102,7 +126,7 @@
         }
         terminated.push(Instant::now());
     }
-    for index in 0..RESTARTED {
+    for index in 0..plan.restarted {
         let has_ended = processes[index].wait(terminated[index] + GRACE);
         if has_trouble {
             if !has_ended {
@@ -118,20 +142,19 @@
             processes[index] = deployment.start(index, false);
         }
     }
+    let until = begun + GRACE + Duration::from_secs(2);
+    thread::sleep(until.saturating_duration_since(Instant::now()));
     thread::sleep(Duration::from_secs(2));
     stop.store(true, Ordering::SeqCst);
     let _ = (clients.join(), probing.join());
     let sent: Vec<Sent> = sent.into_iter().collect();
-    judge(&deployment, &sent, &terminated, begun)
+    // Without a SIGTERM no work is planned, so that the rule says nothing.
+    let planned = if has_trouble { &terminated[..] } else { &[] };
+    judge(&deployment, &sent, planned, plan)
 }
 
 /// Looks for requests that the rule doesn't allow to be cut off.
-fn judge(
-    deployment: &Deployment,
-    sent: &[Sent],
-    terminated: &[Instant],
-    begun: Instant,
-) -> Outcome {
+fn judge(deployment: &Deployment, sent: &[Sent], terminated: &[Instant], plan: Plan) -> Outcome {
     let ran = deployment.record.server_lines();
     let has_run = |id: &str| ran.iter().any(|line| line.contains(&format!("runs {id} ")));
     let (mut lost, mut excused, mut complete) = (0, 0, 0);
@@ -159,11 +182,12 @@
             "lost"
         };
         deployment.record.add(format!(
-            "{verdict}: {} sent {} ms after SIGTERM, cut off {} ms after it with {} of 45 events: {}",
+            "{verdict}: {} sent {} ms after SIGTERM, cut off {} ms after it with {} of {} events: {}",
             request.stream.id,
             since(request.at),
             since(request.end),
             request.stream.events.len(),
+            plan.events,
             request.stream.cause
         ));
         match is_late || is_early {
@@ -171,16 +195,19 @@
             false => lost += 1,
         }
     }
+    let served = ran
+        .iter()
+        .filter(|line| line.contains(" complete "))
+        .count();
     let refused = sent
         .iter()
         .filter(|request| request.stream.status >= 400)
         .count();
     deployment.record.add(format!(
-        "{} requests in {} s: {complete} complete, {refused} refused, {excused} cut off but excused, {lost} lost",
-        sent.len(),
-        begun.elapsed().as_secs()
+        "{} requests: {complete} complete, {refused} refused, {served} completed by servers, {excused} cut off but excused, {lost} lost",
+        sent.len()
     ));
-    if sent.len() < 100 || complete * 2 < sent.len() {
+    if sent.len() < 100 || served * 2 < sent.len() {
         return Outcome::NotRun;
     }
     match lost >= LOST {
--- a/review/third_server.rs
+++ b/review/third_server.rs
@@ -1,15 +1,15 @@
 //! Stand-in of a backend server, a process of its own that registers in the store.
 //!
 //! Arguments: id, address, version, zone, address of the store, milliseconds from the start to its first write there,
-//! milliseconds between two events, number of events, and
-//! which of its answers it breaks off (each so many-th one; 0 for none).
+//! milliseconds between two events, number of events, which of its answers it breaks off (each so many-th one; 0 for none), and
+//! seconds after which it closes an idle connection (0 for never). With such a limit its answers end with their connections.
 
 use std::{
     io::{self, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicUsize, Ordering},
-        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -34,8 +34,15 @@
     running: AtomicUsize,
     answers: AtomicUsize,
     truncates: usize, // Each so many-th answer.
+    idle_limit: u64,  // In seconds; 0 for none.
+    is_draining: AtomicBool,
+    born: u64,
+    sequence: Mutex<u64>,
 }
 
+/// Time for which a server serves after the store has accepted that it drains.
+const DRAIN_TIME: Duration = Duration::from_millis(3500);
+
 pub fn unix_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -44,8 +51,10 @@
 
 /// Runs a server until the process is killed.
 pub fn run(arguments: &[String]) {
-    let [id, address, version, zone, store, first, pause, events, truncates] = arguments else {
-        panic!("nine arguments");
+    let [id, address, version, zone, store, first, pause, events, truncates, idle_limit] =
+        arguments
+    else {
+        panic!("ten arguments");
     };
     let address: SocketAddr = address.parse().expect("address");
     let store: SocketAddr = store.parse().expect("address");
@@ -59,10 +68,40 @@
         running: AtomicUsize::new(0),
         answers: AtomicUsize::new(0),
         truncates: truncates.parse().expect("number"),
+        idle_limit: idle_limit.parse().expect("number"),
+        is_draining: AtomicBool::new(false),
+        born: unix_ms(),
+        sequence: Mutex::new(0),
     });
     println!("{} {id} {version} started", unix_ms());
     let (beating, zone, first) = (server.clone(), zone.clone(), milliseconds(first));
+    let (draining, drained_zone) = (server.clone(), zone.clone());
     thread::spawn(move || beat(&beating, address, &zone, store, first));
+    // A line on the standard input makes the server drain, as before a planned shutdown.
+    thread::spawn(move || {
+        let mut line = String::new();
+        if io::stdin().read_line(&mut line).is_ok_and(|read| read > 0) {
+            draining.is_draining.store(true, Ordering::SeqCst);
+            draining.write_entry(address, &drained_zone, store);
+            println!("{} {} {} drains", unix_ms(), draining.id, draining.version);
+            thread::sleep(DRAIN_TIME);
+            let line = format!("DELETE /objects/servers/{}", draining.id);
+            let _ = http::call(
+                store,
+                &line,
+                &[("Host", "store")],
+                b"",
+                Duration::from_secs(1),
+            );
+            println!(
+                "{} {} {} has left",
+                unix_ms(),
+                draining.id,
+                draining.version
+            );
+            std::process::exit(0);
+        }
+    });
     for stream in listener.incoming().flatten() {
         let server = server.clone();
         thread::spawn(move || server.serve(stream));
@@ -71,27 +110,38 @@
 
 /// Writes the server's entry, for the first time after `first`.
 fn beat(server: &Server, address: SocketAddr, zone: &str, store: SocketAddr, first: Duration) {
-    let born = unix_ms();
     thread::sleep(first);
-    for sequence in 1.. {
+    server.write_entry(address, zone, store);
+    println!("{} {} {} registered", unix_ms(), server.id, server.version);
+    loop {
+        thread::sleep(HEARTBEAT);
+        server.write_entry(address, zone, store);
+    }
+}
+
+impl Server {
+    fn write_entry(&self, address: SocketAddr, zone: &str, store: SocketAddr) {
+        let mut sequence = self.sequence.lock().unwrap();
+        *sequence += 1;
+        let state = match self.is_draining.load(Ordering::SeqCst) {
+            true => "draining",
+            false => "ready",
+        };
         let entry = table([
             ("service", text("desk")),
             ("address", text(address.to_string())),
             ("zone", text(zone)),
-            ("version", text(&server.version)),
+            ("version", text(&self.version)),
             ("slots", number(SLOTS as u64)),
-            ("state", text("ready")),
+            ("state", text(state)),
             ("cold_remaining_ms", number(0)),
-            ("sequence", number(sequence)),
-            ("born", number(born)),
+            ("sequence", number(*sequence)),
+            ("born", number(self.born)),
         ]);
-        let object = table([
-            ("metadata", table([("name", text(&server.id))])),
-            ("spec", entry),
-        ])
-        .to_string();
-        let patience = Duration::from_secs(1);
+        let metadata = table([("name", text(&self.id))]);
+        let object = table([("metadata", metadata), ("spec", entry)]).to_string();
         let write = |line: &str| {
+            let patience = Duration::from_secs(1);
             http::call(
                 store,
                 line,
@@ -100,14 +150,10 @@
                 patience,
             )
         };
-        let written = write(&format!("PUT /objects/servers/{}", server.id));
+        let written = write(&format!("PUT /objects/servers/{}", self.id));
         if written.is_ok_and(|response| response.status() == 404) {
             let _ = write("POST /objects/servers");
         }
-        if sequence == 1 {
-            println!("{} {} {} registered", unix_ms(), server.id, server.version);
-        }
-        thread::sleep(HEARTBEAT);
     }
 }
 
@@ -117,9 +163,13 @@
         let Ok(mut writer) = stream.try_clone() else {
             return;
         };
+        if self.idle_limit > 0 {
+            let _ = stream.set_read_timeout(Some(Duration::from_secs(self.idle_limit)));
+        }
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader) {
-            if self.answer(&mut writer, &reader, &request).is_err() {
+            let answered = self.answer(&mut writer, &reader, &request);
+            if answered.is_err() || self.idle_limit > 0 {
                 return;
             }
         }
@@ -188,21 +238,37 @@
             return self.break_off(writer, id);
         }
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: 3e1b.07.5a2\r\nServer-Load: {},0,{SLOTS}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: 3e1b.07.5a2\r\nServer-Load: {},0,{SLOTS}\r\nContent-Type: text/event-stream\r\n{}\r\n\r\n",
             wire("id"),
             wire("signature"),
-            self.running.load(Ordering::SeqCst)
+            self.running.load(Ordering::SeqCst),
+            match self.idle_limit {
+                0 => "Transfer-Encoding: chunked".to_owned(),
+                limit => format!("Keep-Alive: timeout={limit}"),
+            }
         );
+        let leaving = match self.is_draining.load(Ordering::SeqCst) {
+            true => format!("\r\n{}: 1\r\n\r\n", wire("leaving")),
+            false => "\r\n\r\n".to_owned(),
+        };
+        let head = format!("{}{leaving}", head.trim_end());
         writer.write_all(head.as_bytes())?;
         for event in from..self.events {
             let event = format!("id: {event}\ndata: {} event {event}\n\n", self.version);
-            writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            let piece = match self.idle_limit {
+                0 => format!("{:x}\r\n{event}\r\n", event.len()),
+                _ => event,
+            };
+            writer.write_all(piece.as_bytes())?;
             thread::sleep(self.pause);
             if has_left(reader) {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
         }
-        writer.write_all(b"0\r\n\r\n")
+        match self.idle_limit {
+            0 => writer.write_all(b"0\r\n\r\n"),
+            _ => Ok(()),
+        }
     }
 }
 
