Empty answers without a marked end don't count as whole

Cause: an answer without a length ends with its connection, and the decision about such an end knew how the connection had ended and what became of the server's process, but not whether any output had come. Items took the end for that of their output.

The output is an input of the pure decision now. A run that owes an event isn't complete without one; comments are none. Streams run again while the route allows it, and plain successes without a byte count as broken off. Why it works: a text ends with an event of the run that ended it, or with a marked end.

One test asked for a single request when a stream is taken up after its last event; without a marked end it asks for exactly two now, since the first answer by itself shows nothing.

--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -227,6 +227,7 @@
     run: RunNumber, // The last one that was started; the current one while the item runs.
     text: Vec<u8>,
     last: Option<EventId>,
+    last_start: Option<usize>, // Length of the text before the last event, if it is known.
     version: Option<VersionKey>, // Software version of the servers that generated the text.
     failures: u32,
     silent_runs: u32, // Runs that ended because their server sent nothing for long.
@@ -234,6 +235,16 @@
     run_time: Option<Duration>, // Of the runs that generated the text; `None` if some of it is from a checkpoint.
 }
 
+impl ItemProgress {
+    /// Discards the output, so that the next run begins anew.
+    fn clear_output(&mut self) {
+        self.text.clear();
+        self.last = None;
+        self.last_start = None;
+        self.run_time = Some(Duration::ZERO);
+    }
+}
+
 /// Progress of one job.
 #[derive(Clone, Debug)]
 pub struct JobProgress {
@@ -256,6 +267,7 @@
             run: 0,
             text: Vec::new(),
             last: None,
+            last_start: None,
             version: None,
             failures: 0,
             silent_runs: 0,
@@ -381,9 +393,7 @@
         item.phase = ItemPhase::Running;
         item.run = self.runs;
         if item.version != Some(version) {
-            item.text.clear();
-            item.run_time = Some(Duration::ZERO);
-            item.last = None;
+            item.clear_output();
             item.version = Some(version);
         }
         Some(StartedRun {
@@ -434,6 +444,7 @@
                 continue;
             }
             item.last = Some(output.last);
+            item.last_start = None;
             item.text = output.text.as_bytes().to_vec();
             item.run_time = None;
             item.version = output.version;
@@ -466,6 +477,7 @@
             last = Some(id);
         }
         for event in events {
+            item.last_start = Some(item.text.len());
             if item.last.is_some() {
                 item.text.push(b'\n');
             }
@@ -538,9 +550,27 @@
         };
         item.phase = ItemPhase::Waiting;
         item.pause_until = Some(until);
-        item.text.clear();
-        item.run_time = Some(Duration::ZERO);
-        item.last = None;
+        item.clear_output();
+        true
+    }
+
+    /// Takes the last event off the output of an item and pauses the item until a time. The next run has to bring the event
+    /// again, which shows whether there are more; a run that is asked to go on after the last event of all shows nothing.
+    pub fn step_back(&mut self, index: usize, run: RunNumber, until: Instant) -> bool {
+        let Some(item) = self.current(index, run) else {
+            return false;
+        };
+        item.phase = ItemPhase::Waiting;
+        item.pause_until = Some(until);
+        // Where the last event of a checkpoint begins isn't known, as the data of an event may have several lines.
+        let before = item.last.and_then(|last| last.checked_sub(1));
+        match (item.last_start.take(), before) {
+            (Some(start), Some(before)) if start > 0 => {
+                item.text.truncate(start);
+                item.last = Some(before);
+            }
+            _ => item.clear_output(),
+        }
         true
     }
 
--- a/boragerill/src/response_end.rs
+++ b/boragerill/src/response_end.rs
@@ -3,6 +3,10 @@
 //! A response without length or chunks ends with its connection. The kernel ends the connections of a process that is
 //! killed in the same way, so such an end counts only if the server's process has outlived it. A connection that is reset,
 //! or whose server has not taken the whole request, marks no end either.
+//!
+//! A running server may break its response off as well. That can't be told from an end between two parts of the output, but
+//! it can where no output has come: a response that owes some isn't complete without it, however it ends, and an empty one
+//! counts only if its end is marked or no other run can show more.
 
 use reqwest::{
     header::{
@@ -10,24 +14,40 @@
         CONTENT_LENGTH,
         TRANSFER_ENCODING, //
     },
-    Response, //
+    Response,
+    StatusCode, //
 };
 
 /// Length of a request up to which a connection takes it whole, whether the server reads it or not.
 const SHORT_REQUEST_BYTES: usize = 16 * 1024;
 
 /// Checks, for clients that see nothing of a connection but its end, that a success can't be a part of a response whose
-/// server closed the connection before it had read the request.
+/// server closed the connection before it had read the request. Returns what marks the end of the response.
 ///
 /// # Errors
 ///
 /// Returns the cause if the end of the response isn't marked and the request was long.
-pub fn check_marked(response: &Response, request_bytes: usize) -> Result<(), &'static str> {
+pub fn check_marked(
+    response: &Response,
+    request_bytes: usize,
+) -> Result<BodyFraming, &'static str> {
     let is_without_body = response.content_length() == Some(0);
     let framing = BodyFraming::of(response.headers(), is_without_body);
     let is_long = request_bytes > SHORT_REQUEST_BYTES;
     match response.status().is_success() && framing == BodyFraming::Connection && is_long {
         true => Err("response without a length to a request that the server may not have read"),
+        false => Ok(framing),
+    }
+}
+
+/// Checks, for clients that see nothing of a connection but its end, that the body of a success isn't missing.
+///
+/// # Errors
+///
+/// Returns the cause if the body is empty and its end isn't marked.
+pub fn check_body(framing: BodyFraming, status: StatusCode, body: &[u8]) -> Result<(), EndFault> {
+    match status.is_success() && framing == BodyFraming::Connection && body.is_empty() {
+        true => Err(EndFault::NothingAdded),
         false => Ok(()),
     }
 }
@@ -67,9 +87,27 @@
     Unfinished,
 }
 
+/// What has come of the output of a response by its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OutputState {
+    /// Some output, or an error, which needs none.
+    Received,
+    /// None. There may be none: the run goes on after output that may be whole, or the response is no stream.
+    Empty {
+        /// Whether another run shows if there is none.
+        can_be_shown: bool,
+    },
+    /// None, although the run owes some: it began with the request, which always has output.
+    Missing,
+}
+
 /// Why the end of a response isn't accepted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndFault {
+    /// It ended before the output that it owes.
+    OutputMissing,
+    /// It ended with its connection and without output, so that nothing shows whether there is none.
+    NothingAdded,
     /// The server reset the connection, or ended it before it had taken the whole request.
     ConnectionReset,
     /// The process that sent the response is gone.
@@ -94,6 +132,8 @@
 pub struct ResponseEnd {
     /// What marks it.
     pub framing: BodyFraming,
+    /// Output that came before it.
+    pub output: OutputState,
     /// How its connection ended, once known.
     pub connection: Option<ConnectionEnd>,
     /// State of the server's process after it, once known.
@@ -107,6 +147,9 @@
     /// Decides whether the response is complete.
     pub fn decide(&self) -> EndVerdict {
         match (self.framing, self.connection) {
+            _ if self.output == OutputState::Missing => {
+                return EndVerdict::BrokenOff(EndFault::OutputMissing);
+            }
             (BodyFraming::Marked, _) => return EndVerdict::Complete,
             (_, None) => return EndVerdict::Undecided,
             (_, Some(ConnectionEnd::Reset | ConnectionEnd::Unfinished)) => {
@@ -114,10 +157,17 @@
             }
             (_, Some(ConnectionEnd::Regular)) => {}
         }
+        // The server runs as far as can be seen, so that only its output tells whether it broke the response off.
+        let at_running_server = match self.output {
+            OutputState::Empty { can_be_shown: true } => {
+                EndVerdict::BrokenOff(EndFault::NothingAdded)
+            }
+            _ => EndVerdict::Complete,
+        };
         match self.process {
-            Some(ProcessState::Running) => EndVerdict::Complete,
+            Some(ProcessState::Running) => at_running_server,
             None => EndVerdict::Undecided,
-            Some(ProcessState::Listening) if !self.may_run_again => EndVerdict::Complete,
+            Some(ProcessState::Listening) if !self.may_run_again => at_running_server,
             Some(ProcessState::Gone | ProcessState::Replaced) => {
                 EndVerdict::BrokenOff(EndFault::ProcessGone)
             }
@@ -179,6 +229,10 @@
     /// Returns the cause as text for logs.
     pub fn text(self) -> &'static str {
         match self {
+            EndFault::OutputMissing => "response ended before its first output",
+            EndFault::NothingAdded => {
+                "response ended with its connection and without output, which doesn't show that there is none"
+            }
             EndFault::ConnectionReset => {
                 "response ended with its connection before the server had taken the whole request"
             }
--- a/boragerill/src/stream.rs
+++ b/boragerill/src/stream.rs
@@ -18,7 +18,9 @@
     buffer: BytesMut,
     searched: usize, // Number of leading bytes of the buffer in which no event ends.
     last: Option<EventId>,
-    event_count: u64, // Number of events returned so far.
+    event_count: u64,      // Number of events returned so far.
+    output_count: u64,     // Number of those that aren't comments.
+    has_begun_event: bool, // Whether a run was left within the event after the last one.
 }
 
 /// Why a stream can't be continued.
@@ -65,6 +67,7 @@
     pub fn take(&mut self) -> Result<Option<EventChunk>, StreamFault> {
         let mut end = 0;
         let mut count = 0;
+        let mut output_count = 0;
         let mut is_faulty = false;
         while let Some(length) = self.find_end(end) {
             let event = &self.buffer[end..end + length];
@@ -79,6 +82,7 @@
                 Err(fault) => return Err(fault),
             }
             self.last = id.or(self.last);
+            output_count += u64::from(!is_comment(event));
             end += length;
             count += 1;
         }
@@ -91,6 +95,8 @@
             return Ok(None);
         }
         self.event_count += count;
+        self.output_count += output_count;
+        self.has_begun_event &= output_count == 0;
         let bytes = self.buffer.split_to(end).freeze();
         Ok(Some(EventChunk { bytes, count }))
     }
@@ -109,6 +115,7 @@
 
     /// Discards an incomplete event, before another run resumes the stream after the last complete one.
     pub fn discard_partial(&mut self) {
+        self.has_begun_event |= self.buffer.first().is_some_and(|&byte| byte != b':');
         self.buffer.clear();
         self.searched = 0;
     }
@@ -123,6 +130,16 @@
         self.event_count
     }
 
+    /// Returns the number of complete events returned so far that have content: a comment is no output.
+    pub fn output_count(&self) -> u64 {
+        self.output_count
+    }
+
+    /// Returns whether an earlier run has begun the event that is due next: then the stream hasn't ended before it.
+    pub fn has_begun_event(&self) -> bool {
+        self.has_begun_event
+    }
+
     /// Returns the length of the event that begins at `start`, including its closing blank line.
     fn find_end(&self, start: usize) -> Option<usize> {
         let from = start.max(self.searched.saturating_sub(3));
--- a/boragerill/tests/item_runs.rs
+++ b/boragerill/tests/item_runs.rs
@@ -13,6 +13,15 @@
         JobProgress,
         RunNumber, //
     },
+    response_end::{
+        BodyFraming,
+        ConnectionEnd,
+        EndFault,
+        EndVerdict,
+        OutputState,
+        ProcessState,
+        ResponseEnd, //
+    },
     stream::EventId,
 };
 use compact_str::{
@@ -22,7 +31,11 @@
 use proptest::{
     prelude::*,
     sample::Index,
-    test_runner::RngSeed, //
+    strategy::ValueTree,
+    test_runner::{
+        RngSeed,
+        TestRunner, //
+    },
 };
 use proptest_state_machine::{
     prop_state_machine,
@@ -55,6 +68,10 @@
     texts.join("\n")
 }
 
+fn framings() -> impl Strategy<Value = BodyFraming> {
+    prop_oneof![Just(BodyFraming::Marked), Just(BodyFraming::Connection)]
+}
+
 /// Event in the life of items whose runs overlap.
 #[derive(Clone, Debug)]
 enum RunEvent {
@@ -70,8 +87,8 @@
     Fail { run: Index },
     /// A run finds its output unusable.
     Discard { run: Index },
-    /// The response of a run ends after its last event.
-    Complete { run: Index },
+    /// The response of a run ends after its last event, or its server breaks it off before its first one.
+    End { run: Index, framing: BodyFraming },
     /// The runner stores a checkpoint.
     Checkpoint,
     /// Another runner continues from two of the checkpoints.
@@ -100,7 +117,7 @@
             4 => run().prop_map(|run| RunEvent::Pause { run }),
             2 => run().prop_map(|run| RunEvent::Fail { run }),
             1 => run().prop_map(|run| RunEvent::Discard { run }),
-            3 => run().prop_map(|run| RunEvent::Complete { run }),
+            4 => (run(), framings()).prop_map(|(run, framing)| RunEvent::End { run, framing }),
             2 => Just(RunEvent::Checkpoint),
             1 => (run(), run()).prop_map(|(first, second)| RunEvent::Takeover { first, second }),
         ]
@@ -116,10 +133,16 @@
     item: usize,
     number: RunNumber,
     version: u64,
+    begun_after: Option<EventId>,
     next: EventId,
 }
 
 impl OpenRun {
+    /// Returns whether the run has brought an event.
+    fn has_output(&self) -> bool {
+        self.next > self.begun_after.map_or(0, |last| last + 1)
+    }
+
     fn events(&self, numbers: std::ops::Range<EventId>) -> Vec<u8> {
         let events: String = numbers
             .map(|event| {
@@ -145,6 +168,7 @@
                 item,
                 number: run.number,
                 version,
+                begun_after: run.last,
                 next: run.last.map_or(0, |last| last + 1),
             });
         }
@@ -194,10 +218,37 @@
         change(&mut self.progress, run.item, run.number);
     }
 
-    fn complete(&mut self, run: &Index) {
-        let is_whole = self.select(run).is_some_and(|run| run.next == EVENTS);
-        if is_whole {
-            self.change(run, JobProgress::complete);
+    /// Ends the response of a run whose server goes on. A marked end is the end of the output. What a server breaks off
+    /// between two events can't be told from its end, so it does that only before the first one.
+    fn end(&mut self, run: &Index, framing: BodyFraming) {
+        let Some(open) = self.select(run).map(|run| run.clone()) else {
+            return;
+        };
+        let is_whole = open.next == EVENTS;
+        let is_cut = !open.has_output() && framing == BodyFraming::Connection;
+        if !is_whole && !is_cut {
+            return;
+        }
+        let output = match (open.has_output(), open.begun_after) {
+            (true, _) => OutputState::Received,
+            (false, None) => OutputState::Missing,
+            (false, Some(_)) => OutputState::Empty { can_be_shown: true },
+        };
+        let end = ResponseEnd {
+            framing,
+            output,
+            connection: Some(ConnectionEnd::Regular),
+            process: Some(ProcessState::Running),
+            may_run_again: true,
+        };
+        let now = Instant::now();
+        match end.decide() {
+            EndVerdict::Complete => self.change(run, JobProgress::complete),
+            EndVerdict::BrokenOff(EndFault::NothingAdded) => self
+                .change(run, |progress, item, run| {
+                    progress.step_back(item, run, now)
+                }),
+            _ => self.change(run, |progress, item, run| progress.pause(item, run, None)),
         }
     }
 
@@ -243,7 +294,7 @@
             RunEvent::Discard { run } => {
                 model.change(&run, |progress, item, run| progress.discard(item, run, now));
             }
-            RunEvent::Complete { run } => model.complete(&run),
+            RunEvent::End { run, framing } => model.end(&run, framing),
             RunEvent::Checkpoint => model.checkpoints.push(model.progress.checkpoint()),
             RunEvent::Takeover { first, second } => model.take_over(&first, &second),
         }
@@ -282,6 +333,50 @@
     fn text_of_an_item_has_each_event_once_in_order(sequential 1..80 => RunTest);
 }
 
+/// Returns an index that selects the only run.
+fn first_index() -> Index {
+    let strategy = any::<Index>();
+    let tree = strategy.new_tree(&mut TestRunner::deterministic());
+    tree.expect("index").current()
+}
+
+/// Guards against an item that never ends at servers whose responses have no marked end: each run that goes on after the last
+/// event is empty, and shows nothing.
+#[test]
+fn item_whose_last_event_is_known_completes_at_servers_without_marked_ends() {
+    for is_taken_over in [false, true] {
+        // arrange
+        let mut model = RunTest::init_test(&());
+        let first = first_index();
+        model.start(0, 1);
+        model.receive(&first, EVENTS);
+        model.change(&first, |progress, item, run| {
+            progress.pause(item, run, None)
+        });
+        model.checkpoints.push(model.progress.checkpoint());
+        if is_taken_over {
+            model.take_over(&first, &first);
+        }
+        model.runs.clear();
+
+        // act
+        let mut begun_after = Vec::new();
+        while model.progress.unlisted() == 0 && begun_after.len() < 10 {
+            model.start(0, 1);
+            begun_after.extend(model.runs.iter().map(|run| run.begun_after));
+            model.receive(&first, EVENTS);
+            model.end(&first, BodyFraming::Connection);
+            model.runs.clear();
+        }
+
+        // assert: the text of a checkpoint isn't taken apart, so its item begins anew
+        let proving = (!is_taken_over).then_some(EVENTS - 2);
+        assert_eq!(begun_after, [Some(EVENTS - 1), proving]);
+        let (_, chunk) = model.progress.next_chunk("runner").expect("result");
+        assert_eq!(chunk.results[0].text, prefix(0, 1, EVENTS));
+    }
+}
+
 /// Items are cut and go on elsewhere. On earlier code, only the last run counted, so that long items were taken for short
 /// ones and started too late.
 #[test]
--- a/boragerill/tests/response_end.rs
+++ b/boragerill/tests/response_end.rs
@@ -5,6 +5,7 @@
     ConnectionEnd,
     EndFault,
     EndVerdict,
+    OutputState,
     ProcessState,
     ResponseEnd, //
 };
@@ -13,6 +14,7 @@
 fn end_by_connection(process: ProcessState, may_run_again: bool) -> EndVerdict {
     let end = ResponseEnd {
         framing: BodyFraming::Connection,
+        output: OutputState::Received,
         connection: Some(ConnectionEnd::Regular),
         process: Some(process),
         may_run_again,
@@ -74,9 +76,13 @@
 
     /// Guards against checks of servers, and their delay, after responses whose end is marked.
     #[test]
-    fn marked_ends_need_no_check(may_run_again: bool) {
+    fn marked_ends_need_no_check(may_run_again: bool, is_empty: bool, can_be_shown: bool) {
         // arrange
-        let end = ResponseEnd { framing: BodyFraming::Marked, connection: None, process: None, may_run_again };
+        let output = match is_empty {
+            true => OutputState::Empty { can_be_shown },
+            false => OutputState::Received,
+        };
+        let end = ResponseEnd { framing: BodyFraming::Marked, output, connection: None, process: None, may_run_again };
 
         // act
         let verdict = end.decide();
@@ -86,6 +92,78 @@
     }
 }
 
+fn process_states() -> impl Strategy<Value = Option<ProcessState>> {
+    prop_oneof![
+        Just(None),
+        Just(Some(ProcessState::Running)),
+        Just(Some(ProcessState::Replaced)),
+        Just(Some(ProcessState::Listening)),
+        Just(Some(ProcessState::Gone)),
+        Just(Some(ProcessState::Unknown)),
+    ]
+}
+
+fn connection_ends() -> impl Strategy<Value = Option<ConnectionEnd>> {
+    prop_oneof![
+        Just(None),
+        Just(Some(ConnectionEnd::Regular)),
+        Just(Some(ConnectionEnd::Reset)),
+        Just(Some(ConnectionEnd::Unfinished)),
+    ]
+}
+
+fn framings() -> impl Strategy<Value = BodyFraming> {
+    prop_oneof![Just(BodyFraming::Marked), Just(BodyFraming::Connection)]
+}
+
+proptest! {
+    /// Guards against MIXED: a response that broke off before its first output was taken for a whole, empty one.
+    #[test]
+    fn responses_without_the_output_that_they_owe_are_not_complete(
+        framing in framings(),
+        connection in connection_ends(),
+        process in process_states(),
+        may_run_again: bool,
+    ) {
+        // arrange
+        let output = OutputState::Missing;
+        let end = ResponseEnd { framing, output, connection, process, may_run_again };
+
+        // act
+        let verdict = end.decide();
+
+        // assert
+        prop_assert_eq!(verdict, EndVerdict::BrokenOff(EndFault::OutputMissing));
+    }
+
+    /// Guards against MIXED: an empty response that ended with its connection was taken for a whole one although another
+    /// run could have shown more, and against a change of all other verdicts by it.
+    #[test]
+    fn empty_responses_with_unmarked_ends_are_complete_only_if_no_run_can_show_more(
+        framing in framings(),
+        connection in connection_ends(),
+        process in process_states(),
+        may_run_again: bool,
+        can_be_shown: bool,
+    ) {
+        // arrange
+        let received =
+            ResponseEnd { framing, output: OutputState::Received, connection, process, may_run_again };
+        let empty = ResponseEnd { output: OutputState::Empty { can_be_shown }, ..received };
+
+        // act
+        let verdicts = (empty.decide(), received.decide());
+
+        // assert
+        let is_doubtful = can_be_shown && framing == BodyFraming::Connection;
+        let expected = match verdicts.1 {
+            EndVerdict::Complete if is_doubtful => EndVerdict::BrokenOff(EndFault::NothingAdded),
+            other => other,
+        };
+        prop_assert_eq!(verdicts.0, expected);
+    }
+}
+
 /// Guards against an end by the connection that is taken for completion by itself.
 #[test]
 fn end_by_the_connection_is_undecided_until_the_process_is_known() {
@@ -93,6 +171,7 @@
         // arrange
         let end = ResponseEnd {
             framing: BodyFraming::Connection,
+            output: OutputState::Received,
             connection: Some(ConnectionEnd::Regular),
             process: None,
             may_run_again,
@@ -124,6 +203,7 @@
             // arrange
             let end = ResponseEnd {
                 framing: BodyFraming::Connection,
+                output: OutputState::Received,
                 connection: Some(connection),
                 process,
                 may_run_again,
--- a/entry/src/forward.rs
+++ b/entry/src/forward.rs
@@ -24,7 +24,10 @@
         RefusalReason,
         RefusalResponse, //
     },
-    response_end::check_marked,
+    response_end::{
+        check_body,
+        check_marked, //
+    },
     retry::{
         AttemptProgress,
         FailedAttempt,
@@ -367,7 +370,8 @@
     request: &OutgoingRequest,
 ) -> Result<CheckedResponse, AttemptFailure> {
     let status = response.status();
-    check_marked(&response, request.body.len()).map_err(|cause| sent_failure(cause.into()))?;
+    let framing = check_marked(&response, request.body.len())
+        .map_err(|cause| sent_failure(CompactString::const_new(cause)))?;
     let content_type = response
         .headers()
         .get("content-type")
@@ -384,6 +388,7 @@
             Err(error) => return Err(sent_failure(root_cause(&error))),
         }
     }
+    check_body(framing, status, &body).map_err(|fault| sent_failure(fault.text().into()))?;
     if request.route.service.is_engine && status.is_success() {
         check_response(&body, &request.caller.id)
             .map_err(|fault| sent_failure(format_compact!("response {fault:?}")))?;
--- a/fleet/src/attempt.rs
+++ b/fleet/src/attempt.rs
@@ -160,6 +160,8 @@
     NotRun(NotRunCause, CompactString),
     /// The request may have run.
     Unknown(CompactString),
+    /// The server ended the response without output and runs on. It may be asked again, which shows if there is none.
+    Unproven(CompactString),
 }
 
 /// Why a request didn't run.
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -18,6 +18,10 @@
         RefusalReason,
         RefusalResponse, //
     },
+    response_end::{
+        EndFault,
+        OutputState, //
+    },
     timer::millis, //
 };
 use compact_str::{
@@ -153,11 +157,15 @@
         if matches!(failure, AttemptFailure::NotRun(..)) {
             record_other_cell(state, &server, false);
         }
-        history.tried.push(server.key);
+        if !matches!(failure, AttemptFailure::Unproven(_)) {
+            history.tried.push(server.key);
+        }
         let out_of_time = timed_out || time_until_disconnect(&request).is_zero();
         match &failure {
             AttemptFailure::NotRun(..) if history.refusals < MAX_REFUSALS && !out_of_time => {}
-            AttemptFailure::Unknown(_) if may_retry(&request, &history) && !out_of_time => {
+            AttemptFailure::Unknown(_) | AttemptFailure::Unproven(_)
+                if may_retry(&request, &history) && !out_of_time =>
+            {
                 sleep(RETRY_PAUSE).await;
             }
             _ => return Err(final_refusal(&history, out_of_time)),
@@ -272,7 +280,7 @@
             history.refusals += 1;
             (reason.name(), cause)
         }
-        AttemptFailure::Unknown(cause) => {
+        AttemptFailure::Unknown(cause) | AttemptFailure::Unproven(cause) => {
             history.runs += 1;
             history.is_trial = false;
             ("server_failed", cause)
@@ -343,7 +351,19 @@
     };
     let mut held = HeldBody::new(&state.caller_bytes);
     let read = match receive(&mut held, &mut response.body, limit).await {
-        Ok(()) => check_end(&request.outgoing, &mut response).await.map(drop),
+        Ok(()) => {
+            let output = match response.head.status.is_success() && held.is_empty() {
+                true => OutputState::Empty { can_be_shown: true },
+                false => OutputState::Received,
+            };
+            match check_end(&request.outgoing, &mut response, output).await {
+                Err(EndFault::NothingAdded) => {
+                    let cause = EndFault::NothingAdded.text().into();
+                    return Err(AttemptFailure::Unproven(cause));
+                }
+                checked => checked.map(drop).map_err(|fault| fault.text().into()),
+            }
+        }
         // No failure of the server, and running the request again would take as much memory.
         Err(BodyFault::Shed) => return Ok(refuse_response(state, request)),
         Err(BodyFault::TooLarge) => Err(format_compact!("response of more than {limit} bytes")),
--- a/fleet/src/held_body.rs
+++ b/fleet/src/held_body.rs
@@ -71,6 +71,11 @@
 }
 
 impl HeldBody {
+    /// Returns whether no byte has come.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     /// Keeps the bytes from being shed; returns `false` if they were shed already.
     pub(crate) fn pin(&self) -> bool {
         self.reservation.pin()
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -26,7 +26,11 @@
     load::EventClock,
     prompt::PromptParts,
     residency::ResidencyRule,
-    response_end::ProcessState,
+    response_end::{
+        EndFault,
+        OutputState,
+        ProcessState, //
+    },
     slot::free_slots,
     stream::{
         EventSplitter,
@@ -150,6 +154,8 @@
     Failed(CompactString),
     /// The output can't be continued or stored, so the item begins anew.
     Unusable(CompactString),
+    /// The response doesn't show whether the output is whole, so the next run brings its last event again.
+    Unproven(CompactString),
     /// The item has ended, or another run of it has been started.
     Replaced,
 }
@@ -160,6 +166,16 @@
     }
 }
 
+impl From<EndFault> for RunBreak {
+    fn from(fault: EndFault) -> RunBreak {
+        let cause = CompactString::const_new(fault.text());
+        match fault {
+            EndFault::NothingAdded => RunBreak::Unproven(cause),
+            _ => RunBreak::Failed(cause),
+        }
+    }
+}
+
 impl ItemRun<'_> {
     /// Sends the item and records its output and outcome in the job's progress.
     pub(crate) async fn run(&self, outgoing: &OutgoingRequest, permit: SendPermit) {
@@ -174,7 +190,7 @@
         let backoff = match failure {
             AttemptFailure::NotRun(NotRunCause::Unreachable, _) => Duration::ZERO,
             AttemptFailure::NotRun(..) => REFUSAL_BACKOFF,
-            AttemptFailure::Unknown(_) => broken_run_backoff(),
+            AttemptFailure::Unknown(_) | AttemptFailure::Unproven(_) => broken_run_backoff(),
         };
         self.record_interruption(outgoing, &failure);
         self.pause(Some(Instant::now() + backoff));
@@ -266,6 +282,7 @@
         let cause = match &ended {
             RunBreak::ServerSilent => CompactString::const_new("no event in time"),
             RunBreak::Replaced => CompactString::const_new("another run has been started"),
+            RunBreak::Unproven(cause) => cause.clone(),
             RunBreak::Failed(cause) | RunBreak::Unusable(cause) => {
                 self.state
                     .backends
@@ -279,11 +296,15 @@
         };
         response.abandon();
         self.record_interruption(outgoing, &AttemptFailure::Unknown(cause));
+        let until = Instant::now() + FAILURE_BACKOFF;
         if matches!(ended, RunBreak::Unusable(_)) {
-            let until = Instant::now() + FAILURE_BACKOFF;
             let is_current = lock(&self.entry.progress).discard(self.index, self.number, until);
             return self.record_change(is_current, "discard");
         }
+        if matches!(ended, RunBreak::Unproven(_)) {
+            let is_current = lock(&self.entry.progress).step_back(self.index, self.number, until);
+            return self.record_change(is_current, "step_back");
+        }
         let backoff = match proof.is_proven() {
             true => REFUSAL_BACKOFF,
             false => broken_run_backoff(),
@@ -339,7 +360,12 @@
                 splitter
                     .finish()
                     .map_err(|fault| format_compact!("{fault:?}"))?;
-                let process = check_end(outgoing, response).await?;
+                let output = match (splitter.output_count(), last) {
+                    (0, None) => OutputState::Missing,
+                    (0, Some(_)) => OutputState::Empty { can_be_shown: true },
+                    _ => OutputState::Received,
+                };
+                let process = check_end(outgoing, response, output).await?;
                 proof.record(quarantine, &outgoing.prompt, RunProgress::Complete);
                 return Ok(process);
             };
@@ -416,7 +442,9 @@
     }
 
     fn record_interruption(&self, outgoing: &OutgoingRequest, failure: &AttemptFailure) {
-        let (AttemptFailure::NotRun(_, cause) | AttemptFailure::Unknown(cause)) = failure;
+        let (AttemptFailure::NotRun(_, cause)
+        | AttemptFailure::Unknown(cause)
+        | AttemptFailure::Unproven(cause)) = failure;
         counter!("item_attempts_failed_total").increment(1);
         info!(
             job = self.entry.id.as_str(),
--- a/fleet/src/response_end.rs
+++ b/fleet/src/response_end.rs
@@ -11,13 +11,14 @@
 use boragerill::{
     error::ServeError,
     response_end::{
+        EndFault,
         EndVerdict,
+        OutputState,
         ProcessState,
         ResponseEnd, //
     },
     timer::millis, //
 };
-use compact_str::CompactString;
 use log::info;
 use metrics::counter;
 use tokio::{
@@ -122,13 +123,15 @@
 ///
 /// # Errors
 ///
-/// Returns the cause if the response has to be treated as broken off.
+/// Returns the fault for which the response has to be treated as broken off.
 pub(crate) async fn check_end(
     request: &OutgoingRequest,
     response: &mut ServerResponse,
-) -> Result<Option<ProcessState>, CompactString> {
+    output: OutputState,
+) -> Result<Option<ProcessState>, EndFault> {
     let mut end = ResponseEnd {
         framing: response.framing,
+        output,
         connection: None,
         process: None,
         may_run_again: request.repeatable,
@@ -157,12 +160,13 @@
             process,
             verdict = verdict.name(),
             may_run_again = end.may_run_again,
+            has_output = output == OutputState::Received,
             check_ms = millis(asked.elapsed());
             "response ended with its connection"
         );
     }
     match verdict {
-        EndVerdict::BrokenOff(fault) => Err(CompactString::const_new(fault.text())),
+        EndVerdict::BrokenOff(fault) => Err(fault),
         _ => Ok(end.process),
     }
 }
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -24,6 +24,7 @@
     rank::hash_name,
     response_end::{
         BodyFraming,
+        OutputState,
         ProcessState, //
     },
     stall::{
@@ -150,6 +151,7 @@
     first: Option<FirstRead>,
     response: Option<ServerResponse>, // `None` once the stream has ended or its run was interrupted.
     begun_after: Option<EventId>,     // Event after which the current run began.
+    begun_count: u64,                 // Number of events with content before the current run.
     tried: Vec<u32>,                  // Keys of the servers that ran the stream.
     refused: Vec<(u32, Instant)>,     // Keys of the servers that refused it lately.
     is_suspect: bool,                 // Whether other requests avoid the server for its silence.
@@ -191,6 +193,7 @@
             stall,
             first: Some(opened.first),
             begun_after: request.outgoing.last_event(&state.format.names),
+            begun_count: 0,
             tried: vec![opened.response.server.key],
             refused: Vec::new(),
             response: Some(opened.response),
@@ -347,13 +350,26 @@
     ///
     /// Returns the cause if nothing shows that the run is complete.
     async fn check_end(&mut self) -> Result<Option<Bytes>, CompactString> {
+        let output = self.output_state();
         if let Some(response) = &mut self.response {
-            let process = check_end(&self.outgoing, response).await?;
+            let checked = check_end(&self.outgoing, response, output).await;
+            let process = checked.map_err(|fault| CompactString::const_new(fault.text()))?;
             self.record_end(process);
         }
         Ok(None)
     }
 
+    /// Returns what the current run has brought.
+    fn output_state(&self) -> OutputState {
+        match self.begun_after {
+            _ if self.splitter.output_count() > self.begun_count => OutputState::Received,
+            None => OutputState::Missing,
+            Some(_) => OutputState::Empty {
+                can_be_shown: self.stall_state().resumable || self.splitter.has_begun_event(),
+            },
+        }
+    }
+
     fn record_end(&mut self, process: Option<ProcessState>) {
         self.record_progress(RunProgress::Complete);
         if let Some(response) = self.response.take() {
@@ -508,6 +524,7 @@
                 counter!("streams_resumed_total").increment(1);
                 self.response = Some(response);
                 self.begun_after = self.splitter.last();
+                self.begun_count = self.splitter.output_count();
                 self.last_sign = Instant::now();
                 info!(
                     request = self.outgoing.id.as_str(),
--- a/fleet/src/stream_start.rs
+++ b/fleet/src/stream_start.rs
@@ -13,15 +13,16 @@
         PromptCheck,
         TrialTerms, //
     },
-    response_end::ProcessState,
+    response_end::{
+        EndFault,
+        OutputState,
+        ProcessState, //
+    },
     stall::FIRST_EVENT_MOVE,
     stream::EventSplitter, //
 };
 use bytes::Bytes;
-use compact_str::{
-    format_compact,
-    CompactString, //
-};
+use compact_str::format_compact;
 use futures_util::future::{
     select,
     Either, //
@@ -110,7 +111,8 @@
     (server, permit): (&mut Arc<BackendState>, SendPermit),
     history: &mut RunHistory,
 ) -> StartResult {
-    let mut running = Box::pin(begin(state, request, server.clone(), permit));
+    let first = (server.clone(), permit);
+    let mut running = Box::pin(begin(state, request, first, history.runs));
     let mut limit = FIRST_EVENT_MOVE.max(request.route.target);
     let mut refused = Vec::new();
     loop {
@@ -127,7 +129,8 @@
         else {
             continue;
         };
-        let mut asking = Box::pin(begin(state, request, other.clone(), permit));
+        let chosen = (other.clone(), permit);
+        let mut asking = Box::pin(begin(state, request, chosen, history.runs + 1));
         let both = select(running.as_mut(), asking.as_mut());
         let end = match timeout(HANDOVER_TIME, both).await {
             Ok(Either::Left((start, _))) => HandoverEnd::Before(start),
@@ -210,12 +213,12 @@
 }
 
 /// Sends a request to a server and waits for the first complete event of its response. A request that goes on after an
-/// event may get none: then its caller lacked only the end.
+/// event may get none: then its caller lacked only the end. `runs` counts the runs before this one.
 async fn begin(
     state: &FleetState,
     request: &AdmittedRequest,
-    server: Arc<BackendState>,
-    permit: SendPermit,
+    (server, permit): (Arc<BackendState>, SendPermit),
+    runs: u32,
 ) -> StartResult {
     let mut response = attempt(state, &server, &request.outgoing, permit).await?;
     if !response.head.status.is_success() {
@@ -232,13 +235,22 @@
             }
             Ok(FirstRead::Events(events))
         }
-        Ok(None) if splitter.last().is_none() => {
-            let cause = CompactString::const_new("stream ended without an event");
-            return Err(AttemptFailure::Unknown(cause));
-        }
         Ok(None) => {
-            let ended = check_end(&request.outgoing, &mut response).await;
-            ended.map(FirstRead::End)
+            let output = match splitter.last() {
+                None => OutputState::Missing,
+                Some(_) => OutputState::Empty {
+                    can_be_shown: request.outgoing.repeatable && runs + 1 < request.route.attempts,
+                },
+            };
+            match check_end(&request.outgoing, &mut response, output).await {
+                Err(EndFault::NothingAdded) => {
+                    let cause = EndFault::NothingAdded.text().into();
+                    return Err(AttemptFailure::Unproven(cause));
+                }
+                ended => ended
+                    .map(FirstRead::End)
+                    .map_err(|fault| fault.text().into()),
+            }
         }
         Err(cause) => Err(cause),
     };
