A stopping VM takes what it can end, and answers what waits

Cause: intake ended after 0.6 of the grace time whatever a request needs. Uploads, requests without a response and reads of results that waited were kept until the process ended, and got no answer; jobs accepted after the handover waited for takeovers.

A pure decision, stop_window, knows the end of the process, a request's latest end and the longest recent run of its route. It is asked at the head, after the body, while a request waits for a slot and before it is sent. What waits is answered 250 ms before the end, as not run only if nothing was sent. Jobs accepted or taken over meanwhile are handed over. Why it works: the state machine holds that nothing is cut that was taken with a known run time or with a deadline within the time, and nothing refused that fits.

--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod snapshot;
 pub mod stall;
 pub mod state_fetch;
+pub mod stop_window;
 pub mod stream;
 pub mod stream_version;
 pub mod submit;
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -80,6 +80,12 @@
         is_confirmed,
         FetchedState, //
     },
+    stop_guard::{
+        refuse_outlasting,
+        refuse_stopping,
+        wait_for_last_answer,
+        RunTimer, //
+    },
     stream_versions::pin_version,
     wire::CallerOperation, //
 };
@@ -87,9 +93,6 @@
 /// Retry delay for callers while this VM has no configuration yet, or waits for a newer one.
 const CONFIG_RETRY: Duration = Duration::from_millis(300);
 
-/// Retry delay for callers whose requests could outlast this VM's shutdown.
-const SHUTDOWN_RETRY: Duration = Duration::from_millis(50);
-
 /// A request that passed admission control.
 pub(crate) struct AdmittedRequest {
     /// Route of the request.
@@ -188,14 +191,17 @@
         let workspace = authenticate(state, &catalog, &caller)?;
         return jobs::serve_call(state, &caller, operation, &workspace.name).await;
     }
-    check_intake(state, &caller)?;
+    check_intake(state, &catalog, &caller)?;
     if let Err(refused) = authorize(state, &catalog, &caller) {
         // The body shows whether it is the submission of a job that was accepted while there was a route.
         if find_submitter(state, &catalog, &caller).is_none() {
             return Err(refused);
         }
     }
-    let body = read_body(&catalog, &state.caller_bytes, parts, body).await?;
+    let body = tokio::select! {
+        body = read_body(&catalog, &state.caller_bytes, parts, body) => body?,
+        () = wait_for_last_answer(state) => return Err(refuse_stopping()),
+    };
     if let Some(timer) = parts.extensions.get::<Arc<HeadTimer>>() {
         timer.end_body();
     }
@@ -209,21 +215,38 @@
                 true => refused,
                 false => refuse_withdrawn(&refused, catalog.version()),
             };
-            return confirm_without_route(state, &catalog, &caller, &body, refused).await;
+            let confirming = confirm_without_route(state, &catalog, &caller, &body, refused);
+            return tokio::select! {
+                confirmed = confirming => confirmed,
+                () = wait_for_last_answer(state) => Err(refuse_stopping()),
+            };
         }
     };
+    refuse_outlasting(state, route, caller.arrived, caller.deadline)?;
     if let RouteKind::Batch(terms) = &route.kind {
         let name = workspace.map_or("", |workspace| workspace.name.as_str());
-        return jobs::submit(state, &caller, (route.as_ref(), terms), name, body).await;
+        let timer = RunTimer::start(state, &route.name);
+        let submitted = jobs::submit(state, &caller, (route.as_ref(), terms), name, body).await;
+        if submitted.is_ok() {
+            timer.finish();
+        }
+        return submitted;
     }
     check_protocol(parts.version, &route.kind)?;
     let residency = catalog.residency(&route.allowed_regions, workspace);
     let mut request = admit(state, caller, route, workspace, body)?;
     request.outgoing.residency = residency;
-    pin_version(state, &mut request).await?;
     let workspace = workspace.filter(|workspace| workspace.rate > 0.0);
-    if let Some(workspace) = workspace {
-        take_token(state, workspace).await?;
+    let admitting = async {
+        pin_version(state, &mut request).await?;
+        match workspace {
+            Some(workspace) => take_token(state, workspace).await,
+            None => Ok(()),
+        }
+    };
+    tokio::select! {
+        admitted = admitting => admitted?,
+        () = wait_for_last_answer(state) => return Err(refuse_stopping()),
     }
     let result = dispatch_request(state, request).await;
     if let (Some(workspace), Err(refused)) = (workspace, &result) {
@@ -235,13 +258,13 @@
 }
 
 /// Checks that this VM takes requests now, and that a request has an id.
-fn check_intake(state: &FleetState, caller: &CallerRequest) -> Result<(), RefusalResponse> {
-    if state.rejects_new_requests() {
-        let detail = "VM is shutting down";
-        return Err(
-            RefusalResponse::not_run(RefusalReason::ShuttingDown, detail)
-                .retry_after(SHUTDOWN_RETRY),
-        );
+fn check_intake(
+    state: &FleetState,
+    catalog: &Catalog,
+    caller: &CallerRequest,
+) -> Result<(), RefusalResponse> {
+    if let Some(route) = catalog.find_route(&caller.host, caller.path()) {
+        refuse_outlasting(state, route, caller.arrived, caller.deadline)?;
     }
     if !state.evacuations.is_known() {
         let detail = "no list of evacuated failure domains received yet";
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -72,6 +72,10 @@
         PermittedServer, //
     },
     state::FleetState,
+    stop_guard::{
+        wait_for_last_answer,
+        RunTimer, //
+    },
     stream_relay::StreamRelay,
     stream_start::{
         start_stream,
@@ -100,7 +104,7 @@
 pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(30);
 
 /// Attempts of a request so far.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct RunHistory {
     /// Keys of the servers that the request was sent to.
     pub(crate) tried: Vec<u32>,
@@ -109,6 +113,7 @@
     pub(crate) runs: u32,
     is_trial: bool, // Whether it is sent although its prompt is quarantined, until it may have run.
     cause: CompactString,
+    timer: Option<RunTimer>, // From the first attempt on.
 }
 
 /// Sends a request to one server after another until one responds or the route allows no further attempt.
@@ -132,18 +137,31 @@
             history.is_trial = admitted == PromptCheck::Trial;
         }
         log_routing(state, &request, &server);
+        history
+            .timer
+            .get_or_insert_with(|| RunTimer::start(state, &request.route.name));
         let remaining = time_until_disconnect(&request);
         let limit = remaining - RESPONSE_MARGIN.min(remaining / 8);
         let sent = Instant::now();
-        let result = timeout(
+        let trying = timeout(
             limit,
             try_server(state, (&mut server, permit), &request, &mut history),
-        )
-        .await;
+        );
+        let result = tokio::select! {
+            result = trying => result,
+            () = wait_for_last_answer(state) => {
+                let stopped = AttemptFailure::Unknown("VM ends before the response".into());
+                record_attempt_failure(&request, &server, &stopped, &mut history);
+                return Err(final_refusal(&history, false));
+            }
+        };
         let timed_out = result.is_err();
         let failure = match result {
             Ok(Ok(response)) => {
                 record_other_cell(state, &server, true);
+                if let Some(timer) = history.timer.filter(|_| response.status().is_success()) {
+                    timer.finish();
+                }
                 return Ok(response);
             }
             Ok(Err(failure)) => failure,
@@ -244,8 +262,8 @@
         RouteKind::Stream(_) => {
             match start_stream(state, request, (server, permit), history).await? {
                 StreamStart::Opened(opened) => {
-                    let runs = history.runs + 1;
-                    return Ok(StreamRelay::start(state.clone(), request, opened, runs));
+                    let run = (history.runs + 1, history.timer.take());
+                    return Ok(StreamRelay::start(state.clone(), request, opened, run));
                 }
                 StreamStart::Error(response) => response,
             }
--- a/fleet/src/handover.rs
+++ b/fleet/src/handover.rs
@@ -26,7 +26,10 @@
     info,
     warn, //
 };
-use tokio::time::timeout_at;
+use tokio::time::{
+    sleep,
+    timeout_at, //
+};
 
 use crate::{
     jobs::JobEntry,
@@ -42,6 +45,9 @@
 /// Timeout of the handover of one job.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Interval at which a VM that shuts down looks for jobs that it still has.
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Hands all open jobs over to other VMs, one after the other.
 pub(crate) async fn hand_over_all(state: &Arc<FleetState>) {
     for entry in state.jobs.all() {
@@ -52,6 +58,14 @@
     }
 }
 
+/// Hands over the jobs that this VM accepts or takes over while it shuts down. Never returns.
+pub(crate) async fn hand_over_later(state: &Arc<FleetState>) {
+    loop {
+        sleep(HANDOVER_INTERVAL).await;
+        hand_over_all(state).await;
+    }
+}
+
 async fn hand_over(state: &Arc<FleetState>, entry: &Arc<JobEntry>) {
     let now = Instant::now();
     let Some(rule) = state.job_residency(&entry.manifest) else {
--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -58,6 +58,7 @@
     read_cache::StoredJob,
     response::local_response,
     state::FleetState,
+    stop_guard::wait_for_wait_end,
     wire::{
         ResultPage,
         MAX_READ_WAIT, //
@@ -134,7 +135,10 @@
     if check().await? == ListStatus::Released {
         return Ok(None);
     }
-    wait_for_results(&entry, read.after, read.until).await;
+    tokio::select! {
+        () = wait_for_results(&entry, read.after, read.until) => {}
+        () = wait_for_wait_end(state) => {}
+    }
     // Another VM may have taken the job over meanwhile.
     if check().await? == ListStatus::Released {
         return Ok(None);
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -86,6 +86,10 @@
         wall_ms,
         FleetState, //
     },
+    stop_guard::{
+        refuse_stopping,
+        wait_for_last_answer, //
+    },
     takeover,
     wire::{
         CallerOperation,
@@ -335,18 +339,26 @@
     call: CallerOperation,
     workspace: &str,
 ) -> CallerResult {
-    match call {
-        CallerOperation::JobResults { id, after } => {
-            job_reads::read_results(state, caller, &id, after, workspace).await
-        }
-        CallerOperation::ItemBody { id, item } => {
-            job_reads::read_body(state, caller, &id, &item, workspace).await
+    let serving = async {
+        match call {
+            CallerOperation::JobResults { id, after } => {
+                job_reads::read_results(state, caller, &id, after, workspace).await
+            }
+            CallerOperation::ItemBody { id, item } => {
+                job_reads::read_body(state, caller, &id, &item, workspace).await
+            }
+            CallerOperation::CancelJob { id } => cancel_job(state, caller, &id, workspace).await,
+            CallerOperation::Request => Err(RefusalResponse::not_run(
+                RefusalReason::RouteUnknown,
+                caller.path(),
+            )),
         }
-        CallerOperation::CancelJob { id } => cancel_job(state, caller, &id, workspace).await,
-        CallerOperation::Request => Err(RefusalResponse::not_run(
-            RefusalReason::RouteUnknown,
-            caller.path(),
-        )),
+    };
+    // A call that has had an effect answers for itself.
+    tokio::select! {
+        biased;
+        served = serving => served,
+        () = wait_for_last_answer(state) => Err(refuse_stopping()),
     }
 }
 
@@ -409,7 +421,14 @@
     };
     // A task of its own, since this one ends when the caller disconnects: the job may be stored by then.
     let storing = tokio::spawn(store_job(state.clone(), job));
-    storing.await.unwrap_or_else(|error| {
+    let stored = tokio::select! {
+        stored = storing => stored,
+        () = wait_for_last_answer(state) => {
+            let detail = "VM ends before the job is stored";
+            return Err(RefusalResponse::unknown(RefusalReason::JobUnsettled, detail));
+        }
+    };
+    stored.unwrap_or_else(|error| {
         let cause = error.to_string();
         Err(RefusalResponse::unknown(RefusalReason::JobUnsettled, cause))
     })
@@ -554,7 +573,11 @@
             id.into(),
             workspace.into(),
         ));
-        if timeout_at(until.into(), storing).await.is_err() {
+        let stored = tokio::select! {
+            stored = timeout_at(until.into(), storing) => stored.is_ok(),
+            () = wait_for_last_answer(state) => false,
+        };
+        if !stored {
             let detail = "the cancellation isn't stored yet";
             return Err(RefusalResponse::unknown(
                 RefusalReason::JobUnsettled,
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -48,6 +48,7 @@
 mod server_stream;
 mod state;
 mod state_fetch;
+mod stop_guard;
 mod store_watch;
 mod stream_relay;
 mod stream_start;
--- a/fleet/src/server_selection.rs
+++ b/fleet/src/server_selection.rs
@@ -66,6 +66,7 @@
     server_limits::SendPermit,
     server_load::RequestCost,
     state::FleetState,
+    stop_guard::refuse_outlasting,
     stream_versions::ANEW_RETRY, //
 };
 
@@ -123,6 +124,10 @@
     loop {
         let slot_freed = state.backends.slot_freed.notified();
         let now = Instant::now();
+        if history.runs == 0 {
+            let deadline = request.outgoing.deadline;
+            refuse_outlasting(state, &request.route, request.arrived, deadline)?;
+        }
         if state.is_sending_held(now) {
             // The list of evacuated domains is confirmed, or the hold ends, within half a second.
             sleep(SLOT_POLL).await;
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -45,6 +45,10 @@
     slot::SlotView,
     slot_wait::TimeoutTable,
     state_fetch::TransferTable,
+    stop_window::{
+        RunTimes,
+        StopWindow, //
+    },
     stream_version::VersionKey,
     sync::lock,
     timer::millis,
@@ -79,8 +83,8 @@
     wire::WireFormat, //
 };
 
-/// Share of the grace period during which a VM that is shutting down still accepts requests.
-const INTAKE_SHARE: f64 = 0.6;
+/// Time between the end of the process and the end of its grace period.
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(300);
 
 /// Shared state of the process.
 pub(crate) struct FleetState {
@@ -148,7 +152,9 @@
     pub(crate) runner: CompactString,
     seeds: Mutex<Vec<String>>,
     shutdown: watch::Sender<bool>,
-    intake_end: OnceLock<Instant>, // Requests that arrive later would outlast the process.
+    stop: OnceLock<StopWindow>, // From the start of the shutdown on.
+    /// How long requests have run lately.
+    pub(crate) run_times: Mutex<RunTimes>,
     ready: AtomicBool,
 }
 
@@ -224,7 +230,8 @@
             started: now,
             seeds: Mutex::new(settings.seeds.clone()),
             shutdown: watch::channel(false).0,
-            intake_end: OnceLock::new(),
+            stop: OnceLock::new(),
+            run_times: Mutex::default(),
             ready: AtomicBool::new(false),
             settings,
         }
@@ -342,17 +349,19 @@
         *self.shutdown.borrow()
     }
 
-    /// Returns whether new requests are rejected, since they would outlast the process.
-    pub(crate) fn rejects_new_requests(&self) -> bool {
-        let intake_end = self.intake_end.get();
-        intake_end.is_some_and(|intake_end| Instant::now() >= *intake_end)
+    /// Returns the time left to the process, if it is shutting down.
+    pub(crate) fn stop_window(&self) -> Option<StopWindow> {
+        self.stop.get().copied()
     }
 
     /// Starts the shutdown of the process.
     pub(crate) fn begin_shutdown(&self) {
         let grace = Duration::from_secs_f64(self.settings.grace_s);
-        self.intake_end
-            .get_or_init(|| Instant::now() + grace.mul_f64(INTAKE_SHARE));
+        let begun = Instant::now();
+        self.stop.get_or_init(|| StopWindow {
+            begun,
+            end: begun + grace.saturating_sub(SHUTDOWN_MARGIN),
+        });
         lock(&self.members).own_mut().leaving = true;
         self.shutdown.send_replace(true);
     }
--- a/fleet/src/stream_relay.rs
+++ b/fleet/src/stream_relay.rs
@@ -88,6 +88,7 @@
         ServerDemand, //
     },
     state::FleetState,
+    stop_guard::RunTimer,
     stream_start::{
         FirstRead,
         OpenedStream, //
@@ -95,7 +96,7 @@
 };
 
 /// Time after a request's deadline during which events already received are still forwarded.
-const LATE_EVENT_GRACE: Duration = Duration::from_millis(250);
+pub(crate) const LATE_EVENT_GRACE: Duration = Duration::from_millis(250);
 
 /// Time for which a run goes on while another server is asked to take the stream over. Both may work on it at the same
 /// time for this long at most.
@@ -161,6 +162,8 @@
     last_event: Instant,       // When the last events arrived.
     last_sign: Instant,        // When the server last sent events or the head of its response.
     clock: Option<EventClock>, // Of the current run, once it has brought events.
+    timer: Option<RunTimer>,
+    is_from_beginning: bool, // Whether its caller has sent the whole stream's request, not one that takes it up.
 }
 
 impl StreamRelay {
@@ -169,7 +172,7 @@
         state: Arc<FleetState>,
         request: &AdmittedRequest,
         opened: OpenedStream,
-        runs: u32,
+        (runs, timer): (u32, Option<RunTimer>),
     ) -> CallerResponse {
         let head = opened.response.head.clone();
         let stall = match &request.route.kind {
@@ -204,6 +207,8 @@
             last_event: now,
             last_sign: now,
             clock: None,
+            timer,
+            is_from_beginning: request.outgoing.last_event(&state.format.names).is_none(),
             state,
         };
         let body = stream::unfold(relay, |mut relay| async move {
@@ -387,6 +392,9 @@
                 .record_run(service, response.in_flight.age());
             response.finish();
         }
+        if let Some(timer) = self.timer.take().filter(|_| self.is_from_beginning) {
+            timer.finish();
+        }
     }
 
     /// Logs the end of a stream that has come from several runs, or whose end isn't marked.
--- a/fleet/src/vm.rs
+++ b/fleet/src/vm.rs
@@ -49,7 +49,7 @@
     net::UdpSocket,
     time::{
         sleep,
-        timeout, //
+        timeout_at, //
     },
 };
 
@@ -92,9 +92,6 @@
 /// Delay before a failed registration is retried.
 const REGISTER_BACKOFF: Duration = Duration::from_millis(400);
 
-/// Time between the end of the process and the end of its grace period.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(300);
-
 /// Shortest time between the first failing readiness check and the end of the process.
 const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(2500);
 
@@ -323,17 +320,23 @@
     let started = Instant::now();
     state.begin_shutdown();
     handover::hand_over_all(state).await;
-    let grace = Duration::from_secs_f64(state.settings.grace_s).saturating_sub(SHUTDOWN_MARGIN);
+    let end = state.stop_window().map_or(started, |window| window.end);
     if !state.settings.callers.is_empty() {
         sleep(MIN_SHUTDOWN_TIME.saturating_sub(started.elapsed())).await;
-    }
-    let remaining = grace.saturating_sub(started.elapsed());
-    let ended = match state.settings.callers.is_empty() {
-        true => Ok(()),
-        false => timeout(remaining, connections.drain()).await,
-    };
-    if ended.is_err() {
-        warn!("connections still open at the end of the grace period");
+        let ended = tokio::select! {
+            ended = timeout_at(end.into(), connections.drain()) => ended,
+            () = handover::hand_over_later(state) => Ok(()),
+        };
+        if ended.is_err() {
+            warn!("connections still open at the end of the grace period");
+        }
+        // A job may have been accepted with the last requests.
+        if timeout_at(end.into(), handover::hand_over_all(state))
+            .await
+            .is_err()
+        {
+            warn!("jobs are left to takeovers");
+        }
     }
     info!(after_ms = millis(started.elapsed()); "stopped");
 }
