Items of an old version begin anew once their wait has cost their output

Cause: an item with output went on only at servers of the version that generated it while any of them took requests, however long that took. These items also counted as startable, so that other VMs left slots free for them.

A pure decision, item_resume, gives each second beside free slots of other versions a price: the item goes on, waits, or begins anew once the wait has cost as much as its output took or is expected to. One plan for each pass gives what is started and what other VMs are told.

--- a/boragerill/src/item_start.rs
+++ b/boragerill/src/item_start.rs
@@ -139,6 +139,12 @@
         }
     }
 
+    /// Returns the mean time for which items of a service hold a slot, if some have ended.
+    pub fn run_time(&self, service: u64) -> Option<Duration> {
+        let found = self.find(service).ok()?;
+        self.services[found].run
+    }
+
     /// Returns how many more items may be started. Items of jobs with time left leave as many slots free as online
     /// requests needed in most recent intervals, as far as the waiting items come to their end in time in the slots that
     /// remain. Other items, those of overdue jobs included, leave only the slots free that are in use now.
--- a/boragerill/src/job.rs
+++ b/boragerill/src/job.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    item_resume::IdleWait,
     stream::{
         event_data,
         event_id,
@@ -233,6 +234,8 @@
     silent_runs: u32, // Runs that ended because their server sent nothing for long.
     pause_until: Option<Instant>,
     run_time: Option<Duration>, // Of the runs that generated the text; `None` if some of it is from a checkpoint.
+    idle_wait: IdleWait,        // Since the last run.
+    given_up: u32,              // Outputs discarded for runs at servers of other versions.
 }
 
 impl ItemProgress {
@@ -273,6 +276,8 @@
             silent_runs: 0,
             pause_until: None,
             run_time: Some(Duration::ZERO),
+            idle_wait: IdleWait::default(),
+            given_up: 0,
         };
         let items = vec![fresh; ids.len()];
         ids.sort();
@@ -382,6 +387,40 @@
         }
     }
 
+    /// Returns for how long the runs that generated the output of an item held a slot; where that isn't known, as for others
+    /// of the job with as much text. `None` if it can't be told.
+    pub fn output_time(&self, index: usize) -> Option<Duration> {
+        let item = &self.items[index];
+        if item.run_time.is_some() {
+            return item.run_time;
+        }
+        let known = self
+            .items
+            .iter()
+            .filter(|item| !item.text.is_empty())
+            .filter_map(|item| Some((item.run_time?, item.text.len())));
+        let (time, bytes) = known.fold((Duration::ZERO, 0), |sum, item| {
+            (sum.0 + item.0, sum.1 + item.1)
+        });
+        let bytes = u32::try_from(bytes).ok().filter(|&bytes| bytes > 0)?;
+        Some(time.mul_f64(item.text.len() as f64 / f64::from(bytes)))
+    }
+
+    /// Returns the time for which an item has waited for a server of its version beside free slots of others.
+    pub fn idle_wait(&self, index: usize) -> Duration {
+        self.items[index].idle_wait.time()
+    }
+
+    /// Returns the number of outputs of an item that were given up for a server of another version.
+    pub fn given_up(&self, index: usize) -> u32 {
+        self.items[index].given_up
+    }
+
+    /// Records that an item waits now for a server of its version beside free slots of others.
+    pub fn record_idle_wait(&mut self, index: usize, now: Instant) {
+        self.items[index].idle_wait.add(now);
+    }
+
     /// Starts a run of an item at a server of the given software version. The output of another version is discarded.
     /// Returns `None` if the item isn't waiting.
     pub fn start_item(&mut self, index: usize, version: VersionKey) -> Option<StartedRun> {
@@ -392,7 +431,9 @@
         self.runs += 1;
         item.phase = ItemPhase::Running;
         item.run = self.runs;
+        item.idle_wait = IdleWait::default();
         if item.version != Some(version) {
+            item.given_up += u32::from(item.last.is_some());
             item.clear_output();
             item.version = Some(version);
         }
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod heartbeat_pace;
 pub mod hedge;
 pub mod item_demand;
+pub mod item_resume;
 pub mod item_start;
 pub mod job;
 pub mod job_directory;
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -26,6 +26,12 @@
         ItemClass,
         ItemDemands, //
     },
+    item_resume::{
+        ItemStart,
+        ResumeCost,
+        ResumePlan,
+        VersionSlots, //
+    },
     item_start::{
         choose_start_server,
         yields_to_demand,
@@ -45,10 +51,12 @@
     residency::ResidencyRule,
     slot::{
         free_slots,
-        OwnUsage, //
+        OwnUsage,
+        SlotView, //
     },
     stream_version::VersionKey,
-    sync::lock, //
+    sync::lock,
+    timer::millis, //
 };
 use log::info;
 use metrics::counter;
@@ -58,7 +66,10 @@
 };
 
 use crate::{
-    backends::RequestClass,
+    backends::{
+        BackendState,
+        RequestClass, //
+    },
     item_run::{
         item_prompt,
         item_request,
@@ -212,12 +223,13 @@
         }
         jobs.sort_by_key(|job| job.0.rank());
         let mut services = Vec::new();
-        let mut demands = collect_demands(state, &catalog, &jobs, &mut services, now);
+        let (mut demands, places) = collect_demands(state, &catalog, &jobs, &mut services, now);
         limit_relaxed(state, &mut demands, &mut services, now);
         state.backends.set_own_demands(demands.reported());
         for service in &services {
             let mut allowances = class_allowances(state, &demands, service, now);
-            self.start_service(state, &catalog, &jobs, (service, &mut allowances), now);
+            let terms = (service, places.as_slice(), allowances.as_mut_slice());
+            self.start_service(state, &catalog, &jobs, terms, now);
         }
     }
 
@@ -227,12 +239,11 @@
         state: &Arc<FleetState>,
         catalog: &Catalog,
         jobs: &[(JobPriority, Arc<JobEntry>)],
-        (slots, allowances): (&ServiceSlots, &mut [ClassAllowance]),
+        (slots, places, allowances): (&ServiceSlots, &[ItemPlace], &mut [ClassAllowance]),
         now: Instant,
     ) {
-        let sole = sole_version(state, slots.service);
         let mut full_versions = Vec::new(); // Without a server for an item that has to resume at them.
-        for (priority, entry) in jobs {
+        for (position, (priority, entry)) in jobs.iter().enumerate() {
             let class = slots.classify(state, priority);
             let found = allowances.iter_mut().find(|known| known.class == class);
             let Some(allowance) = found.filter(|known| known.starts > 0) else {
@@ -251,7 +262,17 @@
                 if allowance.starts == 0 {
                     break;
                 }
-                let version = resumed_version(state, (service, sole), entry, index);
+                let key = (position, index);
+                let found = places.binary_search_by_key(&key, |place| (place.job, place.item));
+                // An item that has stopped running since is placed in the next pass.
+                let Ok(found) = found else {
+                    continue;
+                };
+                let version = match places[found].start {
+                    ItemStart::Anew => None,
+                    ItemStart::GoOn | ItemStart::Queue => places[found].version,
+                    ItemStart::Wait => continue,
+                };
                 if version.is_some_and(|version| full_versions.contains(&version)) {
                     continue;
                 }
@@ -314,6 +335,7 @@
         let PermittedServer { server, permit } = permitted;
         let (preempt, preempted) = oneshot::channel();
         let number = self.next.fetch_add(1, Ordering::Relaxed);
+        log_given_up(entry, index, server.version);
         let started = lock(&entry.progress).start_item(index, server.version);
         let Some(started) = started else {
             // Its result has been found in the store since.
@@ -362,7 +384,10 @@
 /// Slots of a service to which items of this VM's jobs go.
 struct ServiceSlots {
     service: u64,
-    yields: bool, // Whether items yield to the online demand of recent seconds.
+    plan: ResumePlan,
+    sole: Option<VersionKey>, // The only version that can have generated any output.
+    run_time: Option<Duration>, // Mean time for which items hold a slot.
+    yields: bool,             // Whether items yield to the online demand of recent seconds.
     free: u32,
     totals: SlotTotals,
     running: u32, // This VM's items.
@@ -373,8 +398,14 @@
 impl ServiceSlots {
     fn new(state: &FleetState, service: &str, now: Instant) -> ServiceSlots {
         let (servers, views) = state.server_views(service, None, &ResidencyRule::default(), now);
+        let mut plan = ResumePlan::default();
+        add_views(&mut plan, &servers, &views);
+        let key = hash_name(service);
         ServiceSlots {
-            service: hash_name(service),
+            service: key,
+            plan,
+            sole: sole_version(state, key),
+            run_time: state.load.item_run_time(key),
             yields: yields_to_demand(&views),
             free: free_slots(&views, RESERVED_SLOTS),
             totals: SlotTotals::of(&views, RESERVED_SLOTS),
@@ -384,6 +415,46 @@
         }
     }
 
+    /// Decides where an item can be started. `restricted` are the slots of the servers to which its job's items may go, if
+    /// these are restricted.
+    fn place(
+        &mut self,
+        state: &FleetState,
+        service: &str,
+        (entry, index): (&JobEntry, usize),
+        restricted: Option<&mut ResumePlan>,
+        now: Instant,
+    ) -> (ItemStart, Option<VersionKey>) {
+        let plan = restricted.unwrap_or(&mut self.plan);
+        let Some(version) = output_version(entry, index, self.sole) else {
+            plan.take_any();
+            return (ItemStart::Anew, None);
+        };
+        if !plan.has_version(version) && state.backends.has_service_version(service, version) {
+            // Its servers belong to another cell.
+            add_slots(
+                plan,
+                state,
+                (service, Some(version)),
+                &ResidencyRule::default(),
+                now,
+            );
+        }
+        let mut progress = lock(&entry.progress);
+        let lost = progress.output_time(index);
+        let cost = ResumeCost {
+            lost: lost.unwrap_or_else(|| entry.submitted.elapsed()),
+            given_up: progress.given_up(index),
+            waited: progress.idle_wait(index),
+            run_time: self.run_time,
+        };
+        let start = plan.place(version, cost);
+        if start == ItemStart::Wait {
+            progress.record_idle_wait(index, now);
+        }
+        (start, Some(version))
+    }
+
     /// Returns the class of a job's items.
     fn classify(&self, state: &FleetState, priority: &JobPriority) -> ItemClass {
         match priority.overdue {
@@ -452,24 +523,50 @@
     allowances.collect()
 }
 
-/// Returns the version at which an item has to be resumed; `None` if it may begin at any, since it has no output or no
-/// server of the version that generated its output is left at `service`, to which its route goes now. `sole` is the only
-/// version that can have generated it, if there is only one.
-fn resumed_version(
+/// Logs that an item begins anew at a server of another version than the one that generated its output, if there is any.
+fn log_given_up(entry: &JobEntry, index: usize, version: VersionKey) {
+    let progress = lock(&entry.progress);
+    let given_up = progress.output_version(index);
+    if given_up.is_none_or(|own| own == version) {
+        return;
+    }
+    counter!("item_outputs_given_up_total").increment(1);
+    info!(
+        job = entry.id.as_str(),
+        item = entry.items[index].id.as_str(),
+        output_bytes = progress.output_bytes(index),
+        output_ms = progress.output_time(index).map(millis),
+        waited_ms = millis(progress.idle_wait(index));
+        "item begins anew at another version"
+    );
+}
+
+/// Adds the slots of the servers of a service, or only of one version, to a plan.
+fn add_slots(
+    plan: &mut ResumePlan,
     state: &FleetState,
-    (service, sole): (&str, Option<VersionKey>),
-    entry: &JobEntry,
-    index: usize,
-) -> Option<VersionKey> {
-    let version = {
-        let mut progress = lock(&entry.progress);
-        if let Some(sole) = sole {
-            progress.assume_version(index, sole);
-        }
-        progress.output_version(index)?
-    };
-    let is_left = state.backends.has_service_version(service, version);
-    is_left.then_some(version)
+    (service, version): (&str, Option<VersionKey>),
+    residency: &ResidencyRule,
+    now: Instant,
+) {
+    let (servers, views) = state.server_views(service, version, residency, now);
+    add_views(plan, &servers, &views);
+}
+
+fn add_views(plan: &mut ResumePlan, servers: &[Arc<BackendState>], views: &[SlotView]) {
+    for (server, view) in servers.iter().zip(views) {
+        plan.add(VersionSlots::of(server.version, view, RESERVED_SLOTS));
+    }
+}
+
+/// Returns the version that generated an item's output; `None` without output. `sole` is the only one that can have
+/// generated any, if there is only one.
+fn output_version(entry: &JobEntry, index: usize, sole: Option<VersionKey>) -> Option<VersionKey> {
+    let mut progress = lock(&entry.progress);
+    if let Some(sole) = sole {
+        progress.assume_version(index, sole);
+    }
+    progress.output_version(index)
 }
 
 /// Returns when an item under which servers crashed is tried again. [`TrialWait`] gives the VMs their turns.
@@ -508,19 +605,32 @@
     startable
 }
 
-/// Returns the startable items by service and class, and adds the services to which they go.
+/// Where an item of a job can be started in this pass.
+struct ItemPlace {
+    job: usize,  // Position of the job.
+    item: usize, // Position of the item in the job.
+    start: ItemStart,
+    version: Option<VersionKey>, // Version of its output.
+}
+
+/// Returns the items that take slots as soon as some are free, by service and class, and where each startable item can be
+/// started, sorted by job and item. Adds the services to which they go.
 fn collect_demands(
     state: &FleetState,
     catalog: &Catalog,
     jobs: &[(JobPriority, Arc<JobEntry>)],
     services: &mut Vec<ServiceSlots>,
     now: Instant,
-) -> ItemDemands {
+) -> (ItemDemands, Vec<ItemPlace>) {
     let mut demands = ItemDemands::default();
-    for (priority, entry) in jobs {
+    let mut places = Vec::new();
+    for (job, (priority, entry)) in jobs.iter().enumerate() {
         let Some(route) = catalog.find_route(&entry.manifest.host, &entry.manifest.path) else {
             continue;
         };
+        let workspace = catalog.find_workspace(&entry.manifest.workspace);
+        let residency = catalog.residency(&route.allowed_regions, workspace);
+        let mut restricted: Option<(u64, ResumePlan)> = None; // Slots of a service.
         let time_left = (!priority.overdue).then_some(priority.time_left);
         for index in startable_items(state, entry, priority, now) {
             let Some(name) = route.choose_service(&entry.items[index].id) else {
@@ -532,11 +642,28 @@
                 services.push(ServiceSlots::new(state, name, now));
                 services.len() - 1
             });
-            let class = services[position].classify(state, priority);
-            demands.add(service, class, time_left);
+            if residency.is_restricted() && restricted.as_ref().is_none_or(|own| own.0 != service) {
+                let mut plan = ResumePlan::default();
+                add_slots(&mut plan, state, (name, None), &residency, now);
+                restricted = Some((service, plan));
+            }
+            let plan = restricted.as_mut().map(|own| &mut own.1);
+            let slots = &mut services[position];
+            let class = slots.classify(state, priority);
+            let (start, version) = slots.place(state, name, (entry, index), plan, now);
+            places.push(ItemPlace {
+                job,
+                item: index,
+                start,
+                version,
+            });
+            if start.takes_slot() {
+                demands.add(service, class, time_left);
+            }
         }
     }
-    demands
+    places.sort_by_key(|place| (place.job, place.item));
+    (demands, places)
 }
 
 fn priority(entry: &JobEntry, terms: &BatchTerms, now: Instant) -> JobPriority {
--- a/fleet/src/server_load.rs
+++ b/fleet/src/server_load.rs
@@ -235,6 +235,11 @@
         lock(&self.demand).is_relaxed(service, time_left)
     }
 
+    /// Returns the mean time for which items of a service hold a slot, if some have ended.
+    pub(crate) fn item_run_time(&self, service: u64) -> Option<Duration> {
+        lock(&self.demand).run_time(service)
+    }
+
     /// Records for how long an item held slots in all its runs.
     pub(crate) fn record_item_run(&self, server: &BackendState, run: Duration) {
         lock(&self.demand).record_run(service_key(server), run);
