A job belongs to the workspace of its key on open routes too

Cause: submissions took the workspace as requests do, where open routes have none, and calls about jobs took that of the key. Jobs of open routes were stored as nobody's, and nobody could call. Calls needed a key in configurations without workspaces as well, and a resent submission of a known id was acknowledged whoever sent it.

One pure decision, job_owner, serves submissions, resent ones, reads, bodies and ends, at the VM that is asked and at the one that keeps the job. A job with an owner is reached by it alone; a job of nobody, which only open routes and configurations without workspaces admit, by who knows its id. Unknown keys are refused on open batch routes. Why it works: over all inputs of the decision, who submitted a job gets at it, and no one else at one with an owner.

--- a/boragerill/src/catalog.rs
+++ b/boragerill/src/catalog.rs
@@ -10,7 +10,11 @@
 use compact_str::CompactString;
 
 use crate::{
-    keys::KeyHash,
+    job_owner::CallerKey,
+    keys::{
+        hash_key,
+        KeyHash, //
+    },
     rank::{
         hash_name,
         score, //
@@ -273,6 +277,21 @@
         Some(&self.workspaces[found.ok()?])
     }
 
+    /// Returns what a caller's API key shows.
+    pub fn caller_key(&self, key: Option<&str>) -> CallerKey<&CatalogWorkspace> {
+        let Some(key) = key else {
+            return CallerKey::Missing;
+        };
+        let found = self.find_key(&hash_key(key));
+        found.map_or(CallerKey::Unknown, CallerKey::Of)
+    }
+
+    /// Returns whether a batch route is open to all.
+    pub fn has_open_batch(&self) -> bool {
+        let mut routes = self.routes.iter();
+        routes.any(|route| route.open && matches!(route.kind, RouteKind::Batch(_)))
+    }
+
     /// Returns the workspace of the valid key with this hash.
     pub fn find_key(&self, hash: &KeyHash) -> Option<&CatalogWorkspace> {
         let found = self.keys.binary_search_by(|entry| entry.0.cmp(hash));
--- a/boragerill/src/lib.rs
+++ b/boragerill/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod item_start;
 pub mod job;
 pub mod job_directory;
+pub mod job_owner;
 pub mod keys;
 pub mod kinds;
 mod lease;
--- a/fleet/src/admission.rs
+++ b/fleet/src/admission.rs
@@ -19,7 +19,10 @@
         CatalogWorkspace,
         RouteKind, //
     },
-    keys::hash_key,
+    job_owner::{
+        KeyFault,
+        KeyTerms, //
+    },
     rate_limiter::RateDecision,
     refusal::{
         RefusalReason,
@@ -188,8 +191,13 @@
     // A job outlives its route, so the routes in force don't decide whether a call is about one.
     let operation = (state.format.classify)(parts);
     if operation != CallerOperation::Request {
-        let workspace = authenticate(state, &catalog, &caller)?;
-        return jobs::serve_call(state, &caller, operation, &workspace.name).await;
+        let terms = KeyTerms {
+            has_workspaces: catalog.needs_keys(),
+            is_open: catalog.has_open_batch(),
+        };
+        let workspace = find_workspace(state, &catalog, &caller, terms)?;
+        let name = workspace.map_or("", |workspace| workspace.name.as_str());
+        return jobs::serve_call(state, &caller, operation, name).await;
     }
     check_intake(state, &catalog, &caller)?;
     if let Err(refused) = authorize(state, &catalog, &caller) {
@@ -295,7 +303,7 @@
 }
 
 /// Returns the route of a request, and the workspace that the caller's API key belongs to; no workspace on routes that
-/// are open to all.
+/// are open to all, except for batch jobs, which belong to it.
 ///
 /// # Errors
 ///
@@ -308,13 +316,39 @@
     let found = catalog.find_route(&caller.host, caller.path());
     let route =
         found.ok_or_else(|| refuse_unknown(state, RefusalReason::RouteUnknown, caller.path()))?;
-    let workspace = match route.open || !catalog.needs_keys() {
-        true => None,
-        false => Some(authenticate(state, catalog, caller)?),
+    let terms = KeyTerms {
+        has_workspaces: catalog.needs_keys(),
+        is_open: route.open,
+    };
+    let workspace = match &route.kind {
+        RouteKind::Batch(_) => find_workspace(state, catalog, caller, terms)?,
+        _ if route.open => None,
+        _ => find_workspace(state, catalog, caller, terms)?,
     };
     Ok((route, workspace))
 }
 
+/// Returns the workspace that the caller's API key belongs to; `None` if the terms admit callers without one.
+///
+/// # Errors
+///
+/// Returns a refusal when the request lacks a key that it needs, or carries an unknown one.
+fn find_workspace<'a>(
+    state: &FleetState,
+    catalog: &'a Catalog,
+    caller: &CallerRequest,
+    terms: KeyTerms,
+) -> Result<Option<&'a CatalogWorkspace>, RefusalResponse> {
+    terms
+        .caller(catalog.caller_key(caller.key.as_deref()))
+        .map_err(|fault| match fault {
+            KeyFault::Missing => {
+                RefusalResponse::not_run(RefusalReason::KeyMissing, "authorization")
+            }
+            KeyFault::Unknown => refuse_unknown(state, RefusalReason::KeyUnknown, "authorization"),
+        })
+}
+
 /// Refuses a request whose route or key was withdrawn while its body was received. The caller began to send it while it
 /// was permitted, so it isn't refused for good.
 fn refuse_withdrawn(refused: &RefusalResponse, version: CatalogVersion) -> RefusalResponse {
@@ -326,25 +360,6 @@
     RefusalResponse::not_run(RefusalReason::ConfigStale, cause).retry_after(CONFIG_RETRY)
 }
 
-/// Returns the workspace that the caller's API key belongs to.
-///
-/// # Errors
-///
-/// Returns a refusal when the request carries no key or an unknown one.
-fn authenticate<'a>(
-    state: &FleetState,
-    catalog: &'a Catalog,
-    caller: &CallerRequest,
-) -> Result<&'a CatalogWorkspace, RefusalResponse> {
-    let key = caller
-        .key
-        .as_deref()
-        .ok_or_else(|| RefusalResponse::not_run(RefusalReason::KeyMissing, "authorization"))?;
-    catalog
-        .find_key(&hash_key(key))
-        .ok_or_else(|| refuse_unknown(state, RefusalReason::KeyUnknown, "authorization"))
-}
-
 /// Refuses a request for something that the configuration in force doesn't have. While a newer configuration is known
 /// of, which may have it, or the one in force isn't confirmed as the newest, the request isn't refused for good.
 fn refuse_unknown(state: &FleetState, reason: RefusalReason, detail: &str) -> RefusalResponse {
--- a/fleet/src/item_run.rs
+++ b/fleet/src/item_run.rs
@@ -508,7 +508,9 @@
     if let Some(last) = last {
         set(&names.last_event, &last.to_string());
     }
-    set_workspace(names, &mut headers, &entry.manifest.workspace);
+    if !entry.manifest.workspace.is_empty() {
+        set_workspace(names, &mut headers, &entry.manifest.workspace);
+    }
     let abandon = match &route.kind {
         RouteKind::Batch(terms) => terms.abandon_after,
         _ => Duration::ZERO,
--- a/fleet/src/job_reads.rs
+++ b/fleet/src/job_reads.rs
@@ -30,6 +30,7 @@
         JobResult,
         ResultChunk, //
     },
+    job_owner::reaches_job,
     rank::hash_name,
     refusal::{
         RefusalReason,
@@ -128,7 +129,7 @@
     let Some(entry) = state.jobs.find(read.id) else {
         return Ok(None);
     };
-    if entry.manifest.workspace != read.workspace {
+    if !reaches_job(&entry.manifest.workspace, read.workspace) {
         return Err(unknown_job(read.id));
     }
     let check = async || check_list(state, &entry).await.map_err(store_unavailable);
@@ -297,7 +298,7 @@
                 .unwrap_or_else(Instant::now),
         },
     };
-    if stored.manifest.workspace != workspace {
+    if !reaches_job(&stored.manifest.workspace, workspace) {
         return Err(unknown_job(id));
     }
     if !stored.is_complete() {
@@ -371,7 +372,7 @@
     workspace: &str,
 ) -> Result<JobManifest, RefusalResponse> {
     match load_manifest(state, id).await {
-        Ok(manifest) if manifest.workspace == workspace => Ok(manifest),
+        Ok(manifest) if reaches_job(&manifest.workspace, workspace) => Ok(manifest),
         Ok(_) | Err(ServeError::Missing(..)) => Err(unknown_job(id)),
         Err(error) => Err(store_unavailable(error)),
     }
@@ -399,7 +400,7 @@
     workspace: &str,
 ) -> Result<(), RefusalResponse> {
     match state.jobs.find(id) {
-        Some(entry) if entry.manifest.workspace == workspace => Ok(()),
+        Some(entry) if reaches_job(&entry.manifest.workspace, workspace) => Ok(()),
         Some(_) => Err(unknown_job(id)),
         None => owned_manifest(state, id, workspace).await.map(|_| ()),
     }
@@ -414,7 +415,9 @@
     workspace: &str,
 ) -> CallerResult {
     let found = match state.jobs.find(id) {
-        Some(entry) if entry.manifest.workspace == workspace => local_body(&entry, item),
+        Some(entry) if reaches_job(&entry.manifest.workspace, workspace) => {
+            local_body(&entry, item)
+        }
         Some(_) => return Err(unknown_job(id)),
         None => match request_item_body(state, id, item, workspace).await {
             Some(found) => found,
--- a/fleet/src/jobs.rs
+++ b/fleet/src/jobs.rs
@@ -81,7 +81,10 @@
         local_response,
         CallerResponse, //
     },
-    resubmission::confirm_stored,
+    resubmission::{
+        confirm_known,
+        confirm_stored, //
+    },
     state::{
         wall_ms,
         FleetState, //
@@ -220,6 +223,11 @@
         self.find(id).is_some() || lock(&self.directory).find(id).is_some()
     }
 
+    /// Returns the hash of the workspace and route of a job that another VM has reported.
+    pub(crate) fn known_account(&self, id: &str) -> Option<u64> {
+        Some(lock(&self.directory).find(id)?.account)
+    }
+
     /// Returns the process that last reported a job of another VM.
     pub(crate) fn runner(&self, id: &str) -> Option<JobRunner> {
         lock(&self.directory).find(id)?.runner
@@ -372,9 +380,10 @@
 ) -> CallerResult {
     let malformed =
         |cause: CompactString| RefusalResponse::not_run(RefusalReason::RequestMalformed, cause);
-    if state.jobs.is_known(&caller.id) {
-        counter!("jobs_resent_total").increment(1);
-        return Ok(accepted(&caller.id));
+    let account = account(workspace, &route.host, &route.prefix);
+    let resent = confirm_known(state, caller, workspace, account, &body).await;
+    if let Some(accepted) = resent? {
+        return Ok(accepted);
     }
     let reservation = state.caller_bytes.open();
     // The submission isn't shed while it is stored; until then nothing of it is.
@@ -389,7 +398,6 @@
         )));
     }
     let tokens: u64 = items.iter().map(|item| item.tokens).sum();
-    let account = account(workspace, &route.host, &route.prefix);
     let waiting = state.jobs.waiting_tokens(account);
     if terms.waiting_tokens > 0 && waiting + tokens > terms.waiting_tokens {
         let detail =
--- a/fleet/src/peers.rs
+++ b/fleet/src/peers.rs
@@ -47,6 +47,7 @@
         is_refusal,
         merge_failures, //
     },
+    job_owner::reaches_job,
     link_reuse::LinkChoice,
     rank::score,
     sync::lock,
@@ -342,7 +343,9 @@
 
 fn item_body_response(state: &FleetState, request: &ItemBodyRequest) -> ItemBodyResponse {
     let kept = state.jobs.find(&request.id);
-    let Some(entry) = kept.filter(|entry| entry.manifest.workspace == request.workspace) else {
+    let is_reached =
+        |entry: &Arc<jobs::JobEntry>| reaches_job(&entry.manifest.workspace, &request.workspace);
+    let Some(entry) = kept.filter(is_reached) else {
         return ItemBodyResponse::default();
     };
     let body = job_reads::local_body(&entry, &request.item);
--- a/fleet/src/resubmission.rs
+++ b/fleet/src/resubmission.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use boragerill::{
-    catalog::{
-        Catalog,
-        CatalogWorkspace, //
-    },
+    catalog::Catalog,
     error::ServeError,
     job::JobManifest,
-    keys::hash_key,
+    job_owner::{
+        reaches_job,
+        KeyTerms, //
+    },
     refusal::{
         RefusalReason,
         RefusalResponse, //
@@ -32,22 +32,33 @@
         JOB_KIND,
         SUBMIT_LIMIT, //
     },
+    response::CallerResponse,
     state::FleetState, //
 };
 
-/// Returns the workspace of a request that may be a repeated submission of a job whose route was removed: the
-/// configuration in force has no route for it, but has its key, and no prompt is stated, as requests to servers do.
+/// Returns the name of the workspace, empty for nobody, of a request that may be a repeated submission of a job whose route
+/// was removed: the configuration in force has no route for it, but has its key or needs none, and no prompt is stated, as
+/// requests to servers do.
 pub(crate) fn find_submitter<'a>(
     state: &FleetState,
     catalog: &'a Catalog,
     caller: &CallerRequest,
-) -> Option<&'a CatalogWorkspace> {
+) -> Option<&'a str> {
     let is_submission = caller.method == Method::POST
         && !caller.headers.contains_key(&state.format.names.token_usage);
     if !is_submission || catalog.find_route(&caller.host, caller.path()).is_some() {
         return None;
     }
-    catalog.find_key(&hash_key(caller.key.as_deref()?))
+    let terms = KeyTerms {
+        has_workspaces: catalog.needs_keys(),
+        is_open: catalog.has_open_batch(),
+    };
+    let workspace = terms.caller(catalog.caller_key(caller.key.as_deref()));
+    Some(
+        workspace
+            .ok()?
+            .map_or("", |workspace| workspace.name.as_str()),
+    )
 }
 
 /// Responds to a request for which the configuration in force has no route: acknowledges it if it repeats the submission
@@ -81,14 +92,54 @@
         }
     };
     // Jobs of other workspaces count as unknown.
-    if known.workspace != workspace.name {
+    if !reaches_job(&known.workspace, workspace) {
         return Err(refused);
     }
     counter!("jobs_resent_total").increment(1);
-    info!(job = id, workspace = workspace.name.as_str(), catalog = catalog.version(); "job without a route submitted again");
+    info!(job = id, workspace, catalog = catalog.version(); "job without a route submitted again");
     confirm(state, id, &known, submission_digest(body))
 }
 
+/// Acknowledges a submission under the id of a job that this VM knows of, whoever runs it; `account` is the hash of the
+/// submission's workspace and route. Returns `None` if there is no such job.
+///
+/// # Errors
+///
+/// Returns a refusal if the job belongs to another workspace, or the store can't be asked whose it is.
+pub(crate) async fn confirm_known(
+    state: &FleetState,
+    caller: &CallerRequest,
+    workspace: &str,
+    account: u64,
+    body: &Bytes,
+) -> Result<Option<CallerResponse>, RefusalResponse> {
+    let id = caller.id.as_str();
+    match state.jobs.find(id) {
+        Some(entry) if !reaches_job(&entry.manifest.workspace, workspace) => return Err(conflict()),
+        Some(_) => {}
+        None => match state.jobs.known_account(id) {
+            None => return Ok(None),
+            Some(known) if known == account => {}
+            // Another workspace's, or this one's through another route.
+            Some(_) => {
+                let submitted = JobManifest {
+                    workspace: workspace.into(),
+                    digest: submission_digest(body),
+                    ..JobManifest::default()
+                };
+                let until = (caller.arrived + SUBMIT_LIMIT).min(caller.deadline);
+                let confirming = confirm_stored(state, id, &submitted);
+                let confirmed = timeout_at(until.into(), confirming).await;
+                return confirmed
+                    .map_err(|_| unsettled("reading the job timed out"))?
+                    .map(Some);
+            }
+        },
+    }
+    counter!("jobs_resent_total").increment(1);
+    Ok(Some(accepted(id)))
+}
+
 /// Acknowledges the submission of a job whose manifest exists already if both have the same content.
 pub(crate) async fn confirm_stored(
     state: &FleetState,
@@ -98,7 +149,7 @@
     let known = state.platform.get(JOB_KIND, id).await;
     let known = known.map_err(|error| unsettled(&error.to_string()))?;
     let known: JobManifest = serde_json::from_value(known.spec).unwrap_or_default();
-    if known.workspace != manifest.workspace {
+    if !reaches_job(&known.workspace, &manifest.workspace) {
         return Err(conflict());
     }
     confirm(state, id, &known, manifest.digest)
