--- a/boragerill/src/job_owner.rs
+++ b/boragerill/src/job_owner.rs
@@ -1,8 +1,8 @@
 //! Whose a batch job is, and who gets at it: one decision for submissions, repeated ones, reads and ends, on all routes.
 //!
 //! The key of a submission names the owner, on routes that are open to all as well. Without a key, or without workspaces
-//! in the configuration, a job is nobody's: then whoever knows its id gets at it. No other workspace gets at a job that has
-//! an owner.
+//! in the configuration, a job has no owner, and all callers that know its id get at it. No other workspace gets at a job
+//! that has an owner.
 
 /// What the API key of a caller shows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,12 +34,12 @@
 }
 
 impl KeyTerms {
-    /// Returns the workspace of a caller that submits a job or calls about one; `None` if the caller is nobody.
+    /// Returns the workspace of a caller that submits a job or calls about one; `None` if the caller has none.
     ///
     /// # Errors
     ///
     /// Returns the fault of the key if the caller is to be refused. An unknown key is refused on open routes as well: it may
-    /// be one that this VM hasn't learned of, and its job would be nobody's.
+    /// be one that this VM hasn't learned of, and its job would have no owner.
     pub fn caller<T>(self, key: CallerKey<T>) -> Result<Option<T>, KeyFault> {
         match key {
             _ if !self.has_workspaces => Ok(None),
@@ -51,7 +51,7 @@
     }
 }
 
-/// Returns whether a caller of a workspace gets at a job of an owner. Both are empty for nobody.
+/// Returns whether a caller of a workspace gets at a job of an owner. Both are empty if there is none.
 pub fn reaches_job(owner: &str, workspace: &str) -> bool {
     owner.is_empty() || owner == workspace
 }
--- a/boragerill/tests/job_owner.rs
+++ b/boragerill/tests/job_owner.rs
@@ -25,7 +25,7 @@
     terms.collect()
 }
 
-/// Guards against LOST: a job that was submitted with a key on an open route was nobody's, and no key could read it.
+/// Guards against LOST: a job that was submitted with a key on an open route had no owner, and no key could read it.
 #[test]
 fn submitter_gets_at_its_job_with_any_key_of_its_workspace() {
     for submission in all_terms() {
--- a/fleet/src/dispatch.rs
+++ b/fleet/src/dispatch.rs
@@ -73,6 +73,7 @@
     },
     state::FleetState,
     stop_guard::{
+        refuse_stopping,
         wait_for_last_answer,
         RunTimer, //
     },
@@ -128,7 +129,10 @@
             .quarantine
             .check(&request.outgoing.prompt, terms, Instant::now());
         refuse_quarantined(checked, &history)?;
-        let PermittedServer { mut server, permit } = find_slot(state, &request, &history).await?;
+        let PermittedServer { mut server, permit } = tokio::select! {
+            found = find_slot(state, &request, &history) => found?,
+            () = wait_for_last_answer(state) => return Err(refuse_at_end(&history)),
+        };
         if !history.is_trial {
             let admitted = state
                 .quarantine
@@ -152,7 +156,7 @@
             () = wait_for_last_answer(state) => {
                 let stopped = AttemptFailure::Unknown("VM ends before the response".into());
                 record_attempt_failure(&request, &server, &stopped, &mut history);
-                return Err(final_refusal(&history, false));
+                return Err(refuse_at_end(&history));
             }
         };
         let timed_out = result.is_err();
@@ -191,6 +195,14 @@
     }
 }
 
+/// Returns the refusal for a request without a response when this VM ends.
+fn refuse_at_end(history: &RunHistory) -> RefusalResponse {
+    match history.runs {
+        0 => refuse_stopping(),
+        _ => final_refusal(history, false),
+    }
+}
+
 /// Records whether a server took a request, if it belongs to another cell.
 fn record_other_cell(state: &FleetState, server: &BackendState, is_accepted: bool) {
     if !state.backends.cell().has_server(server.key) {
--- a/fleet/src/item_scheduler.rs
+++ b/fleet/src/item_scheduler.rs
@@ -385,9 +385,10 @@
 struct ServiceSlots {
     service: u64,
     plan: ResumePlan,
+    sought: Vec<VersionKey>, // Versions that were looked for in other cells, sorted.
     sole: Option<VersionKey>, // The only version that can have generated any output.
     run_time: Option<Duration>, // Mean time for which items hold a slot.
-    yields: bool,             // Whether items yield to the online demand of recent seconds.
+    yields: bool,            // Whether items yield to the online demand of recent seconds.
     free: u32,
     totals: SlotTotals,
     running: u32, // This VM's items.
@@ -404,6 +405,7 @@
         ServiceSlots {
             service: key,
             plan,
+            sought: Vec::new(),
             sole: sole_version(state, key),
             run_time: state.load.item_run_time(key),
             yields: yields_to_demand(&views),
@@ -415,31 +417,20 @@
         }
     }
 
-    /// Decides where an item can be started. `restricted` are the slots of the servers to which its job's items may go, if
-    /// these are restricted.
+    /// Decides where an item with output of a version can be started. `restricted` are the slots of the servers to which its
+    /// job's items may go, if these are restricted.
     fn place(
         &mut self,
         state: &FleetState,
         service: &str,
-        (entry, index): (&JobEntry, usize),
+        (entry, index, version): (&JobEntry, usize, VersionKey),
         restricted: Option<&mut ResumePlan>,
         now: Instant,
-    ) -> (ItemStart, Option<VersionKey>) {
-        let plan = restricted.unwrap_or(&mut self.plan);
-        let Some(version) = output_version(entry, index, self.sole) else {
-            plan.take_any();
-            return (ItemStart::Anew, None);
-        };
-        if !plan.has_version(version) && state.backends.has_service_version(service, version) {
-            // Its servers belong to another cell.
-            add_slots(
-                plan,
-                state,
-                (service, Some(version)),
-                &ResidencyRule::default(),
-                now,
-            );
+    ) -> ItemStart {
+        if restricted.is_none() {
+            self.add_other_cell(state, service, version, now);
         }
+        let plan = restricted.unwrap_or(&mut self.plan);
         let mut progress = lock(&entry.progress);
         let lost = progress.output_time(index);
         let cost = ResumeCost {
@@ -452,7 +443,29 @@
         if start == ItemStart::Wait {
             progress.record_idle_wait(index, now);
         }
-        (start, Some(version))
+        start
+    }
+
+    /// Adds the slots of a server of another cell if this cell has none of a version that other servers have.
+    fn add_other_cell(
+        &mut self,
+        state: &FleetState,
+        service: &str,
+        version: VersionKey,
+        now: Instant,
+    ) {
+        if self.plan.has_version(version) {
+            return;
+        }
+        let Err(index) = self.sought.binary_search(&version) else {
+            return;
+        };
+        self.sought.insert(index, version);
+        if state.backends.has_service_version(service, version) {
+            let residency = ResidencyRule::default();
+            let servers = (service, Some(version));
+            add_slots(&mut self.plan, state, servers, &residency, now);
+        }
     }
 
     /// Returns the class of a job's items.
@@ -642,15 +655,25 @@
                 services.push(ServiceSlots::new(state, name, now));
                 services.len() - 1
             });
-            if residency.is_restricted() && restricted.as_ref().is_none_or(|own| own.0 != service) {
+            let slots = &mut services[position];
+            let class = slots.classify(state, priority);
+            let version = output_version(entry, index, slots.sole);
+            let is_known = restricted.as_ref().is_some_and(|own| own.0 == service);
+            if residency.is_restricted() && version.is_some() && !is_known {
                 let mut plan = ResumePlan::default();
                 add_slots(&mut plan, state, (name, None), &residency, now);
                 restricted = Some((service, plan));
             }
-            let plan = restricted.as_mut().map(|own| &mut own.1);
-            let slots = &mut services[position];
-            let class = slots.classify(state, priority);
-            let (start, version) = slots.place(state, name, (entry, index), plan, now);
+            let start = match version {
+                Some(version) => {
+                    let plan = restricted.as_mut().map(|own| &mut own.1);
+                    slots.place(state, name, (entry, index, version), plan, now)
+                }
+                None => {
+                    slots.plan.take_any();
+                    ItemStart::Anew
+                }
+            };
             places.push(ItemPlace {
                 job,
                 item: index,
--- a/fleet/src/resubmission.rs
+++ b/fleet/src/resubmission.rs
@@ -36,7 +36,7 @@
     state::FleetState, //
 };
 
-/// Returns the name of the workspace, empty for nobody, of a request that may be a repeated submission of a job whose route
+/// Returns the name of the workspace, empty if there is none, of a request that may be a repeated submission of a job whose route
 /// was removed: the configuration in force has no route for it, but has its key or needs none, and no prompt is stated, as
 /// requests to servers do.
 pub(crate) fn find_submitter<'a>(
@@ -100,7 +100,7 @@
     confirm(state, id, &known, submission_digest(body))
 }
 
-/// Acknowledges a submission under the id of a job that this VM knows of, whoever runs it; `account` is the hash of the
+/// Acknowledges a submission under the id of a job that this VM or another one runs; `account` is the hash of the
 /// submission's workspace and route. Returns `None` if there is no such job.
 ///
 /// # Errors
