--- a/boragerill/tests/item_resume.rs
+++ b/boragerill/tests/item_resume.rs
@@ -333,7 +333,7 @@
     assert!(waiting.is_empty(), "{waiting:?}");
 }
 
-/// Guards against an item that gives the output of each short run up and never ends.
+/// Items whose runs are cut each 0.2 s end. They do so with a price that doesn't grow as well.
 #[test]
 fn item_whose_runs_are_cut_again_and_again_ends() {
     // arrange
